--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# The targets are the way in: "make demo" shows the whole path, "make test" runs the tests.
+
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+
+.PHONY: install test lint format demo bench clean
+
+install: $(VENV)/installed
+
+$(VENV)/installed: pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -e ".[dev]"
+	touch $@
+
+test: install
+	$(PYTHON) -m pytest
+
+lint: install
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+format: install
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+demo: install
+	$(PYTHON) -m demo
+
+bench: install
+	$(PYTHON) -m bench load --json
+	$(PYTHON) -m bench recovery --json
+
+clean:
+	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with bounds."""
--- /dev/null
+++ b/fireflylock/assignment.py
@@ -0,0 +1,95 @@
+"""The assignment of one service: which backend server owns each unit, and who sends to it."""
+
+from dataclasses import dataclass, field
+
+import xxhash
+
+# Hot keys that are placed on their own, beside the hash slots, are bounded per service.
+HOT_UNITS = 64
+
+NO_SERVER = ""
+
+
+@dataclass(frozen=True)
+class Ownership:
+    """Who owns one unit.
+
+    Attributes
+    ----------
+    server : str
+        Owning backend server, or `NO_SERVER`.
+    epoch : int
+        Grows with every change of this unit's owner; starts at 1.
+    """
+
+    server: str
+    epoch: int
+
+
+@dataclass(frozen=True)
+class GateRecord:
+    """Who may send to one backend server.
+
+    Attributes
+    ----------
+    member : str
+        The entry VM that is the server's gate, or "" for none.
+    epoch : int
+        Grows with every recorded change of the gate.
+    standby : str
+        The entry VM that may claim the server without a write, or "".
+    """
+
+    member: str
+    epoch: int
+    standby: str = ""
+
+
+@dataclass(frozen=True)
+class Assignment:
+    """One version of a service's assignment; one value in the platform's service.
+
+    Attributes
+    ----------
+    service : str
+        Which service.
+    hash_slots : int
+        Units ``0 .. hash_slots - 1`` are hash slots; higher units are single hot keys.
+    units : dict of int to Ownership
+        Owner of every hash slot and of every hot key that is placed on its own.
+    hot_keys : dict of str to int
+        Unit of each hot key that is placed on its own.
+    gates : dict of str to GateRecord
+        Gate of each backend server.
+    revision : int
+        The platform's revision of this value; 0 before it was written.
+    change_id : str
+        Id of the change that wrote this value; finds out whether a lost answer took effect.
+    """
+
+    service: str
+    hash_slots: int
+    units: dict[int, Ownership] = field(default_factory=dict)
+    hot_keys: dict[str, int] = field(default_factory=dict)
+    gates: dict[str, GateRecord] = field(default_factory=dict)
+    revision: int = 0
+    change_id: str = ""
+
+    def unit_of(self, key: str) -> int:
+        """Return the unit that `key` belongs to."""
+        unit = self.hot_keys.get(key)
+        if unit is not None:
+            return unit
+        return hash_slot(self.service, key, self.hash_slots)
+
+    def owner_of(self, key: str) -> Ownership | None:
+        """Return the ownership of `key`, or None when nobody owns it."""
+        ownership = self.units.get(self.unit_of(key))
+        if ownership is None or ownership.server == NO_SERVER:
+            return None
+        return ownership
+
+
+def hash_slot(service: str, key: str, hash_slots: int) -> int:
+    """Return the hash slot of `key`; the same on every VM and in every release."""
+    return xxhash.xxh3_64_intdigest(f"{service}\0{key}") % hash_slots
