--- /dev/null
+++ b/fireflylock/config.py
@@ -0,0 +1,455 @@
+"""The daemon's settings: an INI file, read and checked as a whole."""
+
+import configparser
+import ipaddress
+import re
+from collections.abc import Iterable
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
+
+from fireflylock.exceptions import SettingsError
+from fireflylock.units import DURATION_FORM, SIZE_FORM, parse_duration, parse_size
+
+NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
+NAME_FORM = "letters, digits, '.', '_' and '-', at most 63, starting with a letter or digit"
+# A file that is longer than this is not a settings file.
+MAX_FILE_BYTES = 256 * 1024
+
+
+def _name(value: str) -> str:
+    """Return `value` when it can name a VM, a zone or a service."""
+    if re.fullmatch(NAME_PATTERN, value, re.ASCII) is None:
+        raise ValueError(f"{value!r} is not a name")
+    return value
+
+
+def _ip_number(value: str) -> str:
+    """Return `value` when it is an IP number; host names are never looked up."""
+    try:
+        return str(ipaddress.ip_address(value))
+    except ValueError:
+        raise ValueError(f"{value!r} is not an IP number") from None
+
+
+def split_endpoint(value: str) -> tuple[str, int]:
+    """Return the IP number and the port of ``ip:port`` or ``[ipv6]:port``.
+
+    Raises
+    ------
+    ValueError
+        The text has another form.
+    """
+    host, colon, port = value.rpartition(":")
+    if not colon or not port.isascii() or not port.isdigit() or not 0 < int(port[:6]) <= 65535:
+        raise ValueError(f"{value!r} is not ip:port")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    return _ip_number(host), int(port)
+
+
+def _endpoint(value: str) -> str:
+    """Return `value` when it is ``ip:port``."""
+    split_endpoint(value)
+    return value
+
+
+def _url(value: str) -> str:
+    """Return `value` when it is an HTTP URL of an IP number."""
+    match = re.fullmatch(r"http://([^/]+)(/[!-~]*)", value)
+    if match is None:
+        raise ValueError(f"{value!r} is not a URL")
+    split_endpoint(match[1])
+    return value
+
+
+def _words(value: Any) -> Any:
+    """Split a comma or blank separated list."""
+    return tuple(re.split(r"[\s,]+", value.strip())) if isinstance(value, str) else value
+
+
+def _duration(value: Any) -> Any:
+    """Turn text into a duration."""
+    return parse_duration(value) if isinstance(value, str) else value
+
+
+def _size(value: Any) -> Any:
+    """Turn text into a number of bytes."""
+    return parse_size(value) if isinstance(value, str) else value
+
+
+Name = Annotated[str, AfterValidator(_name)]
+IPNumber = Annotated[str, AfterValidator(_ip_number)]
+Endpoint = Annotated[str, AfterValidator(_endpoint)]
+Endpoints = Annotated[tuple[Endpoint, ...], BeforeValidator(_words)]
+Url = Annotated[str, AfterValidator(_url)]
+Port = Annotated[int, Field(ge=0, le=65535)]
+Duration = Annotated[timedelta, BeforeValidator(_duration)]
+Size = Annotated[int, BeforeValidator(_size)]
+
+
+def option(default: Any, meaning: str, allowed: str, **bounds: Any) -> Any:
+    """Return a model field with its meaning and the words that say what is allowed."""
+    return Field(default, description=meaning, json_schema_extra={"allowed": allowed}, **bounds)
+
+
+def required(meaning: str, allowed: str) -> Any:
+    """Return a model field that has no default."""
+    return Field(description=meaning, json_schema_extra={"allowed": allowed})
+
+
+def duration(default: timedelta, meaning: str, least: timedelta, most: timedelta) -> Any:
+    """Return a field for a duration between two bounds."""
+    allowed = f"{DURATION_FORM}, from {_bound(least)} to {_bound(most)}"
+    return option(default, meaning, allowed, ge=least, le=most)
+
+
+def count(default: int, meaning: str, least: int, most: int) -> Any:
+    """Return a field for a whole number between two bounds."""
+    allowed = f"a whole number from {least} to {most}"
+    return option(default, meaning, allowed, ge=least, le=most)
+
+
+def size(default: int, meaning: str, least: int, most: int) -> Any:
+    """Return a field for a number of bytes between two bounds."""
+    allowed = f"{SIZE_FORM}, from {least} to {most} bytes"
+    return option(default, meaning, allowed, ge=least, le=most)
+
+
+def _bound(value: timedelta) -> str:
+    """Return a bound of a duration as it is written in settings."""
+    seconds = value.total_seconds()
+    return f"{seconds:g} s" if seconds >= 1 else f"{seconds * 1000:g} ms"
+
+
+_MS = timedelta(milliseconds=1)
+_SECOND = timedelta(seconds=1)
+_FILE = "the path of a file, or nothing"
+
+
+class Section(BaseModel):
+    """One section of the settings file; unknown options are mistakes."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class VMSection(Section):
+    """``[vm]``: who this process is."""
+
+    name: Name = required("Name of this entry VM; unique and lasting.", NAME_FORM)
+    zone: Name = required("Its availability zone.", NAME_FORM)
+    region: Name = option("region", "Its region.", NAME_FORM)
+
+
+class ListenSection(Section):
+    """An address that HTTP is accepted on, with or without TLS."""
+
+    address: IPNumber = option("127.0.0.1", "IP number to accept on.", "an IP number")
+    port: Port = option(0, "TCP port to accept on; 0 takes any.", "a whole number up to 65535")
+    tls_certificate: str = option("", "PEM file with the certificate chain.", _FILE)
+    tls_key: str = option("", "PEM file with the certificate's private key.", _FILE)
+
+    @model_validator(mode="after")
+    def check_tls(self) -> "ListenSection":
+        """Refuse half of a certificate."""
+        if bool(self.tls_certificate) != bool(self.tls_key):
+            raise ValueError("tls_certificate and tls_key belong together; allowed: both or none")
+        return self
+
+
+class CallersSection(ListenSection):
+    """``[callers]``: where requests come in."""
+
+    reuse_port: bool = option(False, "Share the port with other daemons of this VM.", "yes or no")
+
+
+class AdminSection(ListenSection):
+    """``[admin]``: where operators, probes and Prometheus come in."""
+
+    tokens_file: str = option("", "File with the hashes of the operators' tokens.", _FILE)
+
+    @model_validator(mode="after")
+    def check_open(self) -> "AdminSection":
+        """Refuse an address that strangers reach when nobody needs a token."""
+        if not self.tokens_file and not ipaddress.ip_address(self.address).is_loopback:
+            raise ValueError(
+                f"address {self.address} is open to others but tokens_file is not set; "
+                "allowed: a loopback address, or any address together with tokens_file"
+            )
+        return self
+
+
+class PeersSection(Section):
+    """``[peers]``: the links between the daemons."""
+
+    address: IPNumber = option("127.0.0.1", "IP number to accept on.", "an IP number")
+    port: Port = option(0, "TCP port to accept on; 0 takes any.", "a whole number up to 65535")
+    key_file: str = option("", "This VM's CURVE key pair, from `fireflylock keys new`.", _FILE)
+    known_keys: str = option("", "File with the public keys of all entry VMs.", _FILE)
+    seeds: Endpoints = option((), "Daemons to ask when the VM list is away.", "a list of ip:port")
+
+    @model_validator(mode="after")
+    def check_keys(self) -> "PeersSection":
+        """Refuse half of the keys."""
+        if bool(self.key_file) != bool(self.known_keys):
+            raise ValueError("key_file and known_keys belong together; allowed: both or none")
+        return self
+
+
+class PlatformSection(Section):
+    """``[platform]``: the platform's key-value service and its list of VMs."""
+
+    endpoints: Endpoints = required("Key-value service, tried in order.", "a list of ip:port")
+    vm_list_url: Url = required("List of live and leaving VMs.", "http://ip:port/path")
+    timeout: Duration = duration(_SECOND, "Time for one call.", 50 * _MS, 30 * _SECOND)
+    prefix: Name = option("fireflylock", "First part of every key that is kept.", NAME_FORM)
+    calls_per_second: int = count(20, "Most calls of this process.", 1, 1000)
+    poll: Duration = duration(
+        2 * _SECOND, "Time between two readings of the VM list.", 100 * _MS, 600 * _SECOND
+    )
+
+
+class TimingSection(Section):
+    """``[timing]``: heartbeats, sessions and the bounds that safety rests on."""
+
+    heartbeat: Duration = duration(
+        100 * _MS, "Time between two heartbeats.", 10 * _MS, 10 * _SECOND
+    )
+    session_ttl: Duration = duration(
+        400 * _MS, "How long a backend server's session lasts.", 50 * _MS, 60 * _SECOND
+    )
+    renew: Duration = duration(
+        100 * _MS, "Time between two renewals of a session.", 10 * _MS, 20 * _SECOND
+    )
+    call_timeout: Duration = duration(
+        100 * _MS, "Time for one control call to a backend server.", 10 * _MS, 20 * _SECOND
+    )
+    drift: float = option(
+        0.001, "Largest drift between two clocks, as a share.", "from 0 to 0.1", ge=0, le=0.1
+    )
+    plan: Duration = duration(
+        5 * _SECOND, "Time between two looks at the load.", 100 * _MS, 3600 * _SECOND
+    )
+    drain: Duration = duration(
+        30 * _SECOND,
+        "Longest wait for requests in flight at a graceful stop.",
+        _MS,
+        3600 * _SECOND,
+    )
+
+    @model_validator(mode="after")
+    def check_order(self) -> "TimingSection":
+        """Refuse timings under which a healthy session would lapse."""
+        if self.renew + self.call_timeout >= self.session_ttl:
+            raise ValueError(
+                "renew and call_timeout together reach session_ttl, so that one lost renewal "
+                "ends a session; allowed: renew + call_timeout below session_ttl"
+            )
+        return self
+
+
+class LimitsSection(Section):
+    """``[limits]``: bounds on everything that a stranger can make grow."""
+
+    max_connections: int = count(2000, "Connections of callers at once.", 1, 1_000_000)
+    admin_connections: int = count(64, "Connections of operators at once.", 1, 10_000)
+    header_bytes: Size = size(32 * 1024, "Request line and headers.", 1024, 1024**2)
+    headers_timeout: Duration = duration(
+        10 * _SECOND, "Time for a request's headers.", 100 * _MS, 600 * _SECOND
+    )
+    body_timeout: Duration = duration(
+        20 * _SECOND, "Longest pause inside a request's body.", 100 * _MS, 600 * _SECOND
+    )
+    keepalive_timeout: Duration = duration(
+        60 * _SECOND, "Longest pause between two requests.", 100 * _MS, 3600 * _SECOND
+    )
+    admin_body_bytes: Size = size(1024**2, "Body of an admin request.", 1024, 64 * 1024**2)
+    queue_requests: int = count(200, "Requests that wait for one backend server.", 1, 100_000)
+    window_entries: int = count(200_000, "Idempotency keys kept per gate.", 1, 10_000_000)
+    window_bytes: Size = size(32 * 1024**2, "Stored answers kept per gate.", 1024, 1024**3)
+    peer_queue: int = count(10_000, "Messages that wait for one peer.", 10, 1_000_000)
+    metric_labels: int = count(500, "Values of one metrics label.", 1, 100_000)
+    history: int = count(200, "Accepted configuration changes kept.", 1, 5_000)
+
+
+class LogSection(Section):
+    """``[log]``: what is written to standard error."""
+
+    format: Literal["json", "console"] = option("json", "Form of a line.", "json or console")
+    level: Literal["debug", "info", "warning", "error"] = option(
+        "info", "Least level that is written.", "debug, info, warning or error"
+    )
+
+
+class Settings(BaseModel):
+    """Everything a process is told when it starts.
+
+    Attributes
+    ----------
+    vm, callers, admin, peers, platform, timing, limits, log : Section
+        One section of the file each.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    vm: VMSection
+    callers: CallersSection = CallersSection()
+    admin: AdminSection = AdminSection()
+    peers: PeersSection = PeersSection()
+    platform: PlatformSection
+    timing: TimingSection = TimingSection()
+    limits: LimitsSection = LimitsSection()
+    log: LogSection = LogSection()
+
+    @classmethod
+    def from_file(cls, path: str | Path) -> "Settings":
+        """Read and check the settings file at `path`.
+
+        Raises
+        ------
+        SettingsError
+            Lists every mistake of the file.
+        """
+        try:
+            data = Path(path).read_bytes()
+        except OSError as error:
+            raise SettingsError([f"{path}: {error.strerror or error}."]) from None
+        if len(data) > MAX_FILE_BYTES:
+            raise SettingsError([f"{path}: longer than {MAX_FILE_BYTES} bytes."])
+        try:
+            text = data.decode("utf-8-sig")
+        except UnicodeDecodeError as error:
+            raise SettingsError([f"{path}: byte {error.start} is not UTF-8."]) from None
+        return cls.from_text(text, str(path))
+
+    @classmethod
+    def from_text(cls, text: str, source: str = "settings") -> "Settings":
+        """Read and check settings; `source` names them in messages.
+
+        Raises
+        ------
+        SettingsError
+            Lists every mistake of the text.
+        """
+        sections, problems = _parse(text, source)
+        # Sections without a default must be looked into even when they are absent, so
+        # that the missing options are named and not just the section.
+        for name, field in cls.model_fields.items():
+            if field.is_required():
+                sections.setdefault(name, {})
+        try:
+            settings = cls.model_validate(sections)
+        except ValidationError as error:
+            problems.extend(_explain(error, source))
+        if problems:
+            raise SettingsError(problems)
+        return settings
+
+    def entries(self) -> list[tuple[str, object]]:
+        """Return every setting in force as (name, value), for the state dump."""
+        found: list[tuple[str, object]] = []
+        for section in type(self).model_fields:
+            model = getattr(self, section)
+            for name in type(model).model_fields:
+                found.append((f"{section}.{name}", getattr(model, name)))
+        return found
+
+
+def _parse(text: str, source: str) -> tuple[dict[str, dict[str, str]], list[str]]:
+    """Return the options by section, and what is wrong with the form of the file."""
+    problems: list[str] = []
+    parser = _parser(strict=True)
+    if not _read(parser, text, source, problems):
+        # The rest is read all the same, so that one run shows every mistake.
+        parser = _parser(strict=False)
+        _read(parser, text, source, problems)
+    sections = {}
+    for name in parser.sections():
+        options = parser.items(name)
+        sections[name] = {option: value for option, value in options if value is not None}
+    return sections, problems
+
+
+def _read(parser: configparser.ConfigParser, text: str, source: str, problems: list[str]) -> bool:
+    """Read `text`, add what is wrong with its form to `problems`, return whether it is whole."""
+    found = []
+    try:
+        parser.read_string(text, source)
+    except configparser.DuplicateSectionError as error:
+        found.append(f"{source}: line {error.lineno}: section [{error.section}] stands twice.")
+    except configparser.DuplicateOptionError as error:
+        place = f"{source}: line {error.lineno}: [{error.section}] {error.option}"
+        found.append(f"{place} stands twice; allowed: once.")
+    except configparser.MissingSectionHeaderError as error:
+        found.append(f"{source}: line {error.lineno}: an option stands before any [section].")
+    except configparser.ParsingError as error:
+        for line, content in error.errors:
+            found.append(f"{source}: line {line}: {content} is not 'option = value'.")
+    except AttributeError:
+        # The parser of Python 3.11 trips over a continued line after an option without value.
+        found.append(f"{source}: a continued line follows a line that is not 'option = value'.")
+    problems.extend(problem for problem in found if problem not in problems)
+    return not found
+
+
+def _parser(strict: bool) -> configparser.ConfigParser:
+    """Return a parser without interpolation and without a section that leaks into others."""
+    return configparser.ConfigParser(
+        strict=strict,
+        interpolation=None,
+        default_section="\0",
+        inline_comment_prefixes=("#",),
+    )
+
+
+def _explain(error: ValidationError, source: str) -> Iterable[str]:
+    """Return a sentence for each mistake, with section, option and what is allowed."""
+    for mistake in error.errors():
+        location = [str(part) for part in mistake["loc"]]
+        section = location[0] if location else ""
+        name = location[1] if len(location) > 1 else ""
+        place = f"{source}: [{section}] {name}".rstrip()
+        if mistake["type"] == "extra_forbidden":
+            yield f"{place}: unknown; allowed: {_allowed_names(section, name)}."
+            continue
+        allowed = _allowed(section, name)
+        if mistake["type"] == "missing":
+            yield f"{place}: missing; allowed: {allowed}."
+            continue
+        message = mistake["msg"].removeprefix("Value error, ")
+        if "allowed:" in message or not allowed:
+            yield f"{place}: {message}."
+            continue
+        yield f"{place}: {message}; allowed: {allowed}."
+
+
+def _section_model(section: str) -> type[Section] | None:
+    """Return the model of a section, or None when there is no such section."""
+    field = Settings.model_fields.get(section)
+    return field.annotation if field is not None else None
+
+
+def _allowed_names(section: str, name: str) -> str:
+    """Return the names that may stand where an unknown one stood."""
+    model = _section_model(section)
+    if not name or model is None:
+        return ", ".join(f"[{known}]" for known in Settings.model_fields)
+    return ", ".join(model.model_fields)
+
+
+def _allowed(section: str, name: str) -> str:
+    """Return the words that say what an option allows."""
+    model = _section_model(section)
+    field = model.model_fields.get(name) if model is not None else None
+    extra = field.json_schema_extra if field is not None else None
+    return str(extra["allowed"]) if isinstance(extra, dict) else ""
