--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,19 +4,25 @@
 import importlib
 import pkgutil
 import sys
+from types import ModuleType
 
 import bench
 
 
+def find(name: str) -> ModuleType | None:
+    """Return the module of the benchmark `name`: one of this package that has `run`."""
+    if name not in [module.name for module in pkgutil.iter_modules(bench.__path__)]:
+        return None
+    if name.startswith("_"):
+        return None
+    module = importlib.import_module(f"bench.{name}")
+    return module if hasattr(module, "run") else None
+
+
 def names() -> list[str]:
-    """Return the names of the benchmarks: the modules of this package that have `run`."""
-    found = []
-    for module in pkgutil.iter_modules(bench.__path__):
-        if module.name.startswith("_"):
-            continue
-        if hasattr(importlib.import_module(f"bench.{module.name}"), "run"):
-            found.append(module.name)
-    return sorted(found)
+    """Return the names of all benchmarks."""
+    modules = [module.name for module in pkgutil.iter_modules(bench.__path__)]
+    return sorted(name for name in modules if find(name) is not None)
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -31,10 +37,11 @@
     parser.add_argument("name", help="which benchmark to run")
     parser.add_argument("--json", action="store_true", help="print the figures as JSON")
     options, rest = parser.parse_known_args(argv)
-    if options.name not in names():
+    module = find(options.name)
+    if module is None:
         print(f"No benchmark {options.name}; there are: {', '.join(names())}", file=sys.stderr)
         return 2
-    figures = importlib.import_module(f"bench.{options.name}").run(rest)
+    figures = module.run(rest)
     print(figures.to_json() if options.json else figures.to_table())
     return 0 if figures.ok else 1
 
--- /dev/null
+++ b/fireflylock/health.py
@@ -0,0 +1,166 @@
+"""Health: whether a backend server is used, judged first by what we saw ourselves."""
+
+import enum
+from dataclasses import dataclass
+from datetime import timedelta
+
+from fireflylock.clock import Instant
+
+# Failures in a row after which a server is ejected.
+FAILURES_TO_EJECT = 5
+# Successes in a row after which a server on trial is used fully again.
+SUCCESSES_TO_RETURN = 3
+FIRST_EJECTION = timedelta(seconds=2)
+LONGEST_EJECTION = timedelta(seconds=60)
+# An endpoint's word counts only when nothing was observed for this long.
+OBSERVATION_LIFETIME = timedelta(seconds=10)
+# At most this share of a service's servers is ejected, but always one may be.
+MAX_EJECTED_SHARE = 0.34
+
+
+class HealthState(enum.Enum):
+    """How far a server is trusted."""
+
+    IN_USE = "in use"
+    EJECTED = "ejected"
+    ON_TRIAL = "on trial"
+
+
+@dataclass
+class ServerHealth:
+    """What is known about one backend server.
+
+    Attributes
+    ----------
+    state : HealthState
+        How far it is trusted.
+    failures, successes : int
+        Own observations of one kind in a row.
+    observed_at : timedelta or None
+        When the last own observation was made.
+    ejections : int
+        Ejections since the last full return; each lasts twice as long as the one before.
+    until : timedelta
+        When an ejection ends.
+    trial_running : bool
+        Whether the one request of a trial is on its way.
+    """
+
+    state: HealthState = HealthState.IN_USE
+    failures: int = 0
+    successes: int = 0
+    observed_at: Instant | None = None
+    ejections: int = 0
+    until: Instant = timedelta(0)
+    trial_running: bool = False
+
+
+class ServiceHealth:
+    """The health of all backend servers of one service.
+
+    A server that fails is ejected for a while and then tried with one request at a time.
+    When many fail at once the cause is rarely theirs, and ejecting the lot would end the
+    service; so the share of ejected servers is bounded.
+
+    Parameters
+    ----------
+    servers : list of str
+        Names of the service's backend servers.
+    """
+
+    def __init__(self, servers: list[str]) -> None:
+        self.servers = {name: ServerHealth() for name in servers}
+
+    def set_servers(self, names: list[str]) -> None:
+        """Follow a change of the service's backend servers."""
+        self.servers = {name: self.servers.get(name, ServerHealth()) for name in names}
+
+    def may_send(self, now: Instant, server: str) -> bool:
+        """Return whether a request may be sent; on trial only one at a time.
+
+        The caller reports the outcome with `succeeded`, `failed` or `abandoned`.
+        """
+        health = self.servers[server]
+        if health.state is HealthState.EJECTED and now >= health.until:
+            health.state = HealthState.ON_TRIAL
+            health.successes = 0
+        if health.state is HealthState.IN_USE:
+            return True
+        if health.state is HealthState.EJECTED or health.trial_running:
+            return False
+        health.trial_running = True
+        return True
+
+    def retry_after(self, now: Instant, server: str) -> timedelta:
+        """Return when the server may next be tried."""
+        health = self.servers[server]
+        if health.state is HealthState.EJECTED:
+            return max(health.until - now, timedelta(0))
+        return timedelta(0)
+
+    def succeeded(self, now: Instant, server: str) -> bool:
+        """Note an answer; return whether the server has just come back from its trial."""
+        health = self.servers[server]
+        health.observed_at = now
+        health.failures = 0
+        health.successes += 1
+        health.trial_running = False
+        if health.state is HealthState.IN_USE or health.successes < SUCCESSES_TO_RETURN:
+            return False
+        health.state = HealthState.IN_USE
+        health.ejections = 0
+        return True
+
+    def failed(self, now: Instant, server: str) -> bool:
+        """Note a refused connection, timeout or cut answer; return whether it was ejected."""
+        health = self.servers[server]
+        health.observed_at = now
+        health.successes = 0
+        health.failures += 1
+        health.trial_running = False
+        if health.state is HealthState.EJECTED:
+            return False
+        if health.state is HealthState.ON_TRIAL:
+            self._eject(now, health)
+            return True
+        if health.failures < FAILURES_TO_EJECT or not self._may_eject_one_more():
+            return False
+        self._eject(now, health)
+        return True
+
+    def abandoned(self, server: str) -> None:
+        """Note that a request ended without saying anything about the server."""
+        self.servers[server].trial_running = False
+
+    def endpoint_said(self, now: Instant, server: str, healthy: bool) -> bool:
+        """Note what the server's health endpoint says; return whether it was ejected.
+
+        Endpoints lag and mislead: "healthy" changes nothing, and "not healthy" counts only
+        while there is no fresh observation of our own.
+        """
+        health = self.servers[server]
+        if healthy or health.state is not HealthState.IN_USE:
+            return False
+        if health.observed_at is not None and now - health.observed_at < OBSERVATION_LIFETIME:
+            return False
+        if not self._may_eject_one_more():
+            return False
+        self._eject(now, health)
+        return True
+
+    def state(self) -> list[tuple[str, object]]:
+        """Return names and values for the state dump."""
+        return [(name, health.state.value) for name, health in sorted(self.servers.items())]
+
+    def _may_eject_one_more(self) -> bool:
+        out = sum(1 for h in self.servers.values() if h.state is not HealthState.IN_USE)
+        if len(self.servers) < 2:
+            return False
+        return out + 1 <= max(1, int(len(self.servers) * MAX_EJECTED_SHARE))
+
+    def _eject(self, now: Instant, health: ServerHealth) -> None:
+        lasting = FIRST_EJECTION * 2 ** min(health.ejections, 10)
+        health.state = HealthState.EJECTED
+        health.until = now + min(lasting, LONGEST_EJECTION)
+        health.ejections += 1
+        health.failures = 0
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,190 @@
+"""Tests of admission."""
+
+import itertools
+import random
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fireflylock.admission import Admission, Queued, Refused, Started, Ticket
+from fireflylock.exceptions import ErrorKind
+
+SERVICE_TIME = timedelta(milliseconds=20)
+ZERO = timedelta(0)
+
+
+def ticket(number, customer="ana", deadline=timedelta(seconds=1000)):
+    return Ticket(str(number), customer, deadline)
+
+
+def full_admission(limit=4, queue_limit=100):
+    admission = Admission(limit, queue_limit, SERVICE_TIME)
+    for number in range(limit):
+        assert admission.offer(ZERO, ticket(f"running-{number}", "busy")) == Started()
+    return admission
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["offer", "offer", "finish", "cancel", "expire", "limit", "ramp"]),
+            st.integers(0, 4),
+            st.integers(1, 300),
+        ),
+        max_size=120,
+    ),
+    st.integers(1, 5),
+)
+def test_every_request_has_exactly_one_fate(steps, limit):
+    admission = Admission(limit, 8, SERVICE_TIME)
+    now, fate, limit_now = ZERO, {}, limit
+    tickets = {}
+    for number, (step, choice, milliseconds) in enumerate(steps):
+        now += timedelta(milliseconds=milliseconds % 20)
+        started, refused = [], []
+        if step == "offer":
+            new = ticket(number, f"customer-{choice}", now + timedelta(milliseconds=milliseconds))
+            tickets[new.request_id] = new
+            answer = admission.offer(now, new)
+            if isinstance(answer, Started):
+                started = [new]
+            if isinstance(answer, Refused):
+                refused = [(new, answer)]
+        running = [name for name, what in fate.items() if what == "running"]
+        if step == "finish" and running:
+            done = running[choice % len(running)]
+            fate[done] = "done"
+            started = admission.finish(now, tickets[done])
+        if step == "cancel" and admission.waiting:
+            gone = list(admission.waiting.values())[choice % len(admission.waiting)]
+            fate[gone.request_id] = "cancelled"
+            started = admission.cancel(now, gone)
+        if step == "expire":
+            refused = admission.expire(now)
+        if step == "limit":
+            limit_now = choice + 1
+            started = admission.set_limit(now, limit_now)
+        if step == "ramp":
+            admission.begin_slow_start(now, timedelta(milliseconds=milliseconds))
+        for each in started:
+            assert each.request_id not in fate
+            fate[each.request_id] = "running"
+            assert len(admission.running) <= limit_now
+        for each, answer in refused:
+            assert each.request_id not in fate
+            fate[each.request_id] = "refused"
+            assert answer.retry_after > ZERO
+        assert len(admission.waiting) <= 8
+        assert set(admission.running) == {n for n, what in fate.items() if what == "running"}
+    late = now + timedelta(hours=1)
+    for each, _ in admission.expire(late):
+        assert each.request_id not in fate
+        fate[each.request_id] = "refused"
+    for each in admission.waiting.values():
+        assert not admission.running or each.deadline > late
+    undecided = set(tickets) - set(fate) - set(admission.waiting)
+    assert not undecided
+
+
+def test_customers_are_served_in_turn_whatever_they_queue():
+    admission = full_admission()
+    for number in range(60):
+        admission.offer(ZERO, ticket(f"ana-{number}", "ana"))
+    for number in range(3):
+        admission.offer(ZERO, ticket(f"beto-{number}", "beto"))
+    order, now = [], ZERO
+    for _ in range(10):
+        now += SERVICE_TIME
+        oldest = next(iter(admission.running.values())).ticket
+        order += [each.customer for each in admission.finish(now, oldest)]
+    assert order[:6].count("beto") == 3
+
+
+def test_long_requests_count_for_the_time_they_take():
+    admission = Admission(1, 1000, SERVICE_TIME)
+    now, used = ZERO, {"long": ZERO, "short": ZERO}
+    for number in range(400):
+        for customer in used:
+            admission.offer(now, ticket(f"{customer}-{number}", customer))
+    for _ in range(400):
+        current = next(iter(admission.running.values())).ticket
+        took = SERVICE_TIME * (5 if current.customer == "long" else 1)
+        now += took
+        used[current.customer] += took
+        admission.finish(now, current)
+    assert 0.9 < used["long"] / used["short"] < 1.1
+
+
+def test_a_request_that_would_miss_its_deadline_is_refused_at_once():
+    admission = full_admission()
+    for number in range(20):
+        admission.offer(ZERO, ticket(number))
+    answer = admission.offer(ZERO, ticket("late", deadline=timedelta(milliseconds=90)))
+    assert isinstance(answer, Refused)
+    assert answer.kind is ErrorKind.DEADLINE_TOO_SHORT
+    expected = admission.expected_wait(ZERO, ticket("x")) - timedelta(milliseconds=90)
+    assert answer.retry_after >= expected
+    assert "late" not in admission.waiting
+
+
+def test_refused_callers_are_told_to_come_back_one_after_the_other():
+    admission = full_admission(queue_limit=0)
+    answers = [admission.offer(ZERO, ticket(number)) for number in range(10)]
+    times = [answer.retry_after for answer in answers]
+    gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+    assert min(gaps) >= SERVICE_TIME / 4 - timedelta(microseconds=2)
+
+
+def test_a_full_queue_makes_room_for_a_customer_with_less_in_it():
+    admission = full_admission(queue_limit=10)
+    for number in range(10):
+        assert isinstance(admission.offer(ZERO, ticket(f"ana-{number}", "ana")), Queued)
+    assert isinstance(admission.offer(ZERO, ticket("beto-0", "beto")), Queued)
+    lapsed = admission.expire(ZERO)
+    assert [(each.request_id, answer.kind) for each, answer in lapsed] == [
+        ("ana-9", ErrorKind.QUEUE_FULL)
+    ]
+
+
+def test_slow_start_reaches_the_limit_step_by_step():
+    admission = Admission(4, 100, SERVICE_TIME)
+    admission.begin_slow_start(ZERO, timedelta(seconds=30))
+    for number in range(10):
+        admission.offer(ZERO, ticket(number))
+    reached, now = [len(admission.running)], ZERO
+    while len(admission.running) < 4:
+        now = admission.next_due(now)
+        assert admission.start_next(now)
+        reached.append(len(admission.running))
+    assert now < timedelta(seconds=31)
+    assert reached == [1, 2, 3, 4]
+
+
+def test_drain_refuses_what_waits_and_lets_the_running_end():
+    admission = full_admission()
+    admission.offer(ZERO, ticket("waits"))
+    lapsed = admission.drain(ZERO)
+    assert [answer.kind for _, answer in lapsed] == [ErrorKind.DRAINING]
+    assert admission.offer(ZERO, ticket("new")).kind is ErrorKind.DRAINING
+    assert admission.finish(SERVICE_TIME, ticket("running-0", "busy")) == []
+    assert len(admission.running) == 3
+
+
+def test_a_server_that_was_too_slow_for_every_deadline_is_found_fast_again():
+    admission = Admission(2, 10, SERVICE_TIME)
+    now = ZERO
+    rng = random.Random(1)
+    for number in range(50):
+        now += timedelta(seconds=3)
+        slow = ticket(number, deadline=now + timedelta(seconds=1))
+        if isinstance(admission.offer(now, slow), Started):
+            admission.finish(now + timedelta(seconds=2), slow, ok=False)
+    served = 0
+    for number in range(50, 250):
+        now += timedelta(seconds=1)
+        fast = ticket(number, deadline=now + timedelta(seconds=1))
+        if isinstance(admission.offer(now, fast), Started):
+            served += 1
+            admission.finish(now + SERVICE_TIME * rng.uniform(0.5, 1.5), fast)
+    assert served > 190
