--- /dev/null
+++ b/fireflylock/auth.py
@@ -0,0 +1,198 @@
+"""Operators' tokens: who asks, and what they may do."""
+
+import enum
+import hashlib
+import hmac
+import re
+import secrets
+from dataclasses import dataclass
+from pathlib import Path
+
+from fireflylock.config import NAME_PATTERN
+from fireflylock.configuration import Scope
+from fireflylock.exceptions import ErrorKind, RequestError, SettingsError
+from fireflylock.model import Configuration
+
+ALL_TEAMS = "*"
+TOKEN_BYTES = 32
+_HASH = re.compile(r"[0-9a-f]{64}")
+
+
+class Role(enum.Enum):
+    """What a token allows; operating includes reading."""
+
+    READ = "read"
+    OPERATE = "operate"
+
+
+@dataclass(frozen=True)
+class Principal:
+    """Somebody who asks the admin API.
+
+    Attributes
+    ----------
+    name : str
+        Goes into the history as the author.
+    role : Role
+        What they may do.
+    team : str
+        Whose services they may change, or `ALL_TEAMS`.
+    """
+
+    name: str
+    role: Role
+    team: str
+
+    def may_change(self, service_team: str) -> bool:
+        """Return whether the services of a team may be changed."""
+        if self.role is not Role.OPERATE:
+            return False
+        return self.team in (ALL_TEAMS, service_team)
+
+
+ANONYMOUS = Principal("anonymous", Role.OPERATE, ALL_TEAMS)
+
+
+@dataclass(frozen=True)
+class TokenRecord:
+    """One line of the tokens file.
+
+    Attributes
+    ----------
+    principal : Principal
+        Who the token stands for.
+    digest : str
+        SHA-256 of the token, in hexadecimal; the token itself is kept nowhere.
+    """
+
+    principal: Principal
+    digest: str
+
+    def line(self) -> str:
+        """Return the line of the tokens file."""
+        principal = self.principal
+        return f"{principal.name} {principal.role.value} {principal.team} {self.digest}"
+
+
+def new_token(principal: Principal) -> tuple[str, TokenRecord]:
+    """Return a new random token and what the tokens file keeps of it."""
+    token = secrets.token_urlsafe(TOKEN_BYTES)
+    return token, TokenRecord(principal, digest_of(token))
+
+
+def digest_of(token: str) -> str:
+    """Return the hash that is kept; a random token needs no salt."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def read_tokens(path: str | Path) -> list[TokenRecord]:
+    """Return the tokens file's records.
+
+    Raises
+    ------
+    SettingsError
+        Lists every mistake, without showing the content of the lines.
+    """
+    try:
+        text = Path(path).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([f"{path}: cannot be read ({type(error).__name__})."]) from None
+    records, problems = [], []
+    for number, line in enumerate(text.splitlines(), 1):
+        words = line.split()
+        if not words or words[0].startswith("#"):
+            continue
+        if not _is_record(words):
+            problems.append(
+                f"{path}: line {number}: allowed: NAME, read or operate, TEAM or *, SHA-256 hash."
+            )
+            continue
+        name, role, team, digest = words
+        records.append(TokenRecord(Principal(name, Role(role), team), digest))
+    if problems:
+        raise SettingsError(problems)
+    return records
+
+
+def _is_record(words: list[str]) -> bool:
+    """Return whether the words of a line form a record."""
+    if len(words) != 4:
+        return False
+    name, role, team, digest = words
+    if re.fullmatch(NAME_PATTERN, name, re.ASCII) is None:
+        return False
+    if team != ALL_TEAMS and re.fullmatch(NAME_PATTERN, team, re.ASCII) is None:
+        return False
+    return role in {known.value for known in Role} and _HASH.fullmatch(digest) is not None
+
+
+class Authority:
+    """Decides who asks and what they may do.
+
+    Parameters
+    ----------
+    records : list of TokenRecord or None
+        None: tokens are not used, and everybody who reaches the API may do everything;
+        the settings allow this on loopback only.
+    """
+
+    def __init__(self, records: list[TokenRecord] | None = None) -> None:
+        self.records = records
+
+    def identify(self, authorization: str) -> Principal:
+        """Return who sent an ``Authorization`` header.
+
+        Raises
+        ------
+        RequestError
+            No known token was sent (unauthorized).
+        """
+        if self.records is None:
+            return ANONYMOUS
+        scheme, _, token = authorization.partition(" ")
+        digest = digest_of(token.strip())
+        found = None
+        # All records are compared, so that the time does not tell which one matched.
+        for record in self.records:
+            if hmac.compare_digest(record.digest, digest):
+                found = record.principal
+        if found is None or scheme.lower() != "bearer":
+            raise RequestError(ErrorKind.UNAUTHORIZED)
+        return found
+
+
+def require_role(principal: Principal, role: Role) -> None:
+    """Refuse a principal whose role is too low.
+
+    Raises
+    ------
+    RequestError
+        The role is too low (forbidden).
+    """
+    if role is Role.OPERATE and principal.role is not Role.OPERATE:
+        raise RequestError(ErrorKind.FORBIDDEN, f"{principal.name} may only read")
+
+
+def require_scope(
+    principal: Principal, scope: Scope, old: Configuration, new: Configuration
+) -> None:
+    """Refuse a change that touches what belongs to others.
+
+    Raises
+    ------
+    RequestError
+        Names everything the principal may not change (forbidden).
+    """
+    refused = []
+    for name in sorted(scope.services):
+        for configuration in (old, new):
+            service = configuration.services.get(name)
+            if service is not None and not principal.may_change(service.team):
+                refused.append(f"service {name} of team {service.team or '(none)'}")
+                break
+    if scope.fleet and not principal.may_change(ALL_TEAMS):
+        refused.append("entry VMs, which belong to no team")
+    if refused:
+        raise RequestError(
+            ErrorKind.FORBIDDEN, f"{principal.name} may not change {', '.join(refused)}"
+        )
--- a/fireflylock/configuration.py
+++ b/fireflylock/configuration.py
@@ -355,9 +355,6 @@
     for name, vm in old.vms.items():
         if name not in new.vms and vm.state is not ServerState.OUT:
             problems.append(f"Entry VM {name} can be removed only while its state is out.")
-    for name in old.services:
-        if name not in new.services and old.servers_of(name):
-            problems.append(f"Service {name} still has backend servers; remove them first.")
     return problems
 
 
--- /dev/null
+++ b/fireflylock/sheet.py
@@ -0,0 +1,277 @@
+"""The planners' sheet: CSV tables of services, servers, entry VMs and expected peaks."""
+
+import csv
+import io
+from dataclasses import dataclass, replace
+from typing import Any
+
+from pydantic import ValidationError
+
+from fireflylock.configuration import check_change
+from fireflylock.exceptions import SheetError
+from fireflylock.model import Configuration
+from fireflylock.sheetrows import (
+    CLEARED,
+    ROW_KINDS,
+    CellError,
+    HotKeyRow,
+    PeakRow,
+    RemoveRow,
+    Row,
+    ServiceRow,
+)
+
+MAX_SHEET_BYTES = 4 * 1024**2
+# A longer list of mistakes helps nobody; the rest is counted.
+MAX_PROBLEMS = 200
+DELIMITERS = ",;\t"
+KIND = "kind"
+
+
+@dataclass(frozen=True)
+class Line:
+    """One row of a table in the sheet.
+
+    Attributes
+    ----------
+    number : int
+        Line in the file, from 1.
+    columns : list of str
+        Header of the table.
+    row : Row
+        The checked content.
+    """
+
+    number: int
+    columns: list[str]
+    row: Row
+
+
+def decode_sheet(data: bytes) -> str:
+    """Return the text of a sheet's file, as spreadsheets write it.
+
+    Raises
+    ------
+    SheetError
+        The bytes are no text.
+    """
+    if len(data) > MAX_SHEET_BYTES:
+        raise SheetError([f"The sheet is longer than {MAX_SHEET_BYTES} bytes."])
+    encoding = "utf-16" if data[:2] in (b"\xff\xfe", b"\xfe\xff") else "utf-8-sig"
+    try:
+        return data.decode(encoding)
+    except UnicodeDecodeError as error:
+        raise SheetError([f"Byte {error.start} of the sheet is not {encoding}."]) from None
+
+
+def read_sheet(text: str, base: Configuration) -> Configuration:
+    """Return `base` as the sheet changes it; its version is left alone.
+
+    A table starts with a line whose first cell is ``kind``. What the sheet does not name
+    stays as it is, and so does what a blank cell leaves open. The expected peaks of a
+    service that the sheet names are replaced as a whole.
+
+    Raises
+    ------
+    SheetError
+        Lists every mistake with line and column; nothing of the sheet is to be applied.
+    """
+    reader = SheetReader(text)
+    reader.read()
+    content = reader.apply(base)
+    problems = reader.problems
+    if not problems:
+        problems.extend(check_change(base, content))
+    if len(problems) > MAX_PROBLEMS:
+        more = len(problems) - MAX_PROBLEMS
+        problems = [*problems[:MAX_PROBLEMS], f"And {more} more mistakes."]
+    if problems:
+        raise SheetError(problems)
+    return content
+
+
+class SheetReader:
+    """Reads one sheet and collects its mistakes.
+
+    Parameters
+    ----------
+    text : str
+        The sheet.
+
+    Attributes
+    ----------
+    lines : list of Line
+        The valid lines.
+    problems : list of str
+        One sentence per mistake.
+    failed_kinds : set of str
+        Kinds of the rows that are not valid.
+    """
+
+    def __init__(self, text: str) -> None:
+        self.text = text.removeprefix("\ufeff")
+        self.delimiter = find_delimiter(self.text)
+        self.columns: list[str] = []
+        self.lines: list[Line] = []
+        self.problems: list[str] = []
+        self.failed_kinds: set[str] = set()
+
+    def read(self) -> None:
+        """Read every line."""
+        reader = csv.reader(io.StringIO(self.text, newline=""), delimiter=self.delimiter)
+        while True:
+            try:
+                cells = next(reader, None)
+            except csv.Error as error:
+                self.problems.append(f"Line {reader.line_num}: {error}.")
+                break
+            if cells is None:
+                break
+            self.read_line(reader.line_num, cells)
+        self.find_repeats()
+
+    def read_line(self, number: int, cells: list[str]) -> None:
+        """Read one line; blank ones and those that start with ``#`` say nothing."""
+        cells = [cell.strip() for cell in cells]
+        while cells and not cells[-1]:
+            cells.pop()
+        if not cells or cells[0].startswith("#"):
+            return
+        if cells[0].lower() == KIND:
+            self.read_header(number, cells)
+            return
+        if not self.columns:
+            self.problems.append(f"Line {number}: no table header above; it starts with kind.")
+            return
+        kind = cells[0].lower().replace("-", "_")
+        model = ROW_KINDS.get(kind)
+        if model is None:
+            allowed = ", ".join(ROW_KINDS)
+            self.report(number, KIND, f"{cells[0]!r}; allowed: {allowed}")
+            return
+        if len(cells) > len(self.columns):
+            place = f"Line {number}, column {len(self.columns) + 1}"
+            self.problems.append(f"{place}: there is no header above this cell.")
+            self.failed_kinds.add(kind)
+            return
+        self.read_row(number, model, cells)
+
+    def read_header(self, number: int, cells: list[str]) -> None:
+        """Start a table."""
+        self.columns = [cell.lower().replace(" ", "_").replace("-", "_") for cell in cells]
+        for index, column in enumerate(self.columns):
+            if column and column in self.columns[:index]:
+                self.problems.append(
+                    f"Line {number}, column {index + 1} ({column}): stands twice."
+                )
+
+    def read_row(self, number: int, model: type[Row], cells: list[str]) -> None:
+        """Check the cells of one row."""
+        values = {}
+        for column, cell in zip(self.columns[1:], cells[1:], strict=False):
+            if cell == CLEARED and column in model.clearable:
+                values[column] = ""
+                continue
+            if cell:
+                values[column] = cell
+        # Spreadsheets that separate cells by semicolons write decimals with a comma.
+        if self.delimiter == ";":
+            for column in model.decimals & values.keys():
+                values[column] = values[column].replace(",", ".")
+        try:
+            row = model.model_validate(values)
+        except ValidationError as error:
+            self.failed_kinds.add(model.kind)
+            for mistake in error.errors(include_url=False):
+                self.report_mistake(number, model, mistake)
+            return
+        self.lines.append(Line(number, self.columns, row))
+
+    def report_mistake(self, number: int, model: type[Row], mistake: Any) -> None:
+        """Add one mistake that pydantic found in a row."""
+        column = str(mistake["loc"][0]) if mistake["loc"] else ""
+        message = mistake["msg"].removeprefix("Value error, ")
+        allowed = model.allowed(column)
+        if mistake["type"] == "extra_forbidden":
+            message = f"not a column of a {model.kind}"
+            allowed = ", ".join(model.model_fields)
+        if mistake["type"] == "missing":
+            message = "missing"
+        if allowed and "allowed:" not in message:
+            message += f"; allowed: {allowed}"
+        self.report(number, column, message)
+
+    def report(self, number: int, column: str, message: str) -> None:
+        """Add a mistake with its place."""
+        place = f"Line {number}"
+        if column in self.columns:
+            place += f", column {self.columns.index(column) + 1} ({column})"
+        elif column:
+            place += f", column {column}"
+        self.problems.append(f"{place}: {message}.")
+
+    def find_repeats(self) -> None:
+        """Report every line that states the same thing as an earlier one."""
+        first: dict[tuple[str, ...], int] = {}
+        for line in self.lines:
+            identity = line.row.identity()
+            earlier = first.setdefault(identity, line.number)
+            if earlier != line.number:
+                self.problems.append(
+                    f"Line {line.number}: {' '.join(identity)} stands in line {earlier}."
+                )
+
+    def apply(self, base: Configuration) -> Configuration:
+        """Return `base` with every valid line applied."""
+        content = self.without_old_peaks(base)
+        for line in sorted(self.lines, key=lambda line: line.row.order):
+            try:
+                content = line.row.apply(content)
+            except CellError as error:
+                # A service whose own row is wrong is not missing as well.
+                if error.column == "service" and "service" in self.failed_kinds:
+                    continue
+                self.columns = line.columns
+                self.report(line.number, error.column, str(error))
+        return content
+
+    def without_old_peaks(self, base: Configuration) -> Configuration:
+        """Return `base` without the expected peaks of the services that the sheet names."""
+        named = set()
+        for line in self.lines:
+            if isinstance(line.row, ServiceRow):
+                named.add(line.row.name)
+            if isinstance(line.row, PeakRow | HotKeyRow):
+                named.add(line.row.service)
+            if isinstance(line.row, RemoveRow) and line.row.what == "service":
+                named.add(line.row.name)
+        kept = [peak for peak in base.peaks if peak.service not in named]
+        return replace(base, peaks=tuple(kept))
+
+
+def find_delimiter(text: str) -> str:
+    """Return the character that separates the cells: the one after the first ``kind``."""
+    for line in text.splitlines():
+        start = line.lstrip(" \"'").lower()
+        if not start.startswith(KIND):
+            continue
+        rest = start.removeprefix(KIND).lstrip(" \"'")
+        if rest and rest[0] in DELIMITERS:
+            return rest[0]
+    return DELIMITERS[0]
+
+
+def write_sheet(configuration: Configuration) -> str:
+    """Return the sheet that states the whole of `configuration`."""
+    output = io.StringIO()
+    writer = csv.writer(output, lineterminator="\n")
+    for model in ROW_KINDS.values():
+        rows = list(model.rows_of(configuration))
+        if not rows:
+            continue
+        columns = list(model.model_fields)
+        writer.writerow([KIND, *columns])
+        for row in rows:
+            writer.writerow([model.kind, *(row.cell(column) for column in columns)])
+        writer.writerow([])
+    return output.getvalue()
--- /dev/null
+++ b/fireflylock/sheetrows.py
@@ -0,0 +1,448 @@
+"""The rows of the planners' sheet, one validated model for each kind."""
+
+import re
+from abc import abstractmethod
+from collections.abc import Iterator
+from dataclasses import replace
+from datetime import timedelta
+from typing import Annotated, Any, ClassVar, Literal
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, model_validator
+
+from fireflylock.config import NAME_FORM, Duration, Endpoint, Name, split_endpoint
+from fireflylock.configuration import show, time_of_day
+from fireflylock.model import (
+    BackendServer,
+    Configuration,
+    CutZonePolicy,
+    EntryVM,
+    ExpectedPeak,
+    ServerState,
+    Service,
+)
+from fireflylock.units import DURATION_FORM
+
+_DAY = timedelta(days=1)
+
+
+def _yes_or_no(value: Any) -> Any:
+    """Read a truth value as planners and spreadsheets write it."""
+    words = {"yes": True, "true": True, "no": False, "false": False}
+    if not isinstance(value, str):
+        return value
+    if value.lower() not in words:
+        raise ValueError(f"{value!r} is neither yes nor no")
+    return words[value.lower()]
+
+
+def _time_of_day(value: Any) -> Any:
+    """Read ``hh:mm`` or ``hh:mm:ss``."""
+    if not isinstance(value, str):
+        return value
+    match = re.fullmatch(r"(\d{1,2}):(\d{2})(?::(\d{2}))?", value, re.ASCII)
+    if match is None:
+        raise ValueError(f"{value!r} is not a time of day")
+    hours, minutes, seconds = (int(part or 0) for part in match.groups())
+    if minutes > 59 or seconds > 59:
+        raise ValueError(f"{value!r} is not a time of day")
+    return timedelta(hours=hours, minutes=minutes, seconds=seconds)
+
+
+def _blank_separated(value: Any) -> Any:
+    """Split a list of words."""
+    return tuple(value.split()) if isinstance(value, str) else value
+
+
+def _state(value: Any) -> Any:
+    """Read a state in any case."""
+    return value.lower() if isinstance(value, str) else value
+
+
+YesOrNo = Annotated[bool, BeforeValidator(_yes_or_no)]
+TimeOfDay = Annotated[timedelta, BeforeValidator(_time_of_day), Field(ge=timedelta(0), le=_DAY)]
+Words = Annotated[tuple[str, ...], BeforeValidator(_blank_separated), Field(max_length=50)]
+State = Annotated[ServerState, BeforeValidator(_state)]
+Policy = Annotated[CutZonePolicy, BeforeValidator(_state)]
+Header = Annotated[str, Field(pattern=r"^[A-Za-z0-9-]{0,64}$")]
+Text = Annotated[str, Field(max_length=256)]
+Key = Annotated[str, Field(min_length=1, max_length=512)]
+Rate = Annotated[float, Field(ge=0, le=1e9, allow_inf_nan=False)]
+Weight = Annotated[float, Field(ge=0, le=1e6, allow_inf_nan=False)]
+
+_YES = "yes or no"
+_STATES = "in, draining or out"
+_RATE = "a number from 0, in requests per second"
+_WEIGHT = "a number from 0 to 1000000"
+_TIME = "hh:mm"
+_HEADER = "a header name, or - for none"
+# A cell that empties what a blank cell would leave alone.
+CLEARED = "-"
+
+
+def cell(allowed: str, **bounds: Any) -> Any:
+    """Return a field that may be left blank."""
+    return Field(None, json_schema_extra={"allowed": allowed}, **bounds)
+
+
+def filled(allowed: str, **bounds: Any) -> Any:
+    """Return a field that must be filled in."""
+    return Field(json_schema_extra={"allowed": allowed}, **bounds)
+
+
+class CellError(ValueError):
+    """A cell does not fit the rest of the sheet.
+
+    Parameters
+    ----------
+    column : str
+        Name of the cell's column.
+    text : str
+        What is wrong, without a full stop.
+    """
+
+    def __init__(self, column: str, text: str) -> None:
+        super().__init__(text)
+        self.column = column
+
+
+class Row(BaseModel):
+    """One row of the sheet.
+
+    Attributes
+    ----------
+    kind : str
+        First cell of the row.
+    order : int
+        Rows of lower order are applied first.
+    decimals : frozenset of str
+        Columns that hold decimal numbers.
+    clearable : frozenset of str
+        Columns where `CLEARED` stands for an empty value.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    kind: ClassVar[str]
+    order: ClassVar[int] = 0
+    decimals: ClassVar[frozenset[str]] = frozenset()
+    clearable: ClassVar[frozenset[str]] = frozenset()
+
+    @classmethod
+    def allowed(cls, column: str) -> str:
+        """Return the words that say what a column allows."""
+        field = cls.model_fields.get(column)
+        extra = field.json_schema_extra if field is not None else None
+        return str(extra["allowed"]) if isinstance(extra, dict) else ""
+
+    @classmethod
+    @abstractmethod
+    def rows_of(cls, configuration: Configuration) -> Iterator["Row"]:
+        """Yield the rows that state the matching part of `configuration`."""
+
+    @abstractmethod
+    def identity(self) -> tuple[str, ...]:
+        """Return what must stand in one sheet only once."""
+
+    @abstractmethod
+    def apply(self, content: Configuration) -> Configuration:
+        """Return `content` with this row applied.
+
+        Raises
+        ------
+        CellError
+            The row does not fit the rest.
+        """
+
+    def filled_in(self) -> dict[str, Any]:
+        """Return the cells that are not blank, by column."""
+        return {name: getattr(self, name) for name in self.model_fields_set}
+
+    def cell(self, column: str) -> str:
+        """Return the text of a cell."""
+        value = getattr(self, column)
+        if column in self.clearable and not value:
+            return CLEARED
+        if value is None:
+            return ""
+        if isinstance(value, float):
+            return repr(value)
+        return show(value) if value != "" else ""
+
+
+class ServiceRow(Row):
+    """A service and its terms."""
+
+    kind = "service"
+    decimals = frozenset({"churn_weight", "unavailable_weight"})
+    clearable = frozenset({"hosts", "key_header", "customer_header", "idempotent_methods"})
+
+    name: Name = filled(NAME_FORM)
+    team: Name | None = cell(NAME_FORM)
+    keyed: YesOrNo | None = cell(_YES)
+    hash_slots: int | None = cell("a whole number from 1 to 65536", ge=1, le=65536)
+    concurrency_limit: int | None = cell("a whole number from 1 to 10000", ge=1, le=10_000)
+    connection_limit: int | None = cell("a whole number from 2 to 100000", ge=2, le=100_000)
+    checks_grants: YesOrNo | None = cell(_YES)
+    churn_weight: Weight | None = cell(_WEIGHT)
+    unavailable_weight: Weight | None = cell(_WEIGHT)
+    cut_zone_policy: Policy | None = cell("hold or move")
+    move_after: Duration | None = cell(DURATION_FORM, ge=timedelta(seconds=1), le=_DAY)
+    hosts: Words | None = cell("host names, separated by blanks, or - for none")
+    path_prefix: Text | None = cell("a path that starts with /", pattern=r"^/[!-~]*$")
+    key_header: Header | None = cell(_HEADER)
+    key_segment: int | None = cell("a whole number from -1 to 50", ge=-1, le=50)
+    customer_header: Header | None = cell(_HEADER)
+    idempotent_methods: Words | None = cell("methods, separated by blanks, or - for none")
+    request_timeout: Duration | None = cell(
+        DURATION_FORM, ge=timedelta(milliseconds=1), le=timedelta(hours=1)
+    )
+    window: Duration | None = cell(DURATION_FORM, ge=timedelta(0), le=_DAY)
+
+    def identity(self) -> tuple[str, ...]:
+        """Return the service's name."""
+        return (self.kind, self.name)
+
+    def apply(self, content: Configuration) -> Configuration:
+        """Add the service or change what the row fills in."""
+        values = self.filled_in()
+        # A key that is taken from the path leaves the header column blank.
+        if values.get("key_segment", -1) >= 0 and "key_header" not in values:
+            values["key_header"] = ""
+        service = replace(content.services.get(self.name, Service(self.name)), **values)
+        if service.connection_limit <= service.concurrency_limit:
+            raise CellError(
+                "connection_limit",
+                f"connection_limit {service.connection_limit} must be above concurrency_limit "
+                f"{service.concurrency_limit}; one connection carries the grants",
+            )
+        return replace(content, services={**content.services, self.name: service})
+
+    @classmethod
+    def rows_of(cls, configuration: Configuration) -> Iterator["ServiceRow"]:
+        """Yield a row for each service."""
+        for name in sorted(configuration.services):
+            service = configuration.services[name]
+            values = {column: getattr(service, column) for column in cls.model_fields}
+            yield cls.model_construct(**values)
+
+
+class ServerRow(Row):
+    """A backend server of a service."""
+
+    kind = "server"
+    order = 1
+
+    name: Name = filled(NAME_FORM)
+    service: Name | None = cell("the name of a service")
+    vm: Name | None = cell("the VM's name in the platform's list")
+    zone: Name | None = cell("the name of an availability zone")
+    address: Endpoint | None = cell("ip:port")
+    state: State | None = cell(_STATES)
+
+    def identity(self) -> tuple[str, ...]:
+        """Return the server's name."""
+        return (self.kind, self.name)
+
+    def apply(self, content: Configuration) -> Configuration:
+        """Add the server or change what the row fills in."""
+        values = self.filled_in()
+        known = content.servers.get(self.name)
+        if known is None:
+            _require(values, "service", "zone", "address")
+        if "address" in values:
+            values["host"], values["port"] = split_endpoint(values.pop("address"))
+        if known is None:
+            values.setdefault("vm", self.name)
+            if values["service"] not in content.services:
+                raise CellError("service", f"there is no service {values['service']}")
+            server = BackendServer(**values)
+        else:
+            server = replace(known, **values)
+        return replace(content, servers={**content.servers, self.name: server})
+
+    @classmethod
+    def rows_of(cls, configuration: Configuration) -> Iterator["ServerRow"]:
+        """Yield a row for each backend server."""
+        for name in sorted(configuration.servers):
+            server = configuration.servers[name]
+            host = f"[{server.host}]" if ":" in server.host else server.host
+            yield cls.model_construct(
+                name=name,
+                service=server.service,
+                vm=server.vm,
+                zone=server.zone,
+                address=f"{host}:{server.port}",
+                state=server.state,
+            )
+
+
+class VMRow(Row):
+    """An entry VM."""
+
+    kind = "vm"
+    order = 1
+
+    name: Name = filled(NAME_FORM)
+    zone: Name | None = cell("the name of an availability zone")
+    region: Name | None = cell("the name of a region")
+    peer_address: Endpoint | None = cell("ip:port")
+    admin_address: Endpoint | None = cell("ip:port")
+    state: State | None = cell(_STATES)
+
+    def identity(self) -> tuple[str, ...]:
+        """Return the VM's name."""
+        return (self.kind, self.name)
+
+    def apply(self, content: Configuration) -> Configuration:
+        """Add the VM or change what the row fills in."""
+        values = self.filled_in()
+        known = content.vms.get(self.name)
+        if known is None:
+            _require(values, "zone", "region", "peer_address")
+            vm = EntryVM(**values)
+        else:
+            vm = replace(known, **values)
+        return replace(content, vms={**content.vms, self.name: vm})
+
+    @classmethod
+    def rows_of(cls, configuration: Configuration) -> Iterator["VMRow"]:
+        """Yield a row for each entry VM."""
+        for name in sorted(configuration.vms):
+            vm = configuration.vms[name]
+            values = {column: getattr(vm, column) for column in cls.model_fields}
+            yield cls.model_construct(**values)
+
+
+def _require(values: dict[str, Any], *columns: str) -> None:
+    """Refuse a new item that leaves a needed cell blank."""
+    for column in columns:
+        if column not in values:
+            raise CellError(column, f"{values['name']} is new, so {column} must be filled in")
+
+
+class PeakRow(Row):
+    """A service's expected busiest hour."""
+
+    kind = "peak"
+    order = 2
+    decimals = frozenset({"rate"})
+
+    service: Name = filled("the name of a service")
+    start: TimeOfDay = filled(_TIME)
+    end: TimeOfDay = filled(_TIME)
+    rate: Rate = filled(_RATE)
+
+    @model_validator(mode="after")
+    def check_times(self) -> "PeakRow":
+        """Refuse a peak without duration; one that ends past midnight is two rows."""
+        if self.start >= self.end:
+            raise ValueError("start must be before end; allowed: two rows around midnight")
+        return self
+
+    def identity(self) -> tuple[str, ...]:
+        """Return service and start."""
+        return (self.kind, self.service, time_of_day(self.start))
+
+    def apply(self, content: Configuration) -> Configuration:
+        """Add the peak."""
+        if self.service not in content.services:
+            raise CellError("service", f"there is no service {self.service}")
+        peak = ExpectedPeak(self.service, self.start, self.end, self.rate)
+        return replace(content, peaks=(*content.peaks, peak))
+
+    @classmethod
+    def rows_of(cls, configuration: Configuration) -> Iterator["PeakRow"]:
+        """Yield a row for each expected peak."""
+        for peak in configuration.peaks:
+            yield cls.model_construct(
+                service=peak.service, start=peak.start, end=peak.end, rate=peak.rate
+            )
+
+    def cell(self, column: str) -> str:
+        """Return the text of a cell."""
+        if column in ("start", "end"):
+            return _format_time(getattr(self, column))
+        return super().cell(column)
+
+
+class HotKeyRow(Row):
+    """A key that is expected to stand out during a peak."""
+
+    kind = "hot_key"
+    order = 3
+    decimals = frozenset({"rate"})
+
+    service: Name = filled("the name of a service")
+    start: TimeOfDay = filled(_TIME)
+    key: Key = filled("a key")
+    rate: Rate = filled(_RATE)
+
+    def identity(self) -> tuple[str, ...]:
+        """Return service, start and key."""
+        return (self.kind, self.service, _format_time(self.start), self.key)
+
+    def apply(self, content: Configuration) -> Configuration:
+        """Add the key to its peak."""
+        for index, peak in enumerate(content.peaks):
+            if peak.service != self.service or peak.start != self.start:
+                continue
+            changed = replace(peak, hot_keys={**peak.hot_keys, self.key: self.rate})
+            peaks = (*content.peaks[:index], changed, *content.peaks[index + 1 :])
+            return replace(content, peaks=peaks)
+        start = _format_time(self.start)
+        raise CellError("start", f"{self.service} has no peak that starts at {start}")
+
+    @classmethod
+    def rows_of(cls, configuration: Configuration) -> Iterator["HotKeyRow"]:
+        """Yield a row for each expected hot key."""
+        for peak in configuration.peaks:
+            for key, rate in peak.hot_keys.items():
+                yield cls.model_construct(
+                    service=peak.service, start=peak.start, key=key, rate=rate
+                )
+
+    def cell(self, column: str) -> str:
+        """Return the text of a cell."""
+        if column == "start":
+            return _format_time(self.start)
+        return super().cell(column)
+
+
+class RemoveRow(Row):
+    """A service, backend server or entry VM that is to be forgotten."""
+
+    kind = "remove"
+    order = 4
+
+    what: Literal["service", "server", "vm"] = filled("service, server or vm")
+    name: Name = filled(NAME_FORM)
+
+    def identity(self) -> tuple[str, ...]:
+        """Return the same identity as a row that states the thing."""
+        return (self.what, self.name)
+
+    def apply(self, content: Configuration) -> Configuration:
+        """Forget the thing, and the statement that it is gone."""
+        attribute = f"{self.what}s"
+        items = dict(getattr(content, attribute))
+        if self.name not in items:
+            raise CellError("name", f"there is no {self.what} {self.name}")
+        del items[self.name]
+        gone = tuple(statement for statement in content.gone if statement.name != self.name)
+        return replace(content, **{attribute: items, "gone": gone})
+
+    @classmethod
+    def rows_of(cls, configuration: Configuration) -> Iterator["RemoveRow"]:
+        """Yield nothing: what was removed is not in the configuration."""
+        return iter(())
+
+
+def _format_time(value: timedelta) -> str:
+    """Return a time of day as it is written in a sheet."""
+    seconds = int(value.total_seconds()) % 60
+    return f"{time_of_day(value)}:{seconds:02}" if seconds else time_of_day(value)
+
+
+ROW_KINDS: dict[str, type[Row]] = {
+    row.kind: row for row in (ServiceRow, ServerRow, VMRow, PeakRow, HotKeyRow, RemoveRow)
+}
