--- /dev/null
+++ b/fireflylock/etcd.py
@@ -0,0 +1,243 @@
+"""The platform's key-value service over the JSON gateway of the etcd v3 interface."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import random
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+from datetime import timedelta
+
+from fireflylock.clock import Clock
+from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
+from fireflylock.http_client import HTTPClient
+from fireflylock.platform import MAX_VALUE_BYTES, CallCounts, Store, TokenBucket, Value
+
+CALL_TIMEOUT = timedelta(seconds=2)
+# A failed endpoint is left alone for a time that doubles up to the second figure.
+BACKOFF = timedelta(milliseconds=200)
+BACKOFF_MAX = timedelta(seconds=10)
+
+CALLS_PER_SECOND = 4.0
+CALLS_BURST = 20.0
+
+# What may go wrong below HTTP, and in an answer that is not what it should be.
+CALL_ERRORS = (OSError, TimeoutError, ProtocolError, ValueError, KeyError, TypeError)
+
+
+class EtcdStore(Store):
+    """A client of the platform's service.
+
+    Parameters
+    ----------
+    endpoints : list of str
+        ``http://ip:port`` of each; they are tried in turn.
+    clock : Clock
+        Source of time.
+    timeout : timedelta
+        Bound of one call.
+    bucket : TokenBucket or None
+        Bounds the rate of calls of this VM.
+    rng : random.Random or None
+        Source of the jitter.
+    """
+
+    def __init__(
+        self,
+        endpoints: list[str],
+        clock: Clock,
+        timeout: timedelta = CALL_TIMEOUT,
+        bucket: TokenBucket | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.clients = [HTTPClient(endpoint) for endpoint in endpoints]
+        self.clock = clock
+        self.timeout = timeout
+        self.bucket = bucket or TokenBucket(CALLS_PER_SECOND, CALLS_BURST)
+        self.rng = rng or random.Random()
+        self.counts = CallCounts()
+        self.failures_in_a_row = 0
+        self.preferred = 0
+
+    async def get(self, key: str) -> Value | None:
+        """Return the value of `key`, or None when there is none."""
+        answer = await self._call("range", "/v3/kv/range", {"key": _to_base64(key.encode())})
+        values = _read_values(answer.get("kvs", []))
+        return values[0] if values else None
+
+    async def put(
+        self,
+        key: str,
+        data: bytes,
+        expected_revision: int,
+        also: dict[str, bytes] | None = None,
+    ) -> int:
+        """Write `data` if `key` is still at `expected_revision`."""
+        if len(data) > MAX_VALUE_BYTES:
+            raise ValueError(f"the value of {key} is larger than {MAX_VALUE_BYTES} bytes")
+        writes = [_put_operation(key, data)]
+        for other, other_data in (also or {}).items():
+            writes.append(_put_operation(other, other_data))
+        comparison = {
+            "key": _to_base64(key.encode()),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(expected_revision),
+        }
+        body = {"compare": [comparison], "success": writes, "failure": []}
+        answer = await self._call("txn", "/v3/kv/txn", body)
+        if not answer.get("succeeded", False):
+            raise VersionConflictError(key, expected_revision)
+        return _revision_of(answer)
+
+    async def list(self, prefix: str, since_revision: int = 0) -> tuple[list[Value], int]:
+        """Return the values under `prefix` newer than a revision, and the store's revision."""
+        body = {"key": _to_base64(prefix.encode()), "range_end": _to_base64(_range_end(prefix))}
+        if since_revision:
+            body["min_mod_revision"] = str(since_revision + 1)
+        answer = await self._call("range", "/v3/kv/range", body)
+        values = _read_values(answer.get("kvs", []))
+        return sorted(values, key=lambda value: value.revision), _revision_of(answer)
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[list[Value]]:
+        """Yield the changes under `prefix` from a revision on, in batches."""
+        request = {
+            "create_request": {
+                "key": _to_base64(prefix.encode()),
+                "range_end": _to_base64(_range_end(prefix)),
+                "start_revision": str(from_revision),
+                "progress_notify": True,
+            }
+        }
+        await self._respect_rate()
+        self.counts.calls["watch"] += 1
+        client = self.clients[self.preferred]
+        parts = client.stream("POST", "/v3/watch", self.timeout, json.dumps(request).encode())
+        buffered = b""
+        try:
+            async with aclosing(parts):
+                async for part in parts:
+                    *lines, buffered = (buffered + part).split(b"\n")
+                    for line in lines:
+                        yield _read_events(line)
+        except CALL_ERRORS as error:
+            self._note_failure("watch")
+            raise PlatformError(f"the watch of {prefix} ended: {error!r}") from error
+        raise PlatformError(f"the watch of {prefix} ended")
+
+    async def grant_lease(self, ttl: timedelta) -> int:
+        """Return the id of a new lease."""
+        seconds = str(max(1, round(ttl.total_seconds())))
+        answer = await self._call("lease", "/v3/lease/grant", {"TTL": seconds, "ID": "0"})
+        return int(answer["ID"])
+
+    async def keep_alive(self, lease: int) -> timedelta:
+        """Prolong `lease` and return its time to live; zero when it is over."""
+        answer = await self._call("lease", "/v3/lease/keepalive", {"ID": str(lease)})
+        return timedelta(seconds=int(answer.get("result", answer).get("TTL", "0")))
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End `lease`."""
+        await self._call("lease", "/v3/lease/revoke", {"ID": str(lease)})
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for client in self.clients:
+            client.close()
+
+    def backoff(self) -> timedelta:
+        """Return how long to wait after the failures so far, with full jitter."""
+        if not self.failures_in_a_row:
+            return timedelta(0)
+        longest = min(BACKOFF * 2 ** min(self.failures_in_a_row, 10), BACKOFF_MAX)
+        return longest * self.rng.uniform(0.5, 1.0)
+
+    def state(self) -> list[tuple[str, object]]:
+        """Return what a dump shows, as plain names and values."""
+        lines: list[tuple[str, object]] = [
+            ("platform.endpoint", self.clients[self.preferred].url),
+            ("platform.failures_in_a_row", self.failures_in_a_row),
+        ]
+        lines += [(f"platform.calls.{kind}", n) for kind, n in sorted(self.counts.calls.items())]
+        lines += [(f"platform.failed.{kind}", n) for kind, n in self.counts.failures.items()]
+        return lines
+
+    async def _call(self, kind: str, path: str, body: dict) -> dict:
+        """Return the decoded answer to one call of the gateway."""
+        await self._respect_rate()
+        self.counts.calls[kind] += 1
+        client = self.clients[self.preferred]
+        data = json.dumps(body).encode()
+        try:
+            answer = await client.call("POST", path, self.timeout, data)
+            if answer.status != 200:
+                raise ProtocolError(f"status {answer.status}: {answer.body[:200]!r}")
+            decoded = json.loads(answer.body)
+            _revision_of(decoded.get("result", decoded))
+        except CALL_ERRORS as error:
+            self._note_failure(kind)
+            raise PlatformError(f"{path} at {client.url} failed: {error!r}") from error
+        self.failures_in_a_row = 0
+        return decoded
+
+    async def _respect_rate(self) -> None:
+        """Wait until this VM may make one more call."""
+        wait = self.bucket.wait(self.clock.elapsed())
+        if wait > timedelta(0):
+            await self.clock.sleep(wait)
+            return
+        await asyncio.sleep(0)
+
+    def _note_failure(self, kind: str) -> None:
+        """Count a failed call and turn to the next endpoint."""
+        self.counts.failures[kind] += 1
+        self.failures_in_a_row += 1
+        self.preferred = (self.preferred + 1) % len(self.clients)
+
+
+def _to_base64(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def _range_end(prefix: str) -> bytes:
+    """Return the first key after every key that starts with `prefix`."""
+    data = prefix.encode().rstrip(b"\xff")
+    if not data:
+        return b"\0"
+    return data[:-1] + bytes([data[-1] + 1])
+
+
+def _put_operation(key: str, data: bytes) -> dict:
+    return {"request_put": {"key": _to_base64(key.encode()), "value": _to_base64(data)}}
+
+
+def _revision_of(answer: dict) -> int:
+    """Return the store's revision, which the header of every answer carries."""
+    return int(answer["header"].get("revision", 0))
+
+
+def _read_value(row: dict) -> Value:
+    key = base64.b64decode(row["key"]).decode()
+    return Value(key, int(row["mod_revision"]), base64.b64decode(row.get("value", "")))
+
+
+def _read_values(rows: list[dict]) -> list[Value]:
+    return [_read_value(row) for row in rows]
+
+
+def _read_events(line: bytes) -> list[Value]:
+    """Return the changes in one line of a watch; none for a sign of life.
+
+    Raises
+    ------
+    ProtocolError
+        The service ended the watch, for instance because the revision is too old.
+    """
+    if not line.strip():
+        return []
+    result = json.loads(line).get("result", {})
+    if result.get("canceled", False) or not result:
+        raise ProtocolError(f"the watch was canceled: {line[:200]!r}")
+    return _read_values([event["kv"] for event in result.get("events", [])])
--- /dev/null
+++ b/fireflylock/http_client.py
@@ -0,0 +1,205 @@
+"""A small HTTP client over h11 for the platform's interfaces, with kept connections."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+from urllib.parse import urlsplit
+
+import h11
+
+from fireflylock.exceptions import ProtocolError
+
+READ_BYTES = 64 * 1024
+
+
+@dataclass
+class HTTPAnswer:
+    """One answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    headers : dict of str to str
+        Headers, names in lower case.
+    body : bytes
+        The whole body.
+    """
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+class HTTPConnection:
+    """One connection that carries one exchange at a time."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.protocol = h11.Connection(h11.CLIENT)
+
+    async def send(self, request: h11.Request, body: bytes) -> None:
+        """Send one request."""
+        data = self.protocol.send(request)
+        if body:
+            data += self.protocol.send(h11.Data(data=body))
+        data += self.protocol.send(h11.EndOfMessage())
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def next_event(self) -> h11.Event:
+        """Return the next event of the answer.
+
+        Raises
+        ------
+        ProtocolError
+            The other side broke HTTP or closed early.
+        """
+        while True:
+            try:
+                event = self.protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ProtocolError(f"not valid HTTP: {error}") from error
+            if event is h11.NEED_DATA:
+                self.protocol.receive_data(await self.reader.read(READ_BYTES))
+                continue
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                raise ProtocolError("the connection was closed before the answer")
+            return event
+
+    async def read_body(self, limit: int) -> bytes:
+        """Return the whole body of the answer, at most `limit` bytes."""
+        chunks = []
+        size = 0
+        while isinstance(event := await self.next_event(), h11.Data):
+            size += len(event.data)
+            if size > limit:
+                raise ProtocolError("the answer is too large")
+            chunks.append(bytes(event.data))
+        return b"".join(chunks)
+
+    def may_be_reused(self) -> bool:
+        """Prepare for the next exchange; False when the connection must be closed."""
+        if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
+            return False
+        self.protocol.start_next_cycle()
+        return not self.reader.at_eof()
+
+    def close(self) -> None:
+        """Close the connection."""
+        with contextlib.suppress(RuntimeError):
+            self.writer.close()
+
+
+class HTTPClient:
+    """Calls one HTTP server.
+
+    Parameters
+    ----------
+    url : str
+        ``http://ip:port``; a path is put before every call's path.
+    answer_limit : int
+        Largest body that is accepted, in bytes.
+    kept_connections : int
+        Idle connections that are kept.
+    """
+
+    def __init__(
+        self, url: str, answer_limit: int = 16 * 1024 * 1024, kept_connections: int = 2
+    ) -> None:
+        parts = urlsplit(url)
+        self.url = url
+        self.host = parts.hostname or ""
+        self.port = parts.port or 80
+        self.path = parts.path.rstrip("/")
+        self.query = f"?{parts.query}" if parts.query else ""
+        self.answer_limit = answer_limit
+        self.kept_connections = kept_connections
+        self.idle: list[HTTPConnection] = []
+
+    async def call(
+        self, method: str, path: str, timeout: timedelta, body: bytes = b""
+    ) -> HTTPAnswer:
+        """Return the answer to one call.
+
+        Raises
+        ------
+        OSError, TimeoutError, ProtocolError
+            No usable answer came.
+        """
+        async with asyncio.timeout(timeout.total_seconds()):
+            connection = await self._connection()
+            try:
+                await connection.send(self._request(method, path, body), body)
+                answer = await self._read_head(connection)
+                answer.body = await connection.read_body(self.answer_limit)
+            except BaseException:
+                connection.close()
+                raise
+        self._keep(connection)
+        return answer
+
+    async def stream(
+        self, method: str, path: str, timeout: timedelta, body: bytes = b""
+    ) -> AsyncIterator[bytes]:
+        """Yield the parts of an answer that goes on; `timeout` bounds the wait for its head.
+
+        Raises
+        ------
+        OSError, TimeoutError, ProtocolError
+            No usable answer came.
+        """
+        connection = None
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                connection = await self._connection()
+                await connection.send(self._request(method, path, body), body)
+                answer = await self._read_head(connection)
+            if answer.status != 200:
+                raise ProtocolError(f"{path} was answered with status {answer.status}")
+            while isinstance(event := await connection.next_event(), h11.Data):
+                yield bytes(event.data)
+        finally:
+            if connection is not None:
+                connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self.idle:
+            self.idle.pop().close()
+
+    def _request(self, method: str, path: str, body: bytes) -> h11.Request:
+        """Return the head of a request."""
+        headers = [("Host", f"{self.host}:{self.port}"), ("Content-Length", str(len(body)))]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+        target = (self.path + path or "/") + self.query
+        return h11.Request(method=method, target=target, headers=headers)
+
+    async def _read_head(self, connection: HTTPConnection) -> HTTPAnswer:
+        """Return status and headers of the answer."""
+        event = await connection.next_event()
+        headers = {name.decode().lower(): value.decode() for name, value in event.headers}
+        return HTTPAnswer(event.status_code, headers)
+
+    async def _connection(self) -> HTTPConnection:
+        """Return an idle connection or a new one."""
+        while self.idle:
+            connection = self.idle.pop()
+            if not connection.reader.at_eof() and not connection.writer.is_closing():
+                return connection
+            connection.close()
+        reader, writer = await asyncio.open_connection(self.host, self.port)
+        return HTTPConnection(reader, writer)
+
+    def _keep(self, connection: HTTPConnection) -> None:
+        """Keep a connection for the next call, or close it."""
+        if len(self.idle) < self.kept_connections and connection.may_be_reused():
+            self.idle.append(connection)
+            return
+        connection.close()
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,124 @@
+"""Tests of the transport between daemons, over loopback."""
+
+import asyncio
+from contextlib import contextmanager
+
+import pytest
+import zmq
+
+from fireflylock.clock import SystemClock
+from fireflylock.messages import StatePull
+from fireflylock.peer_keys import CurveKeys
+from fireflylock.peers import PeerLimits, Peers
+
+LIMITS = PeerLimits(queue_messages=10)
+
+
+@contextmanager
+def started(*peers):
+    """Start transports that stop afterwards."""
+    for each in peers:
+        each.start()
+    try:
+        yield peers
+    finally:
+        for each in peers:
+            each.stop()
+
+
+def plain(name, address="127.0.0.1:0"):
+    return Peers(name, address, SystemClock(), limits=LIMITS)
+
+
+def received_by(peers):
+    """Return a queue of (sender, message)."""
+    queue = asyncio.Queue()
+    peers.subscribe(StatePull, lambda sender, message: queue.put_nowait((sender, message)))
+    return queue
+
+
+async def until(condition):
+    """Wait until `condition` holds; libzmq has no event that would tell."""
+    async with asyncio.timeout(20):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
+
+async def test_messages_arrive_in_order_under_the_senders_name():
+    with started(plain("a"), plain("b")) as (a, b):
+        queue = received_by(b)
+        a.connect("b", b.address)
+        await until(lambda: a.is_connected("b"))
+        for number in range(10):
+            assert a.send("b", StatePull(number))
+        got = [await queue.get() for _ in range(10)]
+        assert got == [("a", StatePull(number)) for number in range(10)]
+        assert a.sent.messages == b.received.messages
+
+
+async def test_what_cannot_be_sent_is_refused_and_not_kept_for_later():
+    with started(plain("a"), plain("b")) as (a, b):
+        assert not a.send("b", StatePull(0))
+        a.connect("b", "127.0.0.1:1")
+        assert not a.send("b", StatePull(0))
+        queue = received_by(b)
+        a.connect("b", b.address)
+        await until(lambda: a.is_connected("b"))
+        assert a.send("b", StatePull(1))
+        assert (await queue.get())[1] == StatePull(1)
+
+
+async def test_the_queue_of_a_peer_that_does_not_read_is_bounded():
+    with started(plain("a")) as (a,):
+        context = zmq.Context()
+        silent = context.socket(zmq.ROUTER)
+        silent.set(zmq.RCVHWM, 1)
+        port = silent.bind_to_random_port("tcp://127.0.0.1")
+        a.connect("b", f"127.0.0.1:{port}")
+        await until(lambda: a.is_connected("b"))
+        accepted = 0
+        while a.send("b", StatePull(accepted)):
+            accepted += 1
+        assert accepted >= 10
+        context.destroy(linger=0)
+
+
+async def test_a_second_process_cannot_take_the_address():
+    with started(plain("a")) as (a,):
+        second = plain("a", a.address)
+        with pytest.raises(OSError, match="cannot bind"):
+            second.start()
+
+
+async def test_a_wrong_message_is_counted_and_dropped():
+    with started(plain("a"), plain("b")) as (a, b):
+        queue = received_by(b)
+        a.connect("b", b.address)
+        await until(lambda: a.is_connected("b"))
+        a.links["b"].socket.send(b"\x01garbage")
+        a.links["b"].socket.send_multipart([b"two", b"frames"])
+        assert a.send("b", StatePull(1))
+        await queue.get()
+        assert b.protocol_errors == 2
+
+
+async def test_only_known_keys_connect_and_the_key_decides_the_name():
+    keys = {name: CurveKeys.new() for name in ("a", "b", "stranger")}
+    known = {name: keys[name].public for name in ("a", "b")}
+
+    def encrypted(name, own_name):
+        curve = CurveKeys(keys[name].public, keys[name].secret, known)
+        return Peers(own_name, "127.0.0.1:0", SystemClock(), curve, LIMITS)
+
+    a, b, stranger = encrypted("a", "a"), encrypted("b", "b"), encrypted("stranger", "a")
+    with started(a, b, stranger):
+        queue = received_by(b)
+        stranger.connect("b", b.address)
+        await until(lambda: b.refused_keys > 0)
+        assert not stranger.send("b", StatePull(0))
+        # A known peer that calls itself otherwise is still known by its key.
+        a.name = "somebody"
+        a.connect("b", b.address)
+        await until(lambda: a.is_connected("b"))
+        assert a.send("b", StatePull(1))
+        assert await queue.get() == ("a", StatePull(1))
