Placement: the cost planner, its view, and its working copy

Hot keys move for the price of one key each and do most of the balancing; hash slots move only beyond a wider band. A plan depends on the view alone, so two planners agree.

--- /dev/null
+++ b/fireflylock/board.py
@@ -0,0 +1,215 @@
+"""Board: the working copy of a load view on which a planner tries its moves."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from fireflylock.clock import Instant
+from fireflylock.loadview import (
+    LoadView,
+    Move,
+    MoveReason,
+    PlaceHotKey,
+    Plan,
+    ReturnHotKey,
+    ServerView,
+)
+from fireflylock.model import ServerState
+
+# The share of the sheet's expectation that is believed before it is measured; a sheet may
+# be wrong by half.
+SHEET_TRUST = 0.5
+
+# Servers this close to the emptiest one, relative to their fair share, count as equally empty.
+NEARLY_EQUAL = 0.02
+
+
+@dataclass(frozen=True)
+class Item:
+    """Something that can be moved: a unit, or a hot key that still lives in its hash slot.
+
+    Attributes
+    ----------
+    unit : int
+        The unit, or the hash slot of the key.
+    key : str
+        The hot key that would get a unit of its own; "" for whole units.
+    load : float
+        Work per second.
+    keys : float
+        Keys in use that change their owner when it moves.
+    """
+
+    unit: int
+    key: str
+    load: float
+    keys: float
+
+
+class Board:
+    """Loads and owners while a plan grows.
+
+    Parameters
+    ----------
+    view : LoadView
+        What is known; it is not changed.
+    now : timedelta
+        The current instant.
+    hot_share : float
+        Smallest load, as a share of a server's fair share, at which a key counts as hot.
+    """
+
+    def __init__(self, view: LoadView, now: Instant, hot_share: float) -> None:
+        self.view = view
+        self.plan = Plan()
+        self.servers = usable_servers(view, now)
+        self.capacity = {s.name: s.effective_capacity(now) for s in self.servers}
+        self.owners = dict(view.owners)
+        self.unit_loads = _unit_loads(view)
+        self.units: dict[str, set[int]] = {name: set() for name in view.servers}
+        self.load = dict.fromkeys(view.servers, 0.0)
+        for unit, owner in self.owners.items():
+            if owner not in self.load:
+                continue
+            self.units[owner].add(unit)
+            self.load[owner] += self.unit_loads.get(unit, 0.0)
+        total_capacity = sum(self.capacity.values())
+        self.mean = sum(self.unit_loads.values()) / total_capacity if total_capacity else 0.0
+        self.hot_share = hot_share
+        self.free_hot_units = 0
+        self.unplaced = self._unplaced_hot_keys()
+        self.touched: set[int] = set(view.moving)
+
+    def fair(self, server: str) -> float:
+        """Return the server's fair share of the load."""
+        return self.mean * self.capacity[server]
+
+    def relative(self, server: str) -> float:
+        """Return the server's load as a multiple of its fair share."""
+        fair = self.fair(server)
+        return self.load[server] / fair if fair > 0.0 else 0.0
+
+    def fullest(self, skip: set[str]) -> str | None:
+        """Return the server with the highest relative load that is not in `skip`."""
+        names = [name for name in self.capacity if name not in skip]
+        return max(names, key=lambda name: (self.relative(name), name), default=None)
+
+    def emptiest(self, zone: str = "") -> str:
+        """Return the server with the lowest relative load.
+
+        Among nearly equal ones a server of `zone` is taken.
+        """
+        best = min(self.capacity, key=lambda name: (self.relative(name), name))
+        if not zone or self.view.servers[best].zone == zone:
+            return best
+        limit = self.relative(best) + NEARLY_EQUAL
+        near = [
+            name
+            for name in self.capacity
+            if self.view.servers[name].zone == zone and self.relative(name) <= limit
+        ]
+        return min(near, key=lambda name: (self.relative(name), name), default=best)
+
+    def items(self, server: str) -> Iterator[Item]:
+        """Return what can be moved away from `server`."""
+        for unit in sorted(self.units[server]):
+            if unit in self.touched:
+                continue
+            yield Item(unit, "", self.unit_loads.get(unit, 0.0), self.keys_of(unit))
+            if self.free_hot_units <= 0:
+                continue
+            for key, load in self.unplaced.get(unit, ()):
+                yield Item(unit, key, load, 1.0)
+
+    def keys_of(self, unit: int) -> float:
+        """Return how many keys in use a unit holds."""
+        return self.view.keys_per_slot if self.is_hash_slot(unit) else 1.0
+
+    def is_hash_slot(self, unit: int) -> bool:
+        """Return whether `unit` is a hash slot and not a single hot key."""
+        return unit < self.view.service.hash_slots
+
+    def move(self, item: Item, target: str, reason: MoveReason) -> None:
+        """Move `item` and note it in the plan."""
+        if item.key:
+            self._place(item, target, reason)
+            return
+        source = self.owners.get(item.unit, "")
+        self.plan.moves.append(Move(item.unit, source, target, reason))
+        if source in self.load:
+            self.load[source] -= item.load
+            self.units[source].discard(item.unit)
+        self.load[target] += item.load
+        self.units[target].add(item.unit)
+        self.owners[item.unit] = target
+        self.touched.add(item.unit)
+
+    def give_back(self, key: str, unit: int) -> None:
+        """Return a hot key to its hash slot and note it in the plan."""
+        source = self.owners.pop(unit)
+        slot = self.view.home_slots[key]
+        target = self.owners[slot]
+        self.plan.hot.append(ReturnHotKey(key, unit, source, target))
+        load = self.unit_loads.pop(unit, 0.0)
+        if source in self.load:
+            self.load[source] -= load
+            self.units[source].discard(unit)
+        if target in self.load:
+            self.load[target] += load
+        self.unit_loads[slot] = self.unit_loads.get(slot, 0.0) + load
+        self.touched.add(unit)
+        self.free_hot_units += 1
+
+    def _place(self, item: Item, target: str, reason: MoveReason) -> None:
+        source = self.owners[item.unit]
+        self.plan.hot.append(PlaceHotKey(item.key, source, target, reason))
+        self.load[source] -= item.load
+        self.load[target] += item.load
+        self.unit_loads[item.unit] = max(self.unit_loads[item.unit] - item.load, 0.0)
+        self.unplaced[item.unit] = [
+            entry for entry in self.unplaced[item.unit] if entry[0] != item.key
+        ]
+        self.free_hot_units -= 1
+
+    def _unplaced_hot_keys(self) -> dict[int, list[tuple[str, float]]]:
+        if not self.capacity:
+            return {}
+        smallest = self.hot_share * self.mean * min(self.capacity.values())
+        found: dict[int, list[tuple[str, float]]] = {}
+        for key in sorted(set(self.view.hot_rates) | set(self.view.expected)):
+            if key in self.view.placed:
+                continue
+            load = believed_load(self.view, key, self.view.hot_rates.get(key, 0.0))
+            slot = self.view.home_slots[key]
+            load = min(load, self.unit_loads.get(slot, 0.0))
+            if load < smallest:
+                continue
+            found.setdefault(slot, []).append((key, load))
+        return found
+
+
+def usable_servers(view: LoadView, now: Instant) -> list[ServerView]:
+    """Return the servers that may own keys and can do work, sorted by name."""
+    servers = [view.servers[name] for name in sorted(view.servers)]
+    return [s for s in servers if s.state is ServerState.IN and s.effective_capacity(now) > 0.0]
+
+
+def believed_load(view: LoadView, key: str, measured: float) -> float:
+    """Return the load of a key, from what was measured and what the sheet expects."""
+    return max(measured, SHEET_TRUST * view.expected.get(key, 0.0))
+
+
+def _unit_loads(view: LoadView) -> dict[int, float]:
+    loads = {unit: view.loads.get(unit, 0.0) for unit in view.owners}
+    for key, unit in view.placed.items():
+        if unit not in loads:
+            continue
+        measured = view.hot_rates.get(key, loads[unit])
+        loads[unit] = believed_load(view, key, measured)
+    for key in view.expected:
+        if key in view.placed:
+            continue
+        slot = view.home_slots[key]
+        missing = believed_load(view, key, 0.0) - view.hot_rates.get(key, 0.0)
+        if slot in loads and missing > 0.0:
+            loads[slot] += missing
+    return loads
--- a/fireflylock/loads.py
+++ b/fireflylock/loads.py
@@ -62,15 +62,24 @@
         if unit < len(self.weights):
             self.weights[unit] = 0.0
 
+    def shift(self, now: Instant, source: int, target: int, rate: float) -> None:
+        """Count `rate` for `target` instead of `source`, because a key changed its unit."""
+        weight = min(rate * self._seen(now), self.weights[source] / self._growth(now))
+        self.add(now, source, -weight)
+        self.add(now, target, weight)
+
     def rates(self, now: Instant) -> np.ndarray:
         """Return weight per second, shape (units,)."""
-        age = (now - self.started).total_seconds()
-        if age <= 0.0:
+        seen = self._seen(now)
+        if seen <= 0.0:
             return np.zeros(len(self.weights))
-        # The mean over a short history would be too low without this correction.
-        seen = -math.expm1(-age / self.mean_age) * self.mean_age
         return np.array(self.weights) / (self._growth(now) * seen)
 
+    def _seen(self, now: Instant) -> float:
+        # The mean over a short history would be too low if it was taken over the mean age.
+        age = (now - self.started).total_seconds()
+        return -math.expm1(-age / self.mean_age) * self.mean_age
+
     def _growth(self, now: Instant) -> float:
         exponent = (now - self.origin).total_seconds() / self.mean_age
         if exponent > MAX_EXPONENT:
--- /dev/null
+++ b/fireflylock/loadview.py
@@ -0,0 +1,212 @@
+"""What a planner looks at, and what it answers with."""
+
+import enum
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from fireflylock.clock import Instant
+from fireflylock.model import ExpectedPeak, ServerState, Service
+
+# Keys in use per hash slot when nothing is known; only its ratio to one hot key matters.
+DEFAULT_KEYS_PER_SLOT = 100.0
+
+# A sheet's hot keys are placed this long before their peak starts.
+PEAK_LEAD = timedelta(minutes=2)
+
+# A server that comes up cold does this share of its work and reaches all of it by the end.
+COLD_CAPACITY_SHARE = 0.25
+COLD_PERIOD = timedelta(minutes=2)
+
+
+@dataclass(frozen=True)
+class ServerView:
+    """One backend server as the planner sees it.
+
+    Attributes
+    ----------
+    name, zone : str
+        Identity and place.
+    capacity : float
+        Work per second when warm, in any unit that all servers of the service share.
+    state : ServerState
+        Whether it may own keys.
+    cold_since : timedelta or None
+        When it started cold; None when it is warm.
+    """
+
+    name: str
+    zone: str
+    capacity: float
+    state: ServerState = ServerState.IN
+    cold_since: Instant | None = None
+
+    def effective_capacity(self, now: Instant) -> float:
+        """Return the work per second that it can do now."""
+        if self.cold_since is None:
+            return self.capacity
+        warm = (now - self.cold_since) / COLD_PERIOD
+        share = COLD_CAPACITY_SHARE + (1.0 - COLD_CAPACITY_SHARE) * min(max(warm, 0.0), 1.0)
+        return self.capacity * share
+
+
+@dataclass(frozen=True)
+class LoadView:
+    """One service at one instant: everything that a plan depends on.
+
+    Attributes
+    ----------
+    service : Service
+        The service, with its weights.
+    servers : dict of str to ServerView
+        Its backend servers by name.
+    owners : dict of int to str
+        Owner of each unit; units without an owner are missing.
+    loads : dict of int to float
+        Work per second of each unit; missing ones do none.
+    placed : dict of str to int
+        Unit of each hot key that is placed on its own.
+    hot_rates : dict of str to float
+        Work per second of the hottest keys, whether placed or not.
+    home_slots : dict of str to int
+        Hash slot of each key in `placed`, `hot_rates` and `expected`.
+    expected : dict of str to float
+        Work per second of the keys that the sheet expects to be hot now.
+    caller_zones : dict of int to str
+        Zone from which most of a unit's requests come, where known.
+    keys_per_slot : float
+        Keys in use in a hash slot, on average.
+    keys_moved_last_hour : float
+        Keys that moved by choice (see `MoveReason.by_choice`) within the last hour.
+    moving : frozenset of int
+        Units whose move is under way; they are left alone.
+    """
+
+    service: Service
+    servers: dict[str, ServerView]
+    owners: dict[int, str]
+    loads: dict[int, float]
+    placed: dict[str, int] = field(default_factory=dict)
+    hot_rates: dict[str, float] = field(default_factory=dict)
+    home_slots: dict[str, int] = field(default_factory=dict)
+    expected: dict[str, float] = field(default_factory=dict)
+    caller_zones: dict[int, str] = field(default_factory=dict)
+    keys_per_slot: float = DEFAULT_KEYS_PER_SLOT
+    keys_moved_last_hour: float = 0.0
+    moving: frozenset[int] = frozenset()
+
+
+class MoveReason(enum.Enum):
+    """Why a unit is moved."""
+
+    OVERLOAD = "its server has too much load"
+    FILL = "its new server has too little load"
+    CONTAIN = "its load needs most of a server"
+    DRAIN = "its server is leaving"
+    NO_OWNER = "nobody owns it"
+
+    @property
+    def by_choice(self) -> bool:
+        """Whether the move counts against the churn budget."""
+        return self in (MoveReason.OVERLOAD, MoveReason.FILL, MoveReason.CONTAIN)
+
+
+@dataclass(frozen=True)
+class Move:
+    """One unit that changes its owner.
+
+    Attributes
+    ----------
+    unit : int
+        Which unit.
+    source, target : str
+        Present owner ("" for none) and next owner.
+    reason : MoveReason
+        Why.
+    """
+
+    unit: int
+    source: str
+    target: str
+    reason: MoveReason
+
+
+@dataclass(frozen=True)
+class PlaceHotKey:
+    """One key that leaves its hash slot and becomes a unit of its own.
+
+    Attributes
+    ----------
+    key : str
+        Which key.
+    source, target : str
+        Present owner of its hash slot, and owner of the new unit.
+    reason : MoveReason
+        Why.
+    """
+
+    key: str
+    source: str
+    target: str
+    reason: MoveReason
+
+
+@dataclass(frozen=True)
+class ReturnHotKey:
+    """One key that cooled down and goes back to its hash slot.
+
+    Attributes
+    ----------
+    key : str
+        Which key.
+    unit : int
+        Its unit, which ends.
+    source, target : str
+        Present owner of the unit, and owner of the hash slot.
+    """
+
+    key: str
+    unit: int
+    source: str
+    target: str
+
+
+@dataclass
+class Plan:
+    """What should change, as one batch for one write.
+
+    Attributes
+    ----------
+    moves : list of Move
+        Units that change their owner.
+    hot : list of PlaceHotKey or ReturnHotKey
+        Keys that get or lose a unit of their own.
+    """
+
+    moves: list[Move] = field(default_factory=list)
+    hot: list[PlaceHotKey | ReturnHotKey] = field(default_factory=list)
+
+    def keys_moved(self, view: LoadView, by_choice_only: bool = False) -> float:
+        """Return how many keys in use change their owner by this plan."""
+        keys = 0.0
+        for move in self.moves:
+            if by_choice_only and not move.reason.by_choice:
+                continue
+            keys += view.keys_per_slot if move.unit < view.service.hash_slots else 1.0
+        for change in self.hot:
+            keys += 1.0 if change.source != change.target else 0.0
+        return keys
+
+
+def expected_hot_keys(
+    peaks: tuple[ExpectedPeak, ...], service: str, time_of_day: timedelta
+) -> dict[str, float]:
+    """Return the keys that the sheet expects to be hot, with their requests per second."""
+    expected: dict[str, float] = {}
+    for peak in peaks:
+        if peak.service != service:
+            continue
+        if not peak.start - PEAK_LEAD <= time_of_day < peak.end:
+            continue
+        for key, rate in peak.hot_keys.items():
+            expected[key] = max(rate, expected.get(key, 0.0))
+    return expected
--- /dev/null
+++ b/fireflylock/placement.py
@@ -0,0 +1,304 @@
+"""Placement: which backend server owns which unit."""
+
+import heapq
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from datetime import timedelta
+
+from fireflylock.assignment import HOT_UNITS
+from fireflylock.board import Board, Item, usable_servers
+from fireflylock.clock import Instant
+from fireflylock.loadview import LoadView, Move, MoveReason, Plan
+from fireflylock.model import BackendServer, ServerState, Service
+
+
+@dataclass(frozen=True)
+class Band:
+    """Relative loads between which a server is left alone, with hysteresis.
+
+    All are multiples of a server's fair share.
+
+    Attributes
+    ----------
+    trigger, settle : float
+        A server above the first is relieved until it is below the second.
+    fill_trigger, fill_settle : float
+        A server below the first is filled until it is above the second.
+    """
+
+    trigger: float
+    settle: float
+    fill_trigger: float
+    fill_settle: float
+
+
+# Hot keys move for the price of one key each, hash slots for the price of all their keys.
+HOT_KEY_BAND = Band(trigger=1.06, settle=1.03, fill_trigger=0.85, fill_settle=0.95)
+SLOT_BAND = Band(trigger=1.10, settle=1.07, fill_trigger=0.70, fill_settle=0.80)
+
+# Smallest load of a hot key as a share of a server's fair share.
+HOT_SHARE = 0.02
+# Loads from this share on get the home that costs the fewest keys to make room in.
+LARGE_SHARE = 0.5
+# A placed key below this share is cool and goes back to its hash slot.
+COOL_SHARE = 0.01
+# Share of the hot units above which cool keys are returned although that moves them.
+CROWDED = 0.5
+# A move that evens out less than this share of a server's fair share is not worth a write.
+SMALLEST_RELIEF = 0.005
+
+# How long the load of a hot key and of a hash slot is expected to stay as it is.
+HOT_KEY_HORIZON = timedelta(minutes=3)
+SLOT_HORIZON = timedelta(hours=1)
+# How long a key can't be served while it moves.
+MOVE_PAUSE = timedelta(milliseconds=50)
+
+# Share of the keys in use that may move by choice in an hour, for a service that weighs
+# unavailable time only, and for one that weighs churn only.
+CHURN_BUDGET_AVAILABILITY = 0.20
+CHURN_BUDGET_CHURN = 0.05
+
+# Moves by choice in one batch.
+BATCH = 64
+
+
+class Planner(ABC):
+    """Something that decides which units should move."""
+
+    @abstractmethod
+    def plan(self, view: LoadView, now: Instant) -> Plan:
+        """Return the changes that are worth making now.
+
+        The answer depends on nothing but the arguments, so that two planners which see the
+        same want the same, and the compare-and-swap of the second one simply fails.
+        """
+
+
+class CostPlanner(Planner):
+    """Moves what evens out the most load per key moved, when that pays for the move.
+
+    An uneven load costs every key of an overloaded server a share of its time, and a move
+    costs the moved keys their weight of churn and a pause.  Both are counted in the
+    service's own weights.  One hot key moves for the price of one key, a hash slot for the
+    price of all its keys; so most of the balancing is done with hot keys.
+    """
+
+    def plan(self, view: LoadView, now: Instant) -> Plan:
+        """Return the changes that are worth making now."""
+        board = Board(view, now, HOT_SHARE)
+        board.free_hot_units = HOT_UNITS - len(view.placed)
+        if not board.capacity:
+            return board.plan
+        self.give_owners(board)
+        self.return_cool_keys(board)
+        if board.mean <= 0.0:
+            return board.plan
+        self.contain_large_loads(board)
+        self.balance(board, HOT_KEY_BAND, most_keys=1.0)
+        self.balance(board, SLOT_BAND, most_keys=view.keys_per_slot)
+        return board.plan
+
+    def give_owners(self, board: Board) -> None:
+        """Move the units of servers that leave, and the units that nobody owns."""
+        view = board.view
+        units = range(view.service.hash_slots)
+        homeless = [unit for unit in [*units, *view.placed.values()] if unit not in board.owners]
+        leaving = []
+        for name, server in sorted(view.servers.items()):
+            if server.state is ServerState.IN:
+                continue
+            leaving += sorted(board.units[name])
+        for unit, target in spread(board, homeless + leaving).items():
+            source = board.owners.get(unit, "")
+            reason = MoveReason.DRAIN if source else MoveReason.NO_OWNER
+            item = Item(unit, "", board.unit_loads.get(unit, 0.0), board.keys_of(unit))
+            board.move(item, target, reason)
+
+    def return_cool_keys(self, board: Board) -> None:
+        """Give cool keys back to their hash slots: at once where that moves nothing."""
+        view = board.view
+        cool = COOL_SHARE * board.mean * min(board.capacity.values())
+        rates = {key: board.unit_loads.get(unit, 0.0) for key, unit in view.placed.items()}
+        for key in sorted(rates, key=lambda name: (rates[name], name)):
+            unit = view.placed[key]
+            if rates[key] > cool or unit in board.touched or unit not in board.owners:
+                continue
+            home = board.owners.get(view.home_slots[key])
+            if home is None:
+                continue
+            crowded = board.free_hot_units < (1.0 - CROWDED) * HOT_UNITS
+            if board.owners[unit] == home or crowded:
+                board.give_back(key, unit)
+
+    def contain_large_loads(self, board: Board) -> None:
+        """Find the cheapest home for each load that needs most of a server.
+
+        Clearing a server of hash slots is dear, so one that holds few of them already is
+        preferred; what else must leave it is moved by `balance`.
+        """
+        for source in sorted(board.capacity):
+            for item in list(board.items(source)):
+                if item.keys > 1.0 or item.load < LARGE_SHARE * board.fair(source):
+                    continue
+                stay = self.keys_to_clear(board, source, item)
+                homes = [name for name in sorted(board.capacity) if name != source]
+                best = min(
+                    homes,
+                    key=lambda name: self.keys_to_clear(board, name, item),
+                    default=source,
+                )
+                if 1.0 + self.keys_to_clear(board, best, item) < stay / 2:
+                    board.move(item, best, MoveReason.CONTAIN)
+
+    def keys_to_clear(self, board: Board, server: str, large: Item) -> float:
+        """Return how many keys must leave `server` to make room for a large load."""
+        room = SLOT_BAND.settle * board.fair(server) - large.load
+        units = [item for item in board.items(server) if not item.key and item.unit != large.unit]
+        excess = sum(item.load for item in units) - max(room, 0.0)
+        keys = 0.0
+        for item in sorted(units, key=lambda item: (item.keys, -item.load)):
+            if excess <= 0.0:
+                break
+            excess -= item.load
+            keys += item.keys
+        return keys
+
+    def balance(self, board: Board, band: Band, most_keys: float) -> None:
+        """Move items of at most `most_keys` keys from the fullest to the emptiest servers."""
+        budget = self.budget(board.view) - board.plan.keys_moved(board.view, by_choice_only=True)
+        stuck: set[str] = set()
+        overloaded = self.highest(board) > band.trigger
+        filling = self.lowest(board) < band.fill_trigger
+        for _ in range(BATCH):
+            source = board.fullest(stuck)
+            if source is None:
+                return
+            too_full = overloaded and board.relative(source) > band.settle
+            too_empty = filling and self.lowest(board) < band.fill_settle
+            if not too_full and not too_empty:
+                return
+            item, target = self.best_move(board, source, min(most_keys, budget))
+            if item is None:
+                stuck.add(source)
+                continue
+            budget -= item.keys
+            board.move(item, target, MoveReason.OVERLOAD if too_full else MoveReason.FILL)
+
+    def best_move(self, board: Board, source: str, most_keys: float) -> tuple[Item | None, str]:
+        """Return what should leave `source` and for where; None when nothing pays."""
+        best, best_target, best_score = None, "", 0.0
+        for item in board.items(source):
+            if item.keys > most_keys:
+                continue
+            if item.keys <= 1.0 and item.load >= LARGE_SHARE * board.fair(source):
+                continue
+            target = board.emptiest(board.view.caller_zones.get(item.unit, ""))
+            relief = self.relief(board, source, target, item.load)
+            if relief < SMALLEST_RELIEF or not self.pays(board, item, relief):
+                continue
+            score = relief / item.keys
+            if score > best_score:
+                best, best_target, best_score = item, target, score
+        return best, best_target
+
+    def relief(self, board: Board, source: str, target: str, load: float) -> float:
+        """Return how much nearer both servers come to their fair share, in fair shares."""
+        if source == target:
+            return 0.0
+        source_off = board.load[source] - board.fair(source)
+        target_off = board.load[target] - board.fair(target)
+        before = abs(source_off) + abs(target_off)
+        after = abs(source_off - load) + abs(target_off + load)
+        return (before - after) / 2 / board.fair(source)
+
+    def pays(self, board: Board, item: Item, relief: float) -> bool:
+        """Return whether a move is worth its churn and its pause."""
+        service = board.view.service
+        keys_in_use = board.view.keys_per_slot * service.hash_slots
+        keys_relieved = keys_in_use / len(board.capacity)
+        horizon = SLOT_HORIZON if item.keys > 1.0 else HOT_KEY_HORIZON
+        gain = service.unavailable_weight * relief * keys_relieved * horizon.total_seconds()
+        pause = service.unavailable_weight * MOVE_PAUSE.total_seconds()
+        return gain > item.keys * (service.churn_weight + pause)
+
+    def budget(self, view: LoadView) -> float:
+        """Return how many keys may still move by choice in this hour."""
+        weights = view.service.churn_weight + view.service.unavailable_weight
+        availability = view.service.unavailable_weight / weights if weights > 0.0 else 0.5
+        share = CHURN_BUDGET_CHURN
+        share += (CHURN_BUDGET_AVAILABILITY - CHURN_BUDGET_CHURN) * availability
+        keys_in_use = view.keys_per_slot * view.service.hash_slots
+        return share * keys_in_use - view.keys_moved_last_hour
+
+    def highest(self, board: Board) -> float:
+        """Return the highest relative load."""
+        return max(board.relative(name) for name in board.capacity)
+
+    def lowest(self, board: Board) -> float:
+        """Return the lowest relative load."""
+        return min(board.relative(name) for name in board.capacity)
+
+
+def initial(service: Service, servers: list[BackendServer]) -> dict[int, str]:
+    """Return the first owner of every hash slot of a new service.
+
+    The slots are dealt out in turn; nothing is measured yet, and even counts are the best
+    guess.  Empty when no server may own keys.
+    """
+    names = sorted(server.name for server in servers if server.state is ServerState.IN)
+    if not names:
+        return {}
+    return {slot: names[slot % len(names)] for slot in range(service.hash_slots)}
+
+
+def spread(board: Board, units: list[int]) -> dict[int, str]:
+    """Return new owners for `units`: the heaviest first, each to the emptiest server.
+
+    Units of equal load are spread by count, so that a service without load is even too.
+    """
+    counts = {name: len(board.units[name]) for name in board.capacity}
+    heap = []
+    for name in sorted(board.capacity):
+        heap.append((board.relative(name), counts[name], name))
+    heapq.heapify(heap)
+    owners: dict[int, str] = {}
+    loads = dict(board.load)
+    for unit in sorted(units, key=lambda u: (-board.unit_loads.get(u, 0.0), u)):
+        if not heap:
+            break
+        _, count, name = heapq.heappop(heap)
+        owners[unit] = name
+        loads[name] += board.unit_loads.get(unit, 0.0)
+        fair = board.fair(name)
+        heapq.heappush(heap, (loads[name] / fair if fair > 0.0 else 0.0, count + 1, name))
+    return owners
+
+
+def spread_lost(view: LoadView, lost: list[str], now: Instant) -> dict[int, str]:
+    """Return new owners for all units of servers that are lost."""
+    remaining = {name: server for name, server in view.servers.items() if name not in lost}
+    survivors = LoadView(
+        view.service,
+        remaining,
+        view.owners,
+        view.loads,
+        view.placed,
+        view.hot_rates,
+        view.home_slots,
+        keys_per_slot=view.keys_per_slot,
+    )
+    units = [unit for unit, owner in view.owners.items() if owner in lost]
+    return spread(Board(survivors, now, HOT_SHARE), units)
+
+
+__all__ = [
+    "CostPlanner",
+    "LoadView",
+    "Move",
+    "Plan",
+    "Planner",
+    "initial",
+    "spread",
+    "spread_lost",
+    "usable_servers",
+]
--- a/tests/test_hotkeys.py
+++ b/tests/test_hotkeys.py
@@ -44,5 +44,8 @@
     assert abs(rates[1] - 10) < 1
     loads.add_report(seconds(3000), {7: 4.0}, seconds(2))
     assert loads.rates(seconds(3000))[7] > 0
+    loads.shift(seconds(3000), 1, 2, 6.0)
+    assert abs(loads.rates(seconds(3000))[2] - 6) < 0.01
+    assert abs(loads.rates(seconds(3000)).sum() - rates.sum()) < 1
     loads.forget(7)
     assert loads.rates(seconds(3000))[7] == 0
