A stored configuration without a version is refused

Cause: every field of Configuration has a default, so the stored bytes {} were read as the configuration of version 0 (found by the property test of the codec). A stored value is always an accepted version, which counts from 1.

--- a/fireflylock/configuration.py
+++ b/fireflylock/configuration.py
@@ -114,9 +114,13 @@
         The bytes are no configuration.
     """
     try:
-        return _CONFIGURATION.validate_json(data)
+        configuration = _CONFIGURATION.validate_json(data)
     except ValidationError as error:
         raise ProtocolError(f"stored configuration: {_first(error)}") from None
+    # Every field has a default, so an empty object would pass as "no configuration yet".
+    if configuration.version < 1:
+        raise ProtocolError("stored configuration: it has no version")
+    return configuration
 
 
 def encode_history(history: History) -> bytes:
