Forwarding of parsed requests to another member's gate, with credit for bodies both ways

A short body travels with its head in one message; a longer one in chunks that the reader's credit covers, so that a slow reader holds the sender back. Chunks carry their offset: a chunk lost with a connection cuts the body short instead of leaving a hole. An error is "not run" only when nothing was handed to the transport or the far side said so.

--- /dev/null
+++ b/fireflylock/forward_codec.py
@@ -0,0 +1,129 @@
+"""Conversions between requests, their errors and the messages that carry them."""
+
+from datetime import timedelta
+
+from fireflylock.clock import Clock, Instant
+from fireflylock.exceptions import BodyCutShortError, ErrorKind, RequestError
+from fireflylock.exchange import Body, Request, Response
+from fireflylock.messages import ForwardFailure, ForwardRequest, PeerMessage
+from fireflylock.peers import Peers
+
+MILLISECOND = timedelta(milliseconds=1)
+# How long a message waits for room in the peer's queue, and how often it tries.
+FULL_QUEUE_PATIENCE = timedelta(seconds=2)
+FULL_QUEUE_PAUSE = timedelta(milliseconds=5)
+
+
+class PatientSender:
+    """Sends to one member, waiting while its queue is full.
+
+    Parameters
+    ----------
+    peers, clock : Peers, Clock
+        The transport, and the source of time.
+    member : str
+        The receiver.
+    deadline : timedelta
+        After this instant, and some patience, nothing is sent any more.
+    """
+
+    def __init__(self, peers: Peers, clock: Clock, member: str, deadline: Instant) -> None:
+        self.peers = peers
+        self.clock = clock
+        self.member = member
+        self.deadline = deadline
+
+    async def __call__(self, message: PeerMessage) -> bool:
+        """Send `message`; False when it cannot be sent any more."""
+        patience = min(self.deadline, self.clock.elapsed()) + FULL_QUEUE_PATIENCE
+        while not self.peers.send(self.member, message):
+            if self.clock.elapsed() >= patience:
+                return False
+            await self.clock.sleep(FULL_QUEUE_PAUSE)
+        return True
+
+
+async def read_exactly(body: Body, length: int) -> bytes:
+    """Return the body, which must have the announced length."""
+    chunks = []
+    size = 0
+    while chunk := await body.read():
+        size += len(chunk)
+        if size > length:
+            raise BodyCutShortError("the body is longer than announced")
+        chunks.append(chunk)
+    if size < length:
+        raise BodyCutShortError("the body is shorter than announced")
+    return b"".join(chunks)
+
+
+def has_no_body(request: Request, response: Response) -> bool:
+    """Return whether HTTP gives the response no body, whatever length it announces."""
+    return request.method == "HEAD" or response.status in (204, 304)
+
+
+def forward_request(
+    exchange_id: int,
+    request: Request,
+    body: bytes | None,
+    left: timedelta,
+    response_window: int,
+    assignment_revision: int,
+) -> ForwardRequest:
+    """Return the message for `request`; `body` is None when it follows in chunks."""
+    return ForwardRequest(
+        exchange_id=exchange_id,
+        request_id=request.request_id,
+        service=request.service,
+        key=request.key,
+        customer=request.customer,
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        body=body or b"",
+        body_complete=body is not None,
+        body_length=request.body_length,
+        deadline_ms=left // MILLISECOND,
+        idempotent=request.idempotent,
+        idempotency_key=request.idempotency_key,
+        response_window=response_window,
+        assignment_revision=assignment_revision,
+    )
+
+
+def read_request(message: ForwardRequest, body: Body, deadline: Instant) -> Request:
+    """Return the request that `message` carries."""
+    return Request(
+        request_id=message.request_id,
+        service=message.service,
+        key=message.key,
+        customer=message.customer,
+        method=message.method,
+        target=message.target,
+        headers=list(message.headers),
+        body=body,
+        body_length=message.body_length,
+        deadline=deadline,
+        idempotent=message.idempotent,
+        idempotency_key=message.idempotency_key,
+    )
+
+
+def forward_failure(exchange_id: int, error: RequestError) -> ForwardFailure:
+    """Return the message for `error`."""
+    retry_after_ms = -1
+    if error.retry_after is not None:
+        retry_after_ms = error.retry_after // MILLISECOND
+    return ForwardFailure(exchange_id, error.kind.value, error.detail, retry_after_ms)
+
+
+def read_failure(message: ForwardFailure) -> RequestError:
+    """Return the error; a kind that this release does not know is an unknown outcome."""
+    try:
+        kind = ErrorKind(message.kind)
+    except ValueError:
+        kind = ErrorKind.OUTCOME_UNKNOWN
+    retry_after = None
+    if message.retry_after_ms >= 0:
+        retry_after = message.retry_after_ms * MILLISECOND
+    return RequestError(kind, message.detail, retry_after)
--- /dev/null
+++ b/fireflylock/forwarding.py
@@ -0,0 +1,251 @@
+"""Requests on their way to the gate on another member, and back."""
+
+import asyncio
+import itertools
+import random
+from collections import Counter
+
+from fireflylock.clock import Clock, Instant
+from fireflylock.exceptions import ErrorKind, RequestError
+from fireflylock.exchange import Body, BytesBody, Handler, Request, Response
+from fireflylock.flow import SMALL_WINDOW_BYTES, WINDOW_BYTES, BodySender, ReceivedBody
+from fireflylock.forward_codec import (
+    FULL_QUEUE_PATIENCE,
+    MILLISECOND,
+    PatientSender,
+    forward_request,
+    read_exactly,
+    read_failure,
+)
+from fireflylock.forward_server import DEFAULT_LIMITS, ForwardLimits, ForwardServer
+from fireflylock.messages import BodyChunk, Cancel, Credit, ForwardFailure, ForwardResponse
+from fireflylock.peers import Peers
+
+
+class Outgoing:
+    """One request that this member sent to another's gate."""
+
+    def __init__(self, member: str, exchange_id: int, window: int, deadline: Instant) -> None:
+        self.member = member
+        self.exchange_id = exchange_id
+        self.window = window
+        self.deadline = deadline
+        self.answer: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
+        self.sender: BodySender | None = None
+        self.pump: asyncio.Task | None = None
+        self.body: ReceivedBody | None = None
+
+    def fail(self, error: RequestError) -> None:
+        """End the exchange with an error, or cut its body short when it was answered."""
+        if not self.answer.done():
+            self.answer.set_exception(error)
+        elif self.body is not None:
+            self.body.fail()
+
+
+class Forwarder:
+    """Both ends of forwarding.
+
+    Parameters
+    ----------
+    peers : Peers
+        The transport.
+    handler : Handler
+        Answers the requests of other members.
+    clock : Clock
+        Source of time.
+    limits : ForwardLimits
+        Bounds.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        handler: Handler,
+        clock: Clock,
+        limits: ForwardLimits = DEFAULT_LIMITS,
+    ) -> None:
+        self.peers = peers
+        self.clock = clock
+        self.limits = limits
+        self.server = ForwardServer(peers, handler, clock, limits)
+        self.outgoing: dict[int, Outgoing] = {}
+        self.counts: Counter[str] = Counter()
+        # Random, so that an answer to an earlier process of this name matches nothing.
+        self.exchange_ids = itertools.count(random.getrandbits(62))
+        peers.subscribe(ForwardResponse, self._on_response)
+        peers.subscribe(ForwardFailure, self._on_failure)
+        peers.subscribe(BodyChunk, self._on_chunk)
+        peers.subscribe(Credit, self._on_credit)
+
+    async def handle(
+        self, member: str, request: Request, assignment_revision: int = 0
+    ) -> Response:
+        """Have the gate on `member` answer `request`.
+
+        Raises
+        ------
+        RequestError
+            ``OWNER_UNREACHABLE`` and ``DEADLINE_TOO_SHORT`` mean that nothing was sent, and
+            the request's body is as it was; anything that `member` itself did not call "not
+            run" is "outcome unknown".
+        """
+        body = await self._inline_body(request)
+        left = request.deadline - self.clock.elapsed()
+        if left < MILLISECOND:
+            raise RequestError(ErrorKind.DEADLINE_TOO_SHORT, retry_after=self.limits.retry_after)
+        exchange = Outgoing(
+            member, next(self.exchange_ids), self._response_window(), request.deadline
+        )
+        message = forward_request(
+            exchange.exchange_id, request, body, left, exchange.window, assignment_revision
+        )
+        if not self.peers.send(member, message):
+            self.counts["unreachable"] += 1
+            raise RequestError(
+                ErrorKind.OWNER_UNREACHABLE, member, retry_after=self.limits.retry_after
+            )
+        self.counts["sent"] += 1
+        self.outgoing[exchange.exchange_id] = exchange
+        if body is None:
+            send = PatientSender(self.peers, self.clock, member, request.deadline)
+            exchange.sender = BodySender(exchange.exchange_id, False, send)
+            exchange.pump = asyncio.create_task(self._pump(exchange, request.body))
+        return await self._wait_for_answer(exchange)
+
+    def member_lost(self, member: str) -> None:
+        """End every exchange with a member that is lost or has restarted."""
+        for exchange in [each for each in self.outgoing.values() if each.member == member]:
+            exchange.fail(RequestError(ErrorKind.OUTCOME_UNKNOWN, f"{member} was lost"))
+        self.server.member_lost(member)
+
+    async def close(self) -> None:
+        """End every exchange."""
+        for member in {each.member for each in self.outgoing.values()}:
+            self.member_lost(member)
+        await self.server.close()
+
+    def state(self) -> list[tuple[str, object]]:
+        """Return what a dump shows, as plain names and values."""
+        lines: list[tuple[str, object]] = [
+            ("forwarding.outgoing", len(self.outgoing)),
+            ("forwarding.incoming", len(self.server.incoming)),
+        ]
+        counts = self.counts + self.server.counts
+        return lines + [(f"forwarding.{name}", n) for name, n in sorted(counts.items())]
+
+    async def _inline_body(self, request: Request) -> bytes | None:
+        """Return the body when it is short enough to travel with the head."""
+        length = request.body_length
+        if length is None or length > self.limits.inline_bytes:
+            return None
+        data = await read_exactly(request.body, length)
+        # Should nothing be sent, another gate can still be asked with the same body.
+        request.body = BytesBody(data)
+        return data
+
+    def _response_window(self) -> int:
+        """Return how much of a response may be under way to this member."""
+        if len(self.outgoing) < self.limits.streams:
+            return WINDOW_BYTES
+        return SMALL_WINDOW_BYTES
+
+    async def _pump(self, exchange: Outgoing, body: Body) -> None:
+        """Send a request's body; a fault of the caller ends the exchange."""
+        try:
+            await exchange.sender.pump(body)
+        except Exception as error:
+            failure = RequestError(ErrorKind.CALLER_GONE, "the request's body was cut short")
+            if isinstance(error, RequestError) and not error.not_run:
+                failure = error
+            exchange.fail(failure)
+
+    async def _wait_for_answer(self, exchange: Outgoing) -> Response:
+        """Return the answer, or give the exchange up at its deadline."""
+        left = max(0.0, (exchange.deadline - self.clock.elapsed()).total_seconds())
+        try:
+            async with asyncio.timeout(left):
+                response = await exchange.answer
+        except TimeoutError as error:
+            self._give_up(exchange)
+            raise RequestError(ErrorKind.DEADLINE_EXCEEDED, exchange.member) from error
+        except asyncio.CancelledError:
+            self._give_up(exchange)
+            raise
+        except RequestError:
+            self._forget(exchange)
+            raise
+        if exchange.body is None:
+            self._forget(exchange)
+        return response
+
+    def _give_up(self, exchange: Outgoing) -> None:
+        """Tell the other side that nobody waits any more."""
+        self._forget(exchange)
+        self.counts["cancelled"] += 1
+        self.peers.send(exchange.member, Cancel(exchange.exchange_id))
+
+    def _forget(self, exchange: Outgoing) -> None:
+        """Drop the exchange; its late messages match nothing."""
+        self.outgoing.pop(exchange.exchange_id, None)
+        if exchange.pump is not None:
+            exchange.pump.cancel()
+
+    def _on_response(self, sender: str, message: ForwardResponse) -> None:
+        exchange = self._outgoing_of(sender, message.exchange_id)
+        if exchange is None or exchange.answer.done():
+            self.counts["late_answers"] += 1
+            return
+        body: Body = BytesBody(message.body)
+        if not message.body_complete:
+            body = exchange.body = self._response_body(exchange)
+        headers = [(name, value) for name, value in message.headers]
+        response = Response(message.status, headers, body, message.body_length)
+        exchange.answer.set_result(response)
+
+    def _response_body(self, exchange: Outgoing) -> ReceivedBody:
+        def on_close(whole: bool) -> None:
+            if whole:
+                self._forget(exchange)
+                return
+            self._give_up(exchange)
+
+        return ReceivedBody(
+            exchange.exchange_id,
+            True,
+            PatientSender(self.peers, self.clock, exchange.member, exchange.deadline),
+            exchange.window,
+            self.clock,
+            exchange.deadline + FULL_QUEUE_PATIENCE,
+            on_close,
+        )
+
+    def _on_failure(self, sender: str, message: ForwardFailure) -> None:
+        exchange = self._outgoing_of(sender, message.exchange_id)
+        if exchange is None:
+            self.counts["late_answers"] += 1
+            return
+        exchange.fail(read_failure(message))
+
+    def _outgoing_of(self, sender: str, exchange_id: int) -> Outgoing | None:
+        """Return the exchange, when `sender` is the member that was asked."""
+        exchange = self.outgoing.get(exchange_id)
+        if exchange is None or exchange.member != sender:
+            return None
+        return exchange
+
+    def _on_chunk(self, sender: str, message: BodyChunk) -> None:
+        if not message.of_response:
+            self.server.on_chunk(sender, message)
+            return
+        exchange = self._outgoing_of(sender, message.exchange_id)
+        if exchange is not None and exchange.body is not None:
+            exchange.body.on_chunk(message)
+
+    def _on_credit(self, sender: str, message: Credit) -> None:
+        if message.of_response:
+            self.server.on_credit(sender, message)
+            return
+        exchange = self._outgoing_of(sender, message.exchange_id)
+        if exchange is not None and exchange.sender is not None:
+            exchange.sender.on_credit(message)
--- a/fireflylock/messages.py
+++ b/fireflylock/messages.py
@@ -196,9 +196,9 @@
     headers : list of (bytes, bytes)
         End-to-end headers.
     body : bytes
-        The first bytes of the body.
+        The whole body when it is complete, otherwise nothing.
     body_complete : bool
-        Whether `body` is all of it.
+        Whether the body came along; `BodyChunk` messages carry it otherwise.
     body_length : int or None
         Announced length in bytes.
     deadline_ms : int
@@ -207,6 +207,8 @@
         Whether the request may be sent twice.
     idempotency_key : str
         The caller's key, or empty.
+    response_window : int
+        Bytes of the response's body that may be under way.
     assignment_revision : int
         Revision of the assignment by which the receiver was chosen.
     """
@@ -225,6 +227,7 @@
     deadline_ms: int
     idempotent: bool
     idempotency_key: str = ""
+    response_window: int = 0
     assignment_revision: int = 0
 
 
@@ -240,9 +243,9 @@
     headers : list of (bytes, bytes)
         End-to-end headers.
     body : bytes
-        The first bytes of the body.
+        The whole body when it is complete, otherwise nothing.
     body_complete : bool
-        Whether `body` is all of it.
+        Whether the body came along; `BodyChunk` messages carry it otherwise.
     body_length : int or None
         Announced length in bytes.
     """
--- a/fireflylock/peers.py
+++ b/fireflylock/peers.py
@@ -43,6 +43,9 @@
     max_peers: int = 2_000
 
 
+DEFAULT_LIMITS = PeerLimits()
+
+
 @dataclass
 class PeerLink:
     """The sending side of one peer.
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,302 @@
+"""Tests of forwarding: requests and bodies between two members, over loopback."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import pytest
+
+from fireflylock.clock import SystemClock
+from fireflylock.exceptions import BodyCutShortError, ErrorKind, RequestError
+from fireflylock.exchange import Body, BytesBody, Handler, Request, Response, read_all
+from fireflylock.flow import WINDOW_BYTES
+from fireflylock.forward_server import DEFAULT_LIMITS, ForwardLimits
+from fireflylock.forwarding import Forwarder
+from fireflylock.messages import BodyChunk
+from fireflylock.peers import Peers
+from tests.helpers import until
+
+BIG = bytes(range(256)) * 4 * 1024 * 3  # 3 MB
+
+
+class Gate(Handler):
+    """Answers with whatever the test wants."""
+
+    def __init__(self):
+        self.answer = None
+        self.seen = []
+        self.cancelled = asyncio.Event()
+
+    async def handle(self, request):
+        self.seen.append(request)
+        try:
+            return await self.answer(request)
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+
+
+class Pieces(Body):
+    """A body that gives its pieces, then ends or fails."""
+
+    def __init__(self, pieces, error=None):
+        self.pieces = list(pieces)
+        self.error = error
+        self.closed = asyncio.Event()
+        self.read_bytes = 0
+
+    async def read(self):
+        await asyncio.sleep(0)
+        if self.pieces:
+            self.read_bytes += len(self.pieces[0])
+            return self.pieces.pop(0)
+        if self.error is not None:
+            raise self.error
+        return b""
+
+    async def close(self):
+        self.closed.set()
+
+
+@asynccontextmanager
+async def two_members(limits=DEFAULT_LIMITS):
+    clock = SystemClock()
+    gate = Gate()
+    a, b = (Peers(name, "127.0.0.1:0", clock) for name in "ab")
+    a.start()
+    b.start()
+    asking = Forwarder(a, Gate(), clock)
+    serving = Forwarder(b, gate, clock, limits)
+    a.connect("b", b.address)
+    b.connect("a", a.address)
+    await until(lambda: a.is_connected("b") and b.is_connected("a"))
+    try:
+        async with asyncio.timeout(20):
+            yield asking, serving, gate
+    finally:
+        await asking.close()
+        await serving.close()
+        a.stop()
+        b.stop()
+
+
+def request_with(body=None, length=0, seconds=10, method="POST"):
+    deadline = SystemClock().elapsed() + timedelta(seconds=seconds)
+    headers = [(b"x-key", b"k"), (b"x-binary", b"\xff")]
+    body = body or BytesBody()
+    return Request(
+        "id", "s", "k", "c", method, b"/", headers, body, length, deadline, False, "idem"
+    )
+
+
+async def echo(request):
+    data = await read_all(request.body, len(BIG))
+    return Response(200, request.headers, BytesBody(data), len(data))
+
+
+@pytest.mark.parametrize("size", [0, 10, len(BIG)])
+@pytest.mark.parametrize("announced", [True, False])
+async def test_a_request_and_its_response_arrive_whole(size, announced):
+    async with two_members() as (asking, serving, gate):
+        gate.answer = echo
+        request = request_with(BytesBody(BIG[:size]), size if announced else None)
+        response = await asking.handle("b", request)
+        assert await read_all(response.body, len(BIG)) == BIG[:size]
+        assert response.headers == request.headers
+        seen = gate.seen[0]
+        assert (seen.key, seen.idempotency_key, seen.body_length) == (
+            "k",
+            "idem",
+            request.body_length,
+        )
+        await until(lambda: not asking.outgoing and not serving.server.incoming)
+
+
+async def test_many_exchanges_at_once_get_their_own_answers():
+    async with two_members() as (asking, _, gate):
+        gate.answer = echo
+
+        async def one(number):
+            data = bytes([number]) * number * 2000
+            response = await asking.handle("b", request_with(BytesBody(data), len(data)))
+            return await read_all(response.body, len(BIG)) == data
+
+        assert all(await asyncio.gather(*(one(number) for number in range(60))))
+
+
+async def test_a_slow_reader_holds_the_sender_back():
+    async with two_members() as (asking, _, gate):
+        body = Pieces([b"x" * 50_000] * 100)
+
+        async def answer(request):
+            return Response(200, [], body, None)
+
+        gate.answer = answer
+        response = await asking.handle("b", request_with())
+        await until(lambda: response.body.buffered == WINDOW_BYTES)
+        assert body.read_bytes <= WINDOW_BYTES + 50_000
+        await response.body.close()
+        await body.closed.wait()
+
+
+async def test_an_error_keeps_its_kind_detail_and_time_to_come_back():
+    async with two_members() as (asking, _, gate):
+
+        async def answer(request):
+            raise RequestError(ErrorKind.MOVED, "gone", timedelta(seconds=3))
+
+        gate.answer = answer
+        with pytest.raises(RequestError) as caught:
+            await asking.handle("b", request_with())
+        assert (caught.value.kind, caught.value.detail) == (ErrorKind.MOVED, "gone")
+        assert caught.value.retry_after == timedelta(seconds=3)
+
+
+async def test_an_unexpected_fault_of_the_gate_is_an_unknown_outcome():
+    async with two_members() as (asking, _, gate):
+
+        async def answer(request):
+            raise KeyError("bug")
+
+        gate.answer = answer
+        with pytest.raises(RequestError) as caught:
+            await asking.handle("b", request_with())
+        assert not caught.value.not_run
+
+
+async def test_nothing_is_sent_to_a_member_that_is_not_connected():
+    async with two_members() as (asking, _, _):
+        request = request_with(BytesBody(b"abc"), 3)
+        with pytest.raises(RequestError) as caught:
+            await asking.handle("c", request)
+        assert caught.value.kind is ErrorKind.OWNER_UNREACHABLE
+        assert await request.body.read() == b"abc"
+
+
+async def test_a_loss_while_waiting_is_an_unknown_outcome_and_cuts_bodies():
+    async with two_members() as (asking, _, gate):
+
+        async def answer(request):
+            if request.method == "GET":
+                return Response(200, [], Pieces([b"x", b"y"] * 10**6), None)
+            return await asyncio.Event().wait()
+
+        gate.answer = answer
+        response = await asking.handle("b", request_with(method="GET"))
+        waiting = asyncio.create_task(asking.handle("b", request_with()))
+        await until(lambda: len(gate.seen) == 2)
+        asking.member_lost("b")
+        with pytest.raises(RequestError) as caught:
+            await waiting
+        assert caught.value.kind is ErrorKind.OUTCOME_UNKNOWN
+        with pytest.raises(BodyCutShortError):
+            await read_all(response.body, 10**9)
+
+
+@pytest.mark.parametrize("way", ["cancel", "deadline", "close"])
+async def test_giving_up_cancels_the_other_side(way):
+    async with two_members() as (asking, serving, gate):
+        body = Pieces([b"x" * 50_000] * 100)
+
+        async def answer(request):
+            if way == "close":
+                return Response(200, [], body, None)
+            return await asyncio.Event().wait()
+
+        gate.answer = answer
+        request = request_with(seconds=0.05 if way == "deadline" else 10)
+        task = asyncio.create_task(asking.handle("b", request))
+        await until(lambda: gate.seen)
+        if way == "close":
+            await (await task).body.close()
+            await body.closed.wait()
+        elif way == "cancel":
+            task.cancel()
+            await gate.cancelled.wait()
+        else:
+            with pytest.raises(RequestError) as caught:
+                await task
+            assert caught.value.kind is ErrorKind.DEADLINE_EXCEEDED
+            await gate.cancelled.wait()
+        await until(lambda: not serving.server.incoming)
+
+
+@pytest.mark.parametrize("length", [None, 5, 10**6])
+async def test_a_response_that_is_cut_short_never_looks_whole(length):
+    async with two_members() as (asking, _, gate):
+
+        async def answer(request):
+            return Response(200, [], Pieces([b"abc"], BodyCutShortError("cut")), length)
+
+        gate.answer = answer
+        response = await asking.handle("b", request_with())
+        with pytest.raises(BodyCutShortError):
+            await read_all(response.body, 10**9)
+
+
+async def test_a_request_that_is_cut_short_ends_both_sides():
+    async with two_members() as (asking, _, gate):
+        cut = asyncio.Event()
+
+        async def answer(request):
+            try:
+                await read_all(request.body, 10**9)
+            except BodyCutShortError:
+                cut.set()
+                raise
+
+        gate.answer = answer
+        body = Pieces([b"abc"], BodyCutShortError("the caller left"))
+        with pytest.raises(RequestError) as caught:
+            await asking.handle("b", request_with(body, None))
+        assert not caught.value.not_run
+        await cut.wait()
+
+
+async def test_a_lost_chunk_cuts_the_body():
+    async with two_members() as (asking, _, gate):
+
+        async def answer(request):
+            return Response(200, [], Pieces([b"x" * 100_000] * 10), None)
+
+        gate.answer = answer
+        lost = []
+
+        def lossy(sender, message):
+            if len(lost) < 1 and message.offset:
+                lost.append(message)
+                return
+            asking._on_chunk(sender, message)
+
+        asking.peers.subscribers[BodyChunk] = [lossy]
+        response = await asking.handle("b", request_with())
+        with pytest.raises(BodyCutShortError):
+            await read_all(response.body, 10**9)
+
+
+async def test_the_length_of_a_head_response_is_kept():
+    async with two_members() as (asking, _, gate):
+
+        async def answer(request):
+            return Response(200, [], BytesBody(), 10**9)
+
+        gate.answer = answer
+        response = await asking.handle("b", request_with(method="HEAD"))
+        assert response.body_length == 10**9
+        assert await response.body.read() == b""
+
+
+async def test_more_requests_than_the_bound_are_refused_as_not_run():
+    async with two_members(ForwardLimits(serving=1)) as (asking, _, gate):
+
+        async def answer(request):
+            await asyncio.Event().wait()
+
+        gate.answer = answer
+        first = asyncio.create_task(asking.handle("b", request_with()))
+        await until(lambda: gate.seen)
+        with pytest.raises(RequestError) as caught:
+            await asking.handle("b", request_with())
+        assert caught.value.kind is ErrorKind.QUEUE_FULL
+        assert caught.value.not_run
+        first.cancel()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,6 +10,7 @@
 from fireflylock.messages import StatePull
 from fireflylock.peer_keys import CurveKeys
 from fireflylock.peers import PeerLimits, Peers
+from tests.helpers import until
 
 LIMITS = PeerLimits(queue_messages=10)
 
@@ -37,13 +38,6 @@
     return queue
 
 
-async def until(condition):
-    """Wait until `condition` holds; libzmq has no event that would tell."""
-    async with asyncio.timeout(20):
-        while not condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.005)
-
-
 async def test_messages_arrive_in_order_under_the_senders_name():
     with started(plain("a"), plain("b")) as (a, b):
         queue = received_by(b)
