--- a/fireflylock/assignment.py
+++ b/fireflylock/assignment.py
@@ -92,4 +92,4 @@
 
 def hash_slot(service: str, key: str, hash_slots: int) -> int:
     """Return the hash slot of `key`; the same on every VM and in every release."""
-    return xxhash.xxh3_64_intdigest(f"{service}\0{key}") % hash_slots
+    return xxhash.xxh3_64_intdigest(f"{service}\0{key}".encode()) % hash_slots
--- a/fireflylock/nodeview.py
+++ b/fireflylock/nodeview.py
@@ -146,7 +146,8 @@
         Raises
         ------
         VersionConflictError
-            Another change was accepted since the one that `new` was made from.
+            Another change was accepted since the one that `new` was made from; it is in
+            force on this VM by now, so that the caller can start again from it.
         PlatformError
             It is not known whether the write took effect.
         """
