--- a/fireflylock/assignment.py
+++ b/fireflylock/assignment.py
@@ -38,11 +38,18 @@
         Grows with every recorded change of the gate.
     standby : str
         The entry VM that may claim the server without a write, or "".
+    process : str
+        The gate's process that wrote the record; a later process records itself afresh.
+    server_incarnation : str
+        The backend server's process that may be claimed under this gate epoch; a restarted
+        server has forgotten its fence and is claimed only after a write that names it.
     """
 
     member: str
     epoch: int
     standby: str = ""
+    process: str = ""
+    server_incarnation: str = ""
 
 
 @dataclass(frozen=True)
@@ -61,6 +68,12 @@
         Unit of each hot key that is placed on its own.
     gates : dict of str to GateRecord
         Gate of each backend server.
+    cut_zones : dict of str to int
+        Number of the mark of each zone that is recorded as cut off.
+    witnesses : dict of str to str
+        The only member that may mark a zone as cut, by zone; in another zone.
+    marks : int
+        How many marks were ever set; a later mark has a higher number.
     revision : int
         The platform's revision of this value; 0 before it was written.
     change_id : str
@@ -72,6 +85,9 @@
     units: dict[int, Ownership] = field(default_factory=dict)
     hot_keys: dict[str, int] = field(default_factory=dict)
     gates: dict[str, GateRecord] = field(default_factory=dict)
+    cut_zones: dict[str, int] = field(default_factory=dict)
+    witnesses: dict[str, str] = field(default_factory=dict)
+    marks: int = 0
     revision: int = 0
     change_id: str = ""
 
@@ -82,6 +98,14 @@
             return unit
         return hash_slot(self.service, key, self.hash_slots)
 
+    def units_of(self, server: str) -> dict[int, int]:
+        """Return the epoch of each unit that `server` owns."""
+        return {
+            unit: ownership.epoch
+            for unit, ownership in self.units.items()
+            if ownership.server == server
+        }
+
     def owner_of(self, key: str) -> Ownership | None:
         """Return the ownership of `key`, or None when nobody owns it."""
         ownership = self.units.get(self.unit_of(key))
--- /dev/null
+++ b/fireflylock/idempotency.py
@@ -0,0 +1,397 @@
+"""The window in which a gate remembers each ``Idempotency-Key``, so that nothing runs twice.
+
+A repeat joins the request in flight or gets its stored answer.  Where the window of an
+earlier gate was lost, a key that may have been used before is never run again: only a key
+that carries its time of issue (UUID version 7) from after the loss is known to be new.
+"""
+
+import enum
+import uuid
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from datetime import UTC, datetime, timedelta
+
+import msgspec
+
+from fireflylock.clock import Instant
+from fireflylock.exceptions import ProtocolError
+
+# How far a caller's wall clock may run ahead of ours.
+CALLER_SKEW = timedelta(seconds=2)
+
+Identity = tuple[str, str, str]
+
+
+class EntryState(enum.Enum):
+    """What is known of a remembered request."""
+
+    RUNNING = "running"
+    STORED = "stored"
+    UNKNOWN = "unknown"
+
+
+class StoredResponse(msgspec.Struct, frozen=True):
+    """A whole answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    headers : list of (bytes, bytes)
+        End-to-end headers.
+    body : bytes
+        The whole body.
+    """
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+    @property
+    def size(self) -> int:
+        """Bytes that the answer takes, about."""
+        return len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
+
+
+@dataclass(eq=False)
+class Entry:
+    """One remembered request.
+
+    Attributes
+    ----------
+    identity : tuple of str
+        Service, key and ``Idempotency-Key``.
+    fingerprint : bytes
+        Digest of the request; a repeat must have the same.
+    state : EntryState
+        What is known.
+    settled_at : timedelta
+        When the state last changed; the window is counted from here.
+    response : StoredResponse or None
+        The answer, when it is stored.
+    listeners : list of callable
+        Called with the entry once it is no longer running; of an abandoned entry the state
+        stays `RUNNING` and `abandoned` is set.
+    abandoned : bool
+        Whether the request certainly did not run; who joined it may begin again.
+    """
+
+    identity: Identity
+    fingerprint: bytes
+    state: EntryState
+    settled_at: Instant
+    response: StoredResponse | None = None
+    listeners: list[Callable[["Entry"], None]] = field(default_factory=list)
+    abandoned: bool = False
+
+
+@dataclass(frozen=True)
+class Run:
+    """The request is new: run it, then settle `entry`."""
+
+    entry: Entry
+
+
+@dataclass(frozen=True)
+class Join:
+    """The same request is running: wait for `entry`."""
+
+    entry: Entry
+
+
+@dataclass(frozen=True)
+class Stored:
+    """The same request ran: this was its answer."""
+
+    response: StoredResponse
+
+
+@dataclass(frozen=True)
+class Unknown:
+    """The same request may have run; it is not run again and its answer is not known."""
+
+
+@dataclass(frozen=True)
+class Reused:
+    """The ``Idempotency-Key`` belongs to a different request."""
+
+
+@dataclass(frozen=True)
+class Full:
+    """The window holds as many keys as it may; come back after `retry_after`."""
+
+    retry_after: timedelta
+
+
+Decision = Run | Join | Stored | Unknown | Reused | Full
+
+
+class ExportedEntry(msgspec.Struct, frozen=True, array_like=True):
+    """An entry as it travels to another gate; its age is in microseconds."""
+
+    identity: Identity
+    fingerprint: bytes
+    age_us: int
+    response: StoredResponse | None
+
+
+@dataclass(frozen=True)
+class WindowLimits:
+    """Bounds of a window.
+
+    Attributes
+    ----------
+    duration : timedelta
+        How long a settled entry is remembered.
+    entries : int
+        How many keys are remembered at most.
+    bytes : int
+        How many bytes of answers are stored at most; the oldest answers go first, their
+        keys stay.
+    response_bytes : int
+        Longer answers are not stored.
+    """
+
+    duration: timedelta = timedelta(minutes=10)
+    entries: int = 20_000
+    bytes: int = 16_000_000
+    response_bytes: int = 256_000
+
+
+class IdempotencyWindow:
+    """The remembered requests of one gate for one backend server.
+
+    Parameters
+    ----------
+    limits : WindowLimits
+        Bounds in time, number and bytes.
+
+    Attributes
+    ----------
+    entries : dict of Identity to Entry
+        Remembered requests, the one settled longest ago first.
+    lost : dict of int to (timedelta, datetime)
+        Units whose earlier window was lost: our instant and wall-clock time of the loss.
+    answers : dict of Identity to Entry
+        The entries whose answer is stored, the oldest answer first.
+    bytes : int
+        Bytes of stored answers.
+    """
+
+    def __init__(self, limits: WindowLimits | None = None) -> None:
+        self.limits = limits or WindowLimits()
+        self.entries: dict[Identity, Entry] = {}
+        self.lost: dict[int, tuple[Instant, datetime]] = {}
+        self.answers: dict[Identity, Entry] = {}
+        self.bytes = 0
+
+    def taken_over(self, now: Instant, wall: datetime, units: Iterable[int]) -> None:
+        """Note that `units` were served before by a gate whose window is lost."""
+        for unit in units:
+            self.lost[unit] = (now, wall)
+
+    def begin(
+        self,
+        now: Instant,
+        wall: datetime,
+        service: str,
+        unit: int,
+        key: str,
+        idempotency_key: str,
+        fingerprint: bytes,
+    ) -> Decision:
+        """Decide what to do with a request that carries an ``Idempotency-Key``.
+
+        Parameters
+        ----------
+        now, wall : timedelta, datetime
+            Present instant, and present wall-clock time.
+        service, unit, key, idempotency_key : str, int, str, str
+            The request's identity, and the unit that its key belongs to.
+        fingerprint : bytes
+            Digest of the request.
+        """
+        self.expire(now)
+        identity = (service, key, idempotency_key)
+        entry = self.entries.get(identity)
+        if entry is not None:
+            return self.repeat(entry, fingerprint)
+        if not self.is_new(now, unit, idempotency_key):
+            return Unknown()
+        if len(self.entries) >= self.limits.entries:
+            return Full(self.next_expiry(now))
+        entry = Entry(identity, fingerprint, EntryState.RUNNING, now)
+        self.entries[identity] = entry
+        return Run(entry)
+
+    def repeat(self, entry: Entry, fingerprint: bytes) -> Decision:
+        """Decide what to do with a repeat of `entry`."""
+        if entry.fingerprint != fingerprint:
+            return Reused()
+        if entry.state is EntryState.RUNNING:
+            return Join(entry)
+        if entry.response is not None:
+            return Stored(entry.response)
+        return Unknown()
+
+    def is_new(self, now: Instant, unit: int, idempotency_key: str) -> bool:
+        """Return whether a key that is not remembered was certainly never used before."""
+        loss = self.lost.get(unit)
+        if loss is None:
+            return True
+        if now - loss[0] >= self.limits.duration:
+            del self.lost[unit]
+            return True
+        issued = issue_time(idempotency_key)
+        return issued is not None and issued > loss[1] + CALLER_SKEW
+
+    def finish(self, now: Instant, entry: Entry, response: StoredResponse | None) -> None:
+        """Settle a running entry with its answer, or with None when the outcome is unknown."""
+        if entry.state is not EntryState.RUNNING or entry.abandoned:
+            return
+        entry.state = EntryState.UNKNOWN if response is None else EntryState.STORED
+        entry.settled_at = now
+        self.entries.pop(entry.identity, None)
+        self.entries[entry.identity] = entry
+        if response is not None:
+            self.store(entry, response)
+        self.notify(entry, response)
+
+    def store(self, entry: Entry, response: StoredResponse) -> None:
+        """Keep an answer within the bounds, at the cost of the oldest answers."""
+        if response.size > min(self.limits.response_bytes, self.limits.bytes):
+            return
+        entry.response = response
+        self.answers[entry.identity] = entry
+        self.bytes += response.size
+        while self.bytes > self.limits.bytes:
+            self.drop_response(next(iter(self.answers.values())))
+
+    def notify(self, entry: Entry, response: StoredResponse | None) -> None:
+        """Tell who joined the entry; they get the answer even when it is too long to keep."""
+        kept, entry.response = entry.response, response
+        for listener in entry.listeners:
+            listener(entry)
+        entry.listeners.clear()
+        entry.response = kept
+
+    def abandon(self, entry: Entry) -> None:
+        """Forget a running entry whose request certainly did not run."""
+        if entry.state is not EntryState.RUNNING or entry.abandoned:
+            return
+        entry.abandoned = True
+        self.entries.pop(entry.identity, None)
+        for listener in entry.listeners:
+            listener(entry)
+        entry.listeners.clear()
+
+    def expire(self, now: Instant) -> None:
+        """Forget what is older than the window; running entries are never forgotten."""
+        expired = []
+        for entry in self.entries.values():
+            if entry.state is EntryState.RUNNING:
+                continue
+            if now - entry.settled_at < self.limits.duration:
+                break
+            expired.append(entry)
+        for entry in expired:
+            self.drop_response(entry)
+            del self.entries[entry.identity]
+
+    def drop_response(self, entry: Entry) -> None:
+        """Forget the stored answer of an entry, but not that it ran."""
+        if entry.response is None:
+            return
+        del self.answers[entry.identity]
+        self.bytes -= entry.response.size
+        entry.response = None
+        entry.state = EntryState.UNKNOWN
+
+    def next_expiry(self, now: Instant) -> timedelta:
+        """Return how long until the first settled entry is forgotten."""
+        for entry in self.entries.values():
+            if entry.state is not EntryState.RUNNING:
+                return max(timedelta(0), entry.settled_at + self.limits.duration - now)
+        return self.limits.duration
+
+    def export(self, now: Instant, select: Callable[[str], bool] | None = None) -> list[bytes]:
+        """Return entries for another gate, without forgetting them.
+
+        Parameters
+        ----------
+        now : timedelta
+            Present instant.
+        select : callable or None
+            Whether a key's entries are wanted; None exports all.  A request that still runs
+            is exported with its outcome unknown.
+        """
+        exported = []
+        for entry in self.entries.values():
+            if select is not None and not select(entry.identity[1]):
+                continue
+            exported.append(self.export_entry(now, entry))
+        return exported
+
+    def export_entry(self, now: Instant, entry: Entry) -> bytes:
+        """Return one entry for another gate."""
+        age = timedelta(0) if entry.state is EntryState.RUNNING else now - entry.settled_at
+        return msgspec.msgpack.encode(
+            ExportedEntry(
+                entry.identity, entry.fingerprint, age // timedelta(microseconds=1), entry.response
+            )
+        )
+
+    def import_(self, now: Instant, exported: Iterable[bytes]) -> None:
+        """Add entries of another gate; what is known better here is kept.
+
+        Raises
+        ------
+        ProtocolError
+            An entry is not valid; those before it were added.
+        """
+        for data in exported:
+            try:
+                decoded = msgspec.msgpack.decode(data, type=ExportedEntry)
+            except msgspec.DecodeError as error:
+                raise ProtocolError(f"A window entry is not valid: {error}") from error
+            self.import_entry(now, decoded)
+        self.sort()
+
+    def import_entry(self, now: Instant, exported: ExportedEntry) -> None:
+        """Add one entry unless its answer is known here or it runs here."""
+        present = self.entries.get(exported.identity)
+        if present is not None and (
+            present.state is not EntryState.UNKNOWN or exported.response is None
+        ):
+            return
+        age = timedelta(microseconds=max(0, exported.age_us))
+        entry = Entry(exported.identity, exported.fingerprint, EntryState.UNKNOWN, now - age)
+        self.entries[entry.identity] = entry
+        if exported.response is not None:
+            entry.state = EntryState.STORED
+            self.store(entry, exported.response)
+
+    def complete(self, units: Iterable[int]) -> None:
+        """Note that the whole earlier window of `units` was imported."""
+        for unit in units:
+            self.lost.pop(unit, None)
+
+    def sort(self) -> None:
+        """Restore the order by time of settling, which `expire` relies on."""
+        entries = sorted(self.entries.values(), key=lambda entry: entry.settled_at)
+        self.entries = {entry.identity: entry for entry in entries}
+
+
+def issue_time(idempotency_key: str) -> datetime | None:
+    """Return the time of issue that a UUID of version 7 carries, or None for other keys."""
+    try:
+        parsed = uuid.UUID(idempotency_key)
+    except ValueError:
+        return None
+    if parsed.version != 7:
+        return None
+    milliseconds = parsed.int >> 80
+    try:
+        return datetime.fromtimestamp(milliseconds / 1000, UTC)
+    except (OverflowError, OSError, ValueError):
+        return None
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -4,7 +4,7 @@
 from datetime import UTC, datetime, timedelta
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from fireflylock.configuration import (
@@ -53,6 +53,7 @@
 
 
 @given(st.binary(max_size=200))
+@example(b"{}")
 def test_bytes_that_are_no_configuration_are_refused(data):
     with pytest.raises(ProtocolError):
         decode_configuration(data)
--- /dev/null
+++ b/tests/test_idempotency.py
@@ -0,0 +1,95 @@
+"""Tests of the idempotency window."""
+
+import uuid
+from datetime import UTC, datetime, timedelta
+
+from fireflylock.idempotency import (
+    CALLER_SKEW,
+    Full,
+    IdempotencyWindow,
+    Join,
+    Reused,
+    Run,
+    Stored,
+    StoredResponse,
+    Unknown,
+    WindowLimits,
+)
+
+WALL = datetime(2026, 1, 1, tzinfo=UTC)
+START = timedelta(seconds=100)
+ANSWER = StoredResponse(201, [(b"content-type", b"text/plain")], b"booked")
+
+
+def begin(window, now, idempotency_key="order-1", key="barrel", fingerprint=b"same", wall=WALL):
+    return window.begin(now, wall, "club-app", 3, key, idempotency_key, fingerprint)
+
+
+def uuid7(issued):
+    milliseconds = int(issued.timestamp() * 1000)
+    return str(uuid.UUID(int=(milliseconds << 80) | (7 << 76) | (2 << 62) | 5))
+
+
+def test_a_repeat_joins_and_then_gets_the_stored_answer():
+    window = IdempotencyWindow()
+    first = begin(window, START)
+    joined = begin(window, START)
+    assert isinstance(joined, Join)
+    heard = []
+    joined.entry.listeners.append(lambda entry: heard.append(entry.response))
+    window.finish(START, first.entry, ANSWER)
+    assert heard == [ANSWER]
+    assert begin(window, START) == Stored(ANSWER)
+    assert begin(window, START, fingerprint=b"other") == Reused()
+    assert isinstance(begin(window, START, key="other"), Run)
+
+
+def test_only_what_certainly_did_not_run_may_run_again():
+    window = IdempotencyWindow()
+    window.abandon(begin(window, START).entry)
+    again = begin(window, START)
+    assert isinstance(again, Run)
+    window.finish(START, again.entry, None)
+    assert begin(window, START) == Unknown()
+
+
+def test_bounds_never_allow_a_second_run():
+    limits = WindowLimits(timedelta(minutes=1), entries=3, bytes=60, response_bytes=40)
+    window = IdempotencyWindow(limits)
+    for number in range(3):
+        window.finish(START, begin(window, START, f"order-{number}").entry, ANSWER)
+    assert begin(window, START, "order-0") == Unknown()
+    assert begin(window, START, "order-2") == Stored(ANSWER)
+    assert window.bytes <= limits.bytes
+    assert isinstance(begin(window, START, "order-3"), Full)
+    later = START + limits.duration
+    assert isinstance(begin(window, later, "order-3"), Run)
+    assert window.bytes == 0
+
+
+def test_a_lost_window_lets_only_certainly_new_keys_run():
+    window = IdempotencyWindow()
+    window.taken_over(START, WALL, [3])
+    assert begin(window, START, "opaque") == Unknown()
+    assert begin(window, START, uuid7(WALL - timedelta(seconds=1))) == Unknown()
+    assert begin(window, START, uuid7(WALL + CALLER_SKEW)) == Unknown()
+    assert isinstance(begin(window, START, uuid7(WALL + 2 * CALLER_SKEW)), Run)
+    later = START + window.limits.duration
+    assert isinstance(begin(window, later, "opaque"), Run)
+
+
+def test_a_handed_over_window_is_complete():
+    window = IdempotencyWindow()
+    window.finish(START, begin(window, START).entry, ANSWER)
+    begin(window, START, "running")
+    begin(window, START, "elsewhere", key="other")
+    exported = window.export(START + timedelta(minutes=1), lambda key: key == "barrel")
+    taken = IdempotencyWindow()
+    now = timedelta(seconds=7)
+    taken.taken_over(now, WALL, [3])
+    taken.import_(now, exported)
+    taken.complete([3])
+    assert begin(taken, now) == Stored(ANSWER)
+    assert begin(taken, now, "running") == Unknown()
+    assert isinstance(begin(taken, now, "elsewhere", key="other"), Run)
+    assert isinstance(begin(taken, now + timedelta(minutes=9)), Run)
