--- a/fireflylock/assignment_changes.py
+++ b/fireflylock/assignment_changes.py
@@ -20,6 +20,7 @@
     SameGate,
     SessionExpired,
     SessionOver,
+    StandbyClaimed,
     StandbyPromise,
     ZoneStoodDown,
 )
@@ -185,12 +186,40 @@
         return proof.member == present.member and proof.process == present.process
     if isinstance(proof, Gone | OperatorStatement):
         return proof.name == present.member
+    if isinstance(proof, StandbyClaimed):
+        return proof == StandbyClaimed(server, present.epoch, record.member) and (
+            record.member == present.standby
+        )
     if isinstance(proof, SameGate):
         same = proof.member == present.member == record.member
         return same and proof.process == present.process == record.process
     return False
 
 
+def with_regrants(
+    assignment: Assignment, server: str, units: Iterable[int], proof: SameGate, change_id: str
+) -> Assignment:
+    """Return the assignment with new epochs for units that stay with their owner.
+
+    The gate takes back units that it released and that nobody else took.
+
+    Raises
+    ------
+    InvariantError
+        `proof` is not of the server's recorded gate, or a unit is not the server's.
+    """
+    record = assignment.gates.get(server)
+    if record is None or (proof.member, proof.process) != (record.member, record.process):
+        raise InvariantError(f"{proof.member} is not the gate of {server}.")
+    changed = dict(assignment.units)
+    for unit in units:
+        present = changed.get(unit)
+        if present is None or present.server != server:
+            raise InvariantError(f"Unit {unit} of {assignment.service} is not on {server}.")
+        changed[unit] = Ownership(server, present.epoch + 1)
+    return replace(assignment, units=changed, change_id=change_id)
+
+
 def with_hot_key(
     assignment: Assignment, key: str, server: str, change_id: str, proofs: Iterable[OwnerProof]
 ) -> Assignment:
--- a/fireflylock/fenced_session.py
+++ b/fireflylock/fenced_session.py
@@ -78,11 +78,11 @@
         self.idle: set[int] = set()
         self.revoked: dict[int, int] = {}
 
-    def set_grants(self, now: Instant, units: dict[int, int]) -> None:
-        """Take the assignment's units; a session that keeps grants never adds any."""
+    def take_units(self, now: Instant, units: dict[int, int]) -> None:
+        """Replace the wanted units; a session that keeps grants never adds any."""
         if self.keep_grants:
             return
-        super().set_grants(now, units)
+        super().take_units(now, units)
         self.release(now, [unit for unit in self.granted if unit not in self.wanted])
         self.releasing = {
             unit: epoch
--- a/fireflylock/proofs.py
+++ b/fireflylock/proofs.py
@@ -164,6 +164,25 @@
     process: str
 
 
+@dataclass(frozen=True)
+class StandbyClaimed:
+    """The recorded standby has claimed the server, which fences the recorded gate.
+
+    Attributes
+    ----------
+    server : str
+        Which server.
+    gate_epoch : int
+        Recorded gate epoch under which it was claimed.
+    member : str
+        The standby.
+    """
+
+    server: str
+    gate_epoch: int
+    member: str
+
+
 @dataclass(frozen=True)
 class SameGate:
     """The writer is the recorded gate itself.
@@ -179,4 +198,12 @@
 
 
 OwnerProof = Released | SessionOver | StandbyPromise | Gone | OperatorStatement | ZoneStoodDown
-GateProof = SessionExpired | HandedOver | ProcessOver | Gone | OperatorStatement | SameGate
+GateProof = (
+    SessionExpired
+    | HandedOver
+    | ProcessOver
+    | Gone
+    | OperatorStatement
+    | SameGate
+    | StandbyClaimed
+)
--- a/fireflylock/session.py
+++ b/fireflylock/session.py
@@ -10,6 +10,9 @@
 from fireflylock.control_calls import GateEpoch
 from fireflylock.reading_lease import BEFORE_ALL
 
+# How long the gate waits for the planner's write before it takes released units back.
+REGRANT_AFTER = timedelta(seconds=2)
+
 NEVER = timedelta.max
 
 
@@ -76,8 +79,12 @@
         Epoch of each unit for which requests may be sent.
     releasing : dict of int to int
         Units that are being given up.
+    release_began : dict of int to timedelta
+        When the release of each unit was asked for.
     gave_up : dict of int to int
         Highest epoch of each unit that was given up; never granted again.
+    revision : int
+        Revision of the assignment that was taken last.
     state : SessionState
         As of the last call with an instant.
     """
@@ -93,21 +100,48 @@
         self.granted: dict[int, int] = {}
         self.releasing: dict[int, int] = {}
         self.gave_up: dict[int, int] = {}
+        self.release_began: dict[int, Instant] = {}
+        self.revision = 0
         self.state = SessionState.CLAIMING
 
-    def set_grants(self, now: Instant, units: dict[int, int]) -> None:
-        """Take the units and epochs that the assignment gives to the server."""
+    def set_grants(self, now: Instant, units: dict[int, int], revision: int = 0) -> None:
+        """Take the units and epochs that the assignment gives to the server.
+
+        Parameters
+        ----------
+        now : timedelta
+            Present instant.
+        units : dict of int to int
+            Epoch of each unit.
+        revision : int
+            The assignment's revision; an older one than before is ignored.
+        """
+        if revision < self.revision:
+            return
+        self.revision = revision
+        self.take_units(now, units)
+
+    def take_units(self, now: Instant, units: dict[int, int]) -> None:
+        """Replace the wanted units; what was given up is not wanted again."""
         self.wanted = {
             unit: epoch for unit, epoch in units.items() if epoch > self.gave_up.get(unit, 0)
         }
 
-    def needs_regrant(self, units: dict[int, int]) -> dict[int, int]:
-        """Return the units of the assignment that were given up and have no new epoch yet."""
-        return {
-            unit: epoch
-            for unit, epoch in units.items()
-            if unit not in self.releasing and epoch <= self.gave_up.get(unit, 0)
-        }
+    def needs_regrant(self, now: Instant, units: dict[int, int]) -> dict[int, int]:
+        """Return the units of the assignment that need a new epoch to be served here again.
+
+        These are units that the server holds as released, and units whose release has
+        found no taker for `REGRANT_AFTER`.
+        """
+        due = {}
+        for unit, epoch in units.items():
+            if epoch > self.gave_up.get(unit, 0):
+                continue
+            began = self.release_began.get(unit)
+            if unit in self.releasing and began is not None and now - began < REGRANT_AFTER:
+                continue
+            due[unit] = epoch
+        return due
 
     @abstractmethod
     def poll(self, now: Instant) -> dict | None:
@@ -159,6 +193,7 @@
                 continue
             self.releasing[unit] = epoch
             self.gave_up[unit] = epoch
+            self.release_began[unit] = now
 
     def close(self, now: Instant) -> None:
         """Stop sending and renewing for good, without waiting for anything."""
@@ -204,11 +239,11 @@
         self.quiet_until = quiet_until
         self.state = SessionState.OPEN
 
-    def set_grants(self, now: Instant, units: dict[int, int]) -> None:
-        """Take the units that the assignment gives to the server; they hold at once."""
+    def take_units(self, now: Instant, units: dict[int, int]) -> None:
+        """Replace the wanted units; they hold at once."""
         if self.state is SessionState.CLOSED:
             return
-        super().set_grants(now, units)
+        super().take_units(now, units)
         self.granted = dict(self.wanted)
         self.releasing = {
             unit: epoch for unit, epoch in self.releasing.items() if units.get(unit) == epoch
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -7,7 +7,7 @@
 from fireflylock.clock import FakeClock
 from fireflylock.exceptions import InvariantError, ProtocolError
 from fireflylock.fenced_session import FencedSession
-from fireflylock.session import SessionState, SessionTiming, UncheckedSession
+from fireflylock.session import REGRANT_AFTER, SessionState, SessionTiming, UncheckedSession
 from standins.fence import Fence
 
 TIMING = SessionTiming()
@@ -90,11 +90,11 @@
     pair.session.release(pair.now(), [1])
     assert not pair.session.may_send(pair.now(), 1, 1)
     assert pair.session.released(pair.now(), running) == {}
-    pair.run(timedelta(seconds=1))
+    pair.run(TIMING.ttl)
     assert pair.fence.check_effect((1, 0), 1, 1) is None
     in_flight.clear()
     assert pair.session.released(pair.now(), running) == {}
-    pair.run(timedelta(seconds=1))
+    pair.run(TIMING.ttl)
     assert pair.session.released(pair.now(), running) == {}
     pair.fence.ended(1)
     pair.run(timedelta(milliseconds=25))
@@ -102,7 +102,9 @@
     pair.session.set_grants(pair.now(), {1: 1, 2: 5})
     pair.run()
     assert not pair.session.may_send(pair.now(), 1, 1)
-    assert pair.session.needs_regrant({1: 1, 2: 5}) == {}
+    assert pair.session.needs_regrant(pair.now(), {1: 1, 2: 5}) == {}
+    pair.run(REGRANT_AFTER)
+    assert pair.session.needs_regrant(pair.now(), {1: 1, 2: 5}) == {1: 1}
     pair.session.set_grants(pair.now(), {1: 2, 2: 5})
     pair.run()
     assert pair.session.may_send(pair.now(), 1, 2)
@@ -118,7 +120,7 @@
     pair.run(session=later)
     assert later.may_send(pair.now(), 2, 5)
     assert not later.may_send(pair.now(), 1, 1)
-    assert later.needs_regrant({1: 1, 2: 5}) == {1: 1}
+    assert later.needs_regrant(pair.now(), {1: 1, 2: 5}) == {1: 1}
     pair.run(timedelta(seconds=1))
     assert pair.session.state is SessionState.SUPERSEDED
     assert not pair.session.may_send(pair.now(), 2, 5)
