--- /dev/null
+++ b/fireflylock/backend.py
@@ -0,0 +1,370 @@
+"""The connections to one backend server, within its connection limit."""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+
+from fireflylock.clock import Clock
+from fireflylock.exceptions import BodyCutShortError, ErrorKind, ProtocolError, RequestError
+from fireflylock.exchange import BytesBody, Headers, Request, Response, read_all
+from fireflylock.model import BackendServer
+from fireflylock.server_connection import ConnectionOwner, ServerConnection, ServerExchange
+
+SESSION_TARGET = b"/fireflylock/session"
+LOAD_TARGET = b"/fireflylock/load"
+
+# Connections that requests never take: one for control calls, one for the load endpoint,
+# so that neither waits behind a request or behind the other.
+RESERVED_CONNECTIONS = 2
+
+CONNECT_TIMEOUT = timedelta(seconds=1)
+IDLE_TIMEOUT = timedelta(seconds=30)
+CONTROL_ANSWER_BYTES = 1024 * 1024
+OK_STATUS = 200
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+@dataclass
+class PoolCounters:
+    """What a pool has seen since it started.
+
+    Attributes
+    ----------
+    opened, connect_failures, replaced : int
+        Connections opened, failed to open, and found closed before they were used again.
+    sent, answered, refused, unknown, abandoned : int
+        Requests handed to a connection; those answered; those refused in a typed way;
+        those that failed afterwards; those nobody waited for any more.
+    """
+
+    opened: int = 0
+    connect_failures: int = 0
+    replaced: int = 0
+    sent: int = 0
+    answered: int = 0
+    refused: int = 0
+    unknown: int = 0
+    abandoned: int = 0
+
+
+class ServerPool(ConnectionOwner):
+    """The connections to one backend server.
+
+    Parameters
+    ----------
+    server : BackendServer
+        Whom to connect to.
+    connection_limit : int
+        TCP connections at once, including the reserved ones.
+    clock : Clock
+        Source of time.
+    connect_timeout, idle_timeout : timedelta
+        Longest wait for a new connection, and how long an unused one is kept.
+    """
+
+    def __init__(
+        self,
+        server: BackendServer,
+        connection_limit: int,
+        clock: Clock,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
+        idle_timeout: timedelta = IDLE_TIMEOUT,
+    ) -> None:
+        self.server = server
+        self.limit = max(1, connection_limit - RESERVED_CONNECTIONS)
+        self.clock = clock
+        self.connect_timeout = connect_timeout
+        self.idle_timeout = idle_timeout
+        self.counters = PoolCounters()
+        # Connections for requests that are open or being opened; never above `limit`.
+        self.open = 0
+        self.connections: set[ServerConnection] = set()
+        # Free connections; the last one used is used next, so that the others time out.
+        self.idle: list[ServerConnection] = []
+        self.idle_timer: asyncio.TimerHandle | None = None
+        self.waiters: deque[asyncio.Future[None]] = deque()
+        self.control_line = ReservedLine(self)
+        self.load_line = ReservedLine(self)
+        self.closed = False
+
+    async def exchange(
+        self, request: Request, extra_headers: Headers, before_send: Callable[[], None]
+    ) -> Response:
+        """Send `request` and return its answer, whose body may still be coming in.
+
+        Parameters
+        ----------
+        request : Request
+            What to send.
+        extra_headers : list of (bytes, bytes)
+            Added to the request's own headers.
+        before_send : callable
+            Called in the same synchronous step that hands the first bytes to the
+            transport; raises `RequestError` to stop.
+
+        Raises
+        ------
+        RequestError
+            `not_run` is True only when no byte was handed over or the server refused in
+            a typed way.
+        """
+        connection = await self.acquire(request)
+        # No await may stand between the checks here and the first write.
+        remaining = request.deadline - self.clock.elapsed()
+        try:
+            if remaining <= timedelta(0):
+                raise RequestError(ErrorKind.DEADLINE_TOO_SHORT, "The deadline passed unsent.")
+            before_send()
+        except BaseException:
+            connection.release()
+            raise
+        exchange = ServerExchange(connection, request)
+        exchange.start(extra_headers, remaining)
+        return await exchange.answer()
+
+    async def acquire(self, request: Request) -> ServerConnection:
+        """Return an open connection that is free, waiting for one within the deadline."""
+        remaining = (request.deadline - self.clock.elapsed()).total_seconds()
+        try:
+            async with asyncio.timeout(max(0.0, remaining)):
+                while True:
+                    if self.closed:
+                        raise RequestError(ErrorKind.SERVER_UNREACHABLE, "The pool is closed.")
+                    connection = self.take_idle()
+                    if connection is not None:
+                        return connection
+                    if self.open < self.limit:
+                        return await self.open_connection()
+                    await self.wait_for_release()
+        except TimeoutError:
+            raise RequestError(
+                ErrorKind.DEADLINE_TOO_SHORT, "No connection became free in time."
+            ) from None
+
+    def take_idle(self) -> ServerConnection | None:
+        """Return a free connection that the server has not closed, or None."""
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_open() and not connection.closed_by_server():
+                return connection
+            # Nothing of this request was sent yet, so another connection may carry it.
+            self.counters.replaced += 1
+            connection.abort()
+        return None
+
+    async def open_connection(self) -> ServerConnection:
+        """Open a connection for requests; it counts from before the first packet."""
+        self.open += 1
+        try:
+            connection = await self.connect(self)
+        except BaseException:
+            self.open -= 1
+            self.wake_waiter()
+            raise
+        self.connections.add(connection)
+        return connection
+
+    async def connect(self, owner: ConnectionOwner) -> ServerConnection:
+        """Return a new connection to the server."""
+        loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ":" in self.server.host else socket.AF_INET
+        raw_socket = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            raw_socket.setblocking(False)
+            async with asyncio.timeout(self.connect_timeout.total_seconds()):
+                await loop.sock_connect(raw_socket, (self.server.host, self.server.port))
+            _, connection = await loop.create_connection(
+                lambda: ServerConnection(owner, raw_socket), sock=raw_socket
+            )
+        except (OSError, TimeoutError) as error:
+            raw_socket.close()
+            self.counters.connect_failures += 1
+            raise RequestError(ErrorKind.SERVER_UNREACHABLE, str(error)) from None
+        except BaseException:
+            raw_socket.close()
+            raise
+        self.counters.opened += 1
+        return connection
+
+    async def wait_for_release(self) -> None:
+        """Return when a connection may have become free."""
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.append(waiter)
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                self.wake_waiter()
+            raise
+
+    def wake_waiter(self) -> None:
+        """Let the request that has waited longest look again."""
+        while self.waiters:
+            waiter = self.waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+    def released(self, connection: ServerConnection) -> None:
+        """Keep a connection that has become free."""
+        if self.closed:
+            connection.abort()
+            return
+        connection.idle_since = self.clock.elapsed()
+        self.idle.append(connection)
+        self.wake_waiter()
+        if self.idle_timer is None:
+            self.schedule_idle_check()
+
+    def lost(self, connection: ServerConnection) -> None:
+        """Forget a connection that has ended."""
+        if connection not in self.connections:
+            return
+        self.connections.discard(connection)
+        self.open -= 1
+        if connection in self.idle:
+            self.idle.remove(connection)
+        self.wake_waiter()
+
+    def schedule_idle_check(self) -> None:
+        """Check the free connections again after the idle timeout."""
+        loop = asyncio.get_running_loop()
+        self.idle_timer = loop.call_later(self.idle_timeout.total_seconds(), self.close_idle)
+
+    def close_idle(self) -> None:
+        """Close the connections that were not used for the idle timeout."""
+        self.idle_timer = None
+        now = self.clock.elapsed()
+        expired = [c for c in self.idle if now - c.idle_since >= self.idle_timeout]
+        for connection in expired:
+            self.idle.remove(connection)
+            connection.abort()
+        if self.idle:
+            self.schedule_idle_check()
+
+    async def control(self, call: dict, timeout: timedelta) -> dict:
+        """Make one control call and return the server's reply.
+
+        Raises
+        ------
+        OSError
+            The server could not be reached, or the connection ended before the reply.
+        TimeoutError
+            There was no reply within `timeout`.
+        ProtocolError
+            The reply is not a JSON object.
+        """
+        return await self.control_line.call("POST", SESSION_TARGET, call, timeout)
+
+    async def load(self, timeout: timedelta) -> dict:
+        """Return what the server's load endpoint says; errors as in `control`."""
+        return await self.load_line.call("GET", LOAD_TARGET, None, timeout)
+
+    def close(self) -> None:
+        """Close every connection at once."""
+        self.closed = True
+        if self.idle_timer is not None:
+            self.idle_timer.cancel()
+        for connection in list(self.connections):
+            connection.abort()
+        self.control_line.close()
+        self.load_line.close()
+        while self.waiters:
+            self.wake_waiter()
+
+    def state(self) -> list[tuple[str, object]]:
+        """Return the state for people, as name and value."""
+        return [
+            ("address", f"{self.server.host}:{self.server.port}"),
+            ("connections", self.open),
+            ("connection limit for requests", self.limit),
+            ("idle connections", len(self.idle)),
+            ("requests waiting for a connection", len(self.waiters)),
+            *vars(self.counters).items(),
+        ]
+
+
+class ReservedLine(ConnectionOwner):
+    """One connection that is kept apart from requests, for one call at a time.
+
+    Parameters
+    ----------
+    pool : ServerPool
+        Opens the connection.
+    """
+
+    def __init__(self, pool: ServerPool) -> None:
+        self.pool = pool
+        self.counters = PoolCounters()
+        self.connection: ServerConnection | None = None
+        self.lock = asyncio.Lock()
+
+    def released(self, connection: ServerConnection) -> None:
+        """Keep the connection for the next call."""
+
+    def lost(self, connection: ServerConnection) -> None:
+        """Forget the connection."""
+        if connection is self.connection:
+            self.connection = None
+
+    async def call(
+        self, method: str, target: bytes, content: dict | None, timeout: timedelta
+    ) -> dict:
+        """Make one call with a JSON body, and return the JSON object of its answer."""
+        async with asyncio.timeout(timeout.total_seconds()), self.lock:
+            try:
+                response = await self.send(method, target, content, timeout)
+                data = await read_all(response.body, CONTROL_ANSWER_BYTES)
+            except RequestError as error:
+                if error.kind is ErrorKind.DEADLINE_EXCEEDED:
+                    raise TimeoutError(str(error)) from None
+                raise ConnectionError(str(error)) from None
+            except BodyCutShortError as error:
+                raise ConnectionError(str(error)) from None
+        if data is None or response.status != OK_STATUS:
+            raise ProtocolError(f"The server answered a control call with {response.status}.")
+        return decode_object(data)
+
+    async def send(
+        self, method: str, target: bytes, content: dict | None, timeout: timedelta
+    ) -> Response:
+        """Send one call on the line's connection."""
+        data = b"" if content is None else msgspec.json.encode(content)
+        request = Request(
+            request_id="",
+            service=self.pool.server.service,
+            key="",
+            customer="",
+            method=method,
+            target=target,
+            headers=[(b"host", self.pool.server.host.encode()), JSON_TYPE],
+            body=BytesBody(data),
+            body_length=len(data),
+            deadline=self.pool.clock.elapsed() + timeout,
+            idempotent=True,
+        )
+        connection = self.connection
+        if connection is None or not connection.is_open() or connection.closed_by_server():
+            connection = await self.pool.connect(self)
+            self.connection = connection
+        exchange = ServerExchange(connection, request)
+        exchange.start([], timeout)
+        return await exchange.answer()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        if self.connection is not None:
+            self.connection.abort()
+
+
+def decode_object(data: bytes) -> dict:
+    """Return the JSON object in `data`."""
+    try:
+        return msgspec.json.decode(data, type=dict)
+    except msgspec.DecodeError as error:
+        raise ProtocolError(f"The server's reply is not a JSON object: {error}") from None
--- a/fireflylock/exchange.py
+++ b/fireflylock/exchange.py
@@ -21,6 +21,10 @@
             The sender stopped before the announced end.
         """
 
+    def take_ready(self) -> bytes:
+        """Return what can be had without waiting; may be ``b""`` before the end too."""
+        return b""
+
     async def close(self) -> None:  # noqa: B027 - nothing to release is a valid default.
         """Release what the body holds; safe at any time and more than once."""
 
@@ -32,6 +36,10 @@
         self.data = data
 
     async def read(self) -> bytes:
+        """Return all the bytes at the first call."""
+        return self.take_ready()
+
+    def take_ready(self) -> bytes:
         """Return all the bytes at the first call."""
         data, self.data = self.data, b""
         return data
--- /dev/null
+++ b/fireflylock/frontend.py
@@ -0,0 +1,331 @@
+"""The front end: accepts callers' connections and hands their requests to a handler."""
+
+import asyncio
+import contextlib
+import re
+import socket
+import ssl
+import uuid
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import h11
+
+from fireflylock.caller import CallerBody, CallerConnection, Phase
+from fireflylock.clock import Clock, Instant
+from fireflylock.exceptions import ErrorKind, RequestError
+from fireflylock.exchange import Handler, Headers, Request
+from fireflylock.http1 import (
+    DEADLINE_HEADER,
+    IDEMPOTENCY_HEADER,
+    REQUEST_ID_HEADER,
+    bad_request,
+    body_length,
+    end_to_end_headers,
+    header,
+    is_chunked,
+)
+from fireflylock.matcher import ServiceMatcher
+
+__all__ = ["Frontend", "FrontendLimits", "ServiceMatcher"]
+
+# How often connections are checked against their time limits.
+SWEEP_INTERVAL = timedelta(milliseconds=100)
+
+LISTEN_BACKLOG = 1024
+MAX_DEADLINE = timedelta(hours=1)
+MAX_IDEMPOTENCY_KEY_BYTES = 255
+REQUEST_ID = re.compile(rb"[A-Za-z0-9._:-]{1,128}")
+
+
+@dataclass(frozen=True)
+class FrontendLimits:
+    """Bounds on what callers may take up.
+
+    Attributes
+    ----------
+    header_bytes : int
+        Longest head of a request, in bytes.
+    max_body : int or None
+        Longest body of a request, in bytes.
+    max_connections : int
+        Connections at once.
+    headers_timeout : timedelta
+        From a request's first byte, or the connection's start, to the end of its head.
+    body_timeout : timedelta
+        Longest wait for the next bytes of a body, in either direction.
+    keepalive_timeout : timedelta
+        How long a connection may wait for its next request.
+    linger : timedelta
+        How long a caller may take to read the last answer before the connection ends.
+    drain_idle : timedelta
+        How long an idle connection is kept while draining; a request that was under way
+        to this VM when the drain began is still answered.
+    """
+
+    header_bytes: int = 32 * 1024
+    max_body: int | None = None
+    max_connections: int = 4096
+    headers_timeout: timedelta = timedelta(seconds=10)
+    body_timeout: timedelta = timedelta(seconds=30)
+    keepalive_timeout: timedelta = timedelta(seconds=75)
+    linger: timedelta = timedelta(seconds=2)
+    drain_idle: timedelta = timedelta(seconds=1)
+
+
+@dataclass
+class FrontendCounters:
+    """What the front end has seen since it started.
+
+    Attributes
+    ----------
+    connections, requests, callers_gone, answers_cut : int
+        Connections accepted, requests begun, callers that left before their answer, and
+        answers that were cut short.
+    answers : Counter of int
+        Answers by status.
+    errors : Counter of str
+        The system's own answers by error kind.
+    """
+
+    connections: int = 0
+    requests: int = 0
+    callers_gone: int = 0
+    answers_cut: int = 0
+    answers: Counter[int] = field(default_factory=Counter)
+    errors: Counter[str] = field(default_factory=Counter)
+
+    def count_answer(self, status: int) -> None:
+        """Count one answer."""
+        self.answers[status] += 1
+
+    def count_error(self, kind: ErrorKind) -> None:
+        """Count one answer of the system itself."""
+        self.errors[kind.value] += 1
+
+
+class Frontend:
+    """Accepts connections from callers.
+
+    Parameters
+    ----------
+    handler : Handler
+        Answers the requests.
+    matcher : callable
+        Returns the current matcher, or None before the first configuration.
+    clock : Clock
+        Source of time.
+    limits : FrontendLimits
+        Bounds on what callers may take up.
+    ssl_context : ssl.SSLContext or None
+        For TLS towards callers.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        matcher: Callable[[], ServiceMatcher | None],
+        clock: Clock,
+        limits: FrontendLimits | None = None,
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        self.handler = handler
+        self.matcher = matcher
+        self.clock = clock
+        self.limits = limits or FrontendLimits()
+        self.ssl_context = ssl_context
+        self.counters = FrontendCounters()
+        self.connections: set[CallerConnection] = set()
+        self.server: asyncio.Server | None = None
+        self.sweeper: asyncio.Task[None] | None = None
+        self.draining = False
+        self.drain_started_at: Instant | None = None
+
+    async def start(self, address: str, port: int, reuse_port: bool = False) -> int:
+        """Listen on `address`; return the port, which the system chooses for 0."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: CallerConnection(self),
+            address,
+            port,
+            family=socket.AF_INET6 if ":" in address else socket.AF_INET,
+            backlog=LISTEN_BACKLOG,
+            ssl=self.ssl_context,
+            reuse_port=reuse_port or None,
+        )
+        self.sweeper = loop.create_task(self.sweep_regularly())
+        return self.server.sockets[0].getsockname()[1]
+
+    def stop_accepting(self) -> None:
+        """Accept no more connections; those that are open go on."""
+        if self.server is not None:
+            self.server.close()
+
+    async def drain(self, timeout: timedelta) -> bool:
+        """Let every request in flight finish; return whether all did within `timeout`."""
+        # One turn of the loop accepts the connections that wait in the backlog.
+        await asyncio.sleep(0)
+        self.stop_accepting()
+        self.draining = True
+        self.drain_started_at = self.clock.elapsed()
+        end = self.drain_started_at + timeout
+        while self.connections and self.clock.elapsed() < end:
+            await self.clock.sleep(SWEEP_INTERVAL)
+        return not any(connection.task for connection in self.connections)
+
+    async def close(self) -> None:
+        """Stop at once, cutting off whatever is still in flight."""
+        self.stop_accepting()
+        if self.sweeper is not None:
+            self.sweeper.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.sweeper
+        tasks = [connection.task for connection in self.connections if connection.task]
+        for connection in list(self.connections):
+            connection.abort()
+        if tasks:
+            await asyncio.wait(tasks)
+
+    def register(self, connection: CallerConnection) -> bool:
+        """Take in a connection; return False when there are too many already."""
+        self.connections.add(connection)
+        self.counters.connections += 1
+        return len(self.connections) <= self.limits.max_connections
+
+    def unregister(self, connection: CallerConnection) -> None:
+        """Forget a connection that has ended."""
+        self.connections.discard(connection)
+
+    def request_id(self, head: h11.Request) -> str:
+        """Return the caller's request id if it is sane, else a new one."""
+        given = header(head.headers, REQUEST_ID_HEADER)
+        if given is not None and REQUEST_ID.fullmatch(given):
+            return given.decode()
+        return uuid.uuid4().hex
+
+    def request(self, head: h11.Request, request_id: str, body: CallerBody) -> Request:
+        """Return the request that a parsed head stands for.
+
+        Raises
+        ------
+        RequestError
+            No service matches, the key is missing, or a header is not valid.
+        """
+        self.counters.requests += 1
+        matcher = self.matcher()
+        if matcher is None:
+            raise RequestError(ErrorKind.NO_CONFIGURATION)
+        headers = end_to_end_headers(head.headers)
+        method = head.method.decode("ascii").upper()
+        service, key, customer = matcher.match(method, head.target, headers)
+        return Request(
+            request_id=request_id,
+            service=service.name,
+            key=key,
+            customer=customer,
+            method=method,
+            target=bytes(head.target),
+            headers=[pair for pair in headers if pair[0] != REQUEST_ID_HEADER],
+            body=body,
+            body_length=request_body_length(head),
+            deadline=self.clock.elapsed() + requested_time(head, service.request_timeout),
+            idempotent=method in service.idempotent_methods,
+            idempotency_key=idempotency_key(headers),
+        )
+
+    async def sweep_regularly(self) -> None:
+        """Check all connections again and again."""
+        while True:
+            await self.clock.sleep(SWEEP_INTERVAL)
+            self.sweep(self.clock.elapsed())
+
+    def sweep(self, now: Instant) -> None:
+        """End connections and requests whose time is up."""
+        for connection in list(self.connections):
+            if connection.phase is Phase.CLOSING:
+                self.sweep_closing(connection, now)
+            elif connection.phase is Phase.HEAD:
+                self.sweep_waiting(connection, now)
+            else:
+                self.sweep_exchange(connection, now)
+
+    def sweep_closing(self, connection: CallerConnection, now: Instant) -> None:
+        """End a connection whose caller had time enough to read the last answer."""
+        if now - connection.progress_at >= self.limits.linger:
+            connection.transport.abort()
+
+    def sweep_waiting(self, connection: CallerConnection, now: Instant) -> None:
+        """Check a connection that waits for a request."""
+        started = connection.head_started_at
+        if started is not None and now - started >= self.limits.headers_timeout:
+            connection.refuse(RequestError(ErrorKind.CALLER_TOO_SLOW, "The head came too slowly."))
+            return
+        if connection.parser.pending:
+            return
+        idle = now - connection.progress_at
+        drained = self.draining and now - self.drain_started_at >= self.limits.drain_idle
+        if drained or idle >= self.limits.keepalive_timeout:
+            connection.close()
+
+    def sweep_exchange(self, connection: CallerConnection, now: Instant) -> None:
+        """Check a connection whose request is being handled."""
+        request = connection.request
+        if request is not None and now >= request.deadline + SWEEP_INTERVAL:
+            connection.give_up(RequestError(ErrorKind.DEADLINE_EXCEEDED))
+            return
+        if now - connection.progress_at < self.limits.body_timeout:
+            return
+        if connection.body.waiter is not None:
+            connection.close_after_answer = True
+            connection.body.fail(
+                RequestError(ErrorKind.CALLER_TOO_SLOW, "The body came in too slowly.")
+            )
+        elif connection.writable is not None:
+            connection.give_up(RequestError(ErrorKind.CALLER_TOO_SLOW))
+
+    def state(self) -> list[tuple[str, object]]:
+        """Return the state for people, as name and value."""
+        in_flight = sum(connection.task is not None for connection in self.connections)
+        counters = self.counters
+        return [
+            ("connections", len(self.connections)),
+            ("connection limit", self.limits.max_connections),
+            ("requests in flight", in_flight),
+            ("draining", self.draining),
+            ("tls", self.ssl_context is not None),
+            ("connections accepted", counters.connections),
+            ("requests begun", counters.requests),
+            ("callers gone", counters.callers_gone),
+            ("answers cut short", counters.answers_cut),
+            ("answers by status", dict(sorted(counters.answers.items()))),
+            ("own answers by kind", dict(sorted(counters.errors.items()))),
+        ]
+
+
+def request_body_length(head: h11.Request) -> int | None:
+    """Return the announced length of a request's body; None when chunked."""
+    if is_chunked(head):
+        return None
+    return body_length(head) or 0
+
+
+def requested_time(head: h11.Request, default: timedelta) -> timedelta:
+    """Return how long the caller wants to wait at most."""
+    given = header(head.headers, DEADLINE_HEADER)
+    if given is None:
+        return default
+    if not given.isdigit() or len(given) > 9 or int(given) == 0:
+        raise bad_request("Fireflylock-Deadline-Ms is not a number of milliseconds.")
+    return min(timedelta(milliseconds=int(given)), MAX_DEADLINE)
+
+
+def idempotency_key(headers: Headers) -> str:
+    """Return the caller's ``Idempotency-Key``, or ""."""
+    values = [value for name, value in headers if name == IDEMPOTENCY_HEADER]
+    if not values:
+        return ""
+    if len(values) > 1 or not 0 < len(values[0]) <= MAX_IDEMPOTENCY_KEY_BYTES:
+        raise bad_request("Idempotency-Key is given twice, empty or too long.")
+    return values[0].decode("latin-1")
--- /dev/null
+++ b/fireflylock/request_parser.py
@@ -0,0 +1,163 @@
+"""Turns a caller's bytes into requests; refuses whatever could be read in two ways."""
+
+import h11
+
+from fireflylock.exceptions import ErrorKind, RequestError
+from fireflylock.http1 import (
+    HEAD_END,
+    bad_request,
+    body_length,
+    framing_problem,
+    head_problem,
+    is_chunked,
+    partial_head_problem,
+)
+
+
+class RequestParser:
+    """Parses the requests of one connection, without doing any I/O.
+
+    Each request gets an h11 connection of its own that is fed no byte of the next one's
+    head, so that every head passes the checks that h11 does not make.
+
+    Parameters
+    ----------
+    header_bytes : int
+        Longest head, and longest chunk header or trailer part, in bytes.
+    max_body : int or None
+        Longest body in bytes.
+    """
+
+    def __init__(self, header_bytes: int, max_body: int | None = None) -> None:
+        self.header_bytes = header_bytes
+        self.max_body = max_body
+        self.pending = bytearray()
+        self.http = h11.Connection(h11.SERVER, header_bytes)
+        self.in_body = False
+        self.chunked = False
+        self.body_bytes = 0
+        # The last bytes that were given to h11, to see how a chunked body ended.
+        self.tail = b""
+        self.had_trailers = False
+
+    def receive(self, data: bytes) -> None:
+        """Take in bytes from the caller."""
+        self.pending += data
+
+    def next_head(self) -> h11.Request | None:
+        """Return the next request's head, or None when it is not complete.
+
+        Raises
+        ------
+        RequestError
+            ``BAD_REQUEST``, ``HEADERS_TOO_LARGE`` or ``BODY_TOO_LARGE``; the connection
+            can't be used any more.
+        """
+        if self.pending.startswith(b"\r\n"):
+            # Some callers send an empty line after a body; RFC 9112 has it ignored.
+            del self.pending[:2]
+        end = self.pending.find(HEAD_END)
+        if end < 0:
+            self.check_partial_head()
+            return None
+        end += len(HEAD_END)
+        if end > self.header_bytes:
+            raise RequestError(ErrorKind.HEADERS_TOO_LARGE)
+        head = bytes(self.pending[:end])
+        del self.pending[:end]
+        refuse_if(head_problem(head))
+        return self.parse_head(head)
+
+    def check_partial_head(self) -> None:
+        """Refuse a head early that can no longer become valid."""
+        if len(self.pending) > self.header_bytes:
+            raise RequestError(ErrorKind.HEADERS_TOO_LARGE)
+        refuse_if(partial_head_problem(self.pending))
+
+    def parse_head(self, head: bytes) -> h11.Request:
+        """Return the request whose head is `head`."""
+        self.http = h11.Connection(h11.SERVER, self.header_bytes)
+        try:
+            self.http.receive_data(head)
+            request = self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise bad_request(reason_of(error)) from None
+        refuse_if(request_problem(request))
+        length = body_length(request)
+        if length is not None and self.max_body is not None and length > self.max_body:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE)
+        self.in_body = True
+        self.chunked = is_chunked(request)
+        self.body_bytes = 0
+        self.tail = b""
+        self.had_trailers = False
+        return request
+
+    def read_body(self) -> list[bytes]:
+        """Return the body bytes that have come in; `in_body` turns False at the end.
+
+        Raises
+        ------
+        RequestError
+            The body is not valid; the connection can't be used any more.
+        """
+        data = bytes(self.pending)
+        self.pending.clear()
+        chunks = []
+        try:
+            if data:
+                self.http.receive_data(data)
+            while type(event := self.http.next_event()) is h11.Data:
+                chunks.append(bytes(event.data))
+                self.body_bytes += len(event.data)
+        except h11.RemoteProtocolError as error:
+            raise bad_request(reason_of(error)) from None
+        if self.max_body is not None and self.body_bytes > self.max_body:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE)
+        if type(event) is h11.EndOfMessage:
+            self.end_body(event, data)
+        elif self.chunked:
+            self.tail = (self.tail + data[-len(HEAD_END) :])[-len(HEAD_END) :]
+        return chunks
+
+    def end_body(self, event: h11.EndOfMessage, data: bytes) -> None:
+        """Keep what follows the body for the next request."""
+        rest = self.http.trailing_data[0]
+        if self.chunked:
+            # The inner line ends of trailers are not checked, so the connection must not
+            # be used for another request after them.
+            self.had_trailers = bool(event.headers)
+            body_end = (self.tail + data)[: len(self.tail) + len(data) - len(rest)]
+            if not body_end.endswith(HEAD_END):
+                raise bad_request("The last chunk does not end with CR LF.")
+        self.pending += rest
+        self.in_body = False
+
+    @property
+    def awaits_continue(self) -> bool:
+        """Whether the caller waits for 100 Continue before it sends the body."""
+        return self.http.they_are_waiting_for_100_continue
+
+
+def request_problem(event: h11.Event) -> str:
+    """Return why a parsed head is not accepted, or ""."""
+    if not isinstance(event, h11.Request):
+        return "This is not a request."
+    if event.http_version not in (b"1.0", b"1.1"):
+        return "Only HTTP/1.0 and HTTP/1.1 are spoken."
+    if event.method == b"CONNECT":
+        return "CONNECT is not offered."
+    if not event.target.startswith(b"/") and event.target != b"*":
+        return "The request target is not a path."
+    return framing_problem(event)
+
+
+def refuse_if(problem: str) -> None:
+    """Raise ``BAD_REQUEST`` when there is a problem."""
+    if problem:
+        raise bad_request(problem)
+
+
+def reason_of(error: h11.RemoteProtocolError) -> str:
+    """Return h11's reason without the caller's bytes that it quotes after a colon."""
+    return str(error).partition(":")[0]
--- /dev/null
+++ b/tests/test_frontend.py
@@ -0,0 +1,323 @@
+"""Tests of the front end: framing, order, limits, cancellation, drain."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from fireflylock.exceptions import BodyCutShortError, ErrorKind, RequestError
+from fireflylock.exchange import Body, BytesBody, Response
+from fireflylock.frontend import FrontendLimits
+from tests.edge import HOST, CountingBody, ScriptedHandler, echo, running_frontend, talk
+
+HEAD = b"Host: mesa\r\nX-Key: k1\r\n"
+CLOSE = b"Connection: close\r\n"
+
+
+async def test_pipelined_requests_are_answered_in_order():
+    async def slow_first(request):
+        if request.key == "first":
+            await asyncio.sleep(0.02)
+        return await echo(request)
+
+    async with running_frontend(ScriptedHandler(slow_first)) as (_, port):
+        received = await talk(
+            port,
+            b"GET / HTTP/1.1\r\nHost: mesa\r\nX-Key: first\r\n\r\n"
+            b"POST / HTTP/1.1\r\nHost: mesa\r\nX-Key: second\r\nContent-Length: 3\r\n\r\nabc"
+            b"GET / HTTP/1.1\r\nHost: mesa\r\nX-Key: third\r\nConnection: close\r\n\r\n",
+        )
+    assert received.count(b"HTTP/1.1 200") == 3
+    assert received.index(b"first:") < received.index(b"second:abc") < received.index(b"third:")
+
+
+async def test_chunked_body_and_expect_continue():
+    async with running_frontend(ScriptedHandler(echo)) as (_, port):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(
+            b"POST / HTTP/1.1\r\n"
+            + HEAD
+            + CLOSE
+            + b"Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 \r\n\r\n"
+        writer.write(b"3\r\nabc\r\n")
+        writer.write(b"2;extension=1\r\nde\r\n0\r\n\r\n")
+        received = await reader.read()
+        writer.close()
+    assert received.endswith(b"\r\n\r\nk1:abcde")
+
+
+async def test_head_has_the_length_and_no_body():
+    async with running_frontend(ScriptedHandler(echo)) as (_, port):
+        received = await talk(port, b"HEAD / HTTP/1.1\r\n" + HEAD + CLOSE + b"\r\n")
+    assert b"content-length: 3\r\n" in received
+    assert received.endswith(b"\r\n\r\n")
+
+
+BAD_HEADS = {
+    "both lengths": b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+    "two lengths": b"Content-Length: 3\r\nContent-Length: 4\r\n",
+    "length list": b"Content-Length: 3, 4\r\n",
+    "signed length": b"Content-Length: +3\r\n",
+    "two encodings": b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    "other encoding": b"Transfer-Encoding: gzip, chunked\r\n",
+    "blank before colon": b"Content-Length : 3\r\n",
+    "nul": b"X-A: a\0b\r\n",
+    "two hosts": b"Host: other\r\n",
+    "folded header": b"X-A: a\r\n b\r\n",
+    "bare line feed": b"X-A: a\nX-B: b\r\n",
+    "bare carriage return": b"X-A: a\rX-B: b\r\n",
+    "no colon": b"X-A\r\n",
+}
+
+
+@pytest.mark.parametrize("name", BAD_HEADS)
+async def test_ambiguous_heads_are_refused_and_the_connection_closed(name):
+    handler = ScriptedHandler(echo)
+    async with running_frontend(handler) as (_, port):
+        received = await talk(
+            port,
+            b"POST / HTTP/1.1\r\n" + HEAD + BAD_HEADS[name] + b"\r\n"
+            b"abcGET /smuggled HTTP/1.1\r\n" + HEAD + b"\r\n",
+        )
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert received.count(b"HTTP/1.1") == 1
+    assert b"fireflylock-error: bad-request" in received.lower()
+    assert b"fireflylock-outcome: not run" in received.lower()
+    assert handler.seen == []
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"x\r\nabc\r\n", b"-1\r\n", b"3\r\nabcd\r\n", b"3\nabc\n0\n\n", b"1\r\na\r\n0\r\n\n"],
+)
+async def test_bad_chunks_end_the_connection(body):
+    async with running_frontend(ScriptedHandler(echo)) as (_, port):
+        received = await talk(
+            port,
+            b"POST / HTTP/1.1\r\n"
+            + HEAD
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+            + body
+            + b"GET /smuggled HTTP/1.1\r\n"
+            + HEAD
+            + b"\r\n",
+        )
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert received.count(b"HTTP/1.1") == 1
+
+
+@pytest.mark.parametrize(
+    ("line", "status"),
+    [
+        (b"GET / HTTP/2.0", b"400"),
+        (b"CONNECT mesa:80 HTTP/1.1", b"400"),
+        (b"GET /../x HTTP/1.1", b"400"),
+        (b"GET /%2e%2e/x HTTP/1.1", b"400"),
+        (b"GET / HTTP/1.1\r\nX-Long: " + b"a" * 40000, b"431"),
+    ],
+)
+async def test_other_refused_heads(line, status):
+    async with running_frontend(ScriptedHandler(echo)) as (_, port):
+        received = await talk(port, line + b"\r\n" + HEAD + CLOSE + b"\r\n")
+    assert received.startswith(b"HTTP/1.1 " + status)
+
+
+async def test_connection_headers_and_system_headers_are_not_passed_on():
+    handler = ScriptedHandler(echo)
+    async with running_frontend(handler) as (_, port):
+        await talk(
+            port,
+            b"GET / HTTP/1.1\r\n"
+            + HEAD
+            + b"Connection: close, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n"
+            b"Fireflylock-Gate-Epoch: 9.9\r\nX-Kept: 1\r\n\r\n",
+        )
+    names = [name for name, _ in handler.seen[0].headers]
+    assert names == [b"host", b"x-key", b"x-kept"]
+
+
+async def test_system_answers_name_kind_outcome_and_when_to_come_back():
+    async def refuse(request):
+        raise RequestError(ErrorKind.QUEUE_FULL, retry_after=timedelta(milliseconds=1200))
+
+    async with running_frontend(ScriptedHandler(refuse)) as (_, port):
+        received = await talk(port, b"GET / HTTP/1.1\r\n" + HEAD + CLOSE + b"\r\n")
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: 2\r\n" in received
+    assert b"fireflylock-outcome: not run\r\n" in received
+    assert b'"error":"queue-full"' in received
+
+
+async def test_a_failing_handler_gives_an_internal_error_of_unknown_outcome():
+    async def fail(request):
+        raise ValueError("secret")
+
+    async with running_frontend(ScriptedHandler(fail)) as (_, port):
+        received = await talk(port, b"GET / HTTP/1.1\r\n" + HEAD + CLOSE + b"\r\n")
+    assert b"fireflylock-outcome: outcome unknown\r\n" in received
+    assert b"secret" not in received
+
+
+async def test_a_caller_that_leaves_cancels_its_request():
+    async def never(request):
+        await asyncio.Event().wait()
+
+    handler = ScriptedHandler(never)
+    async with running_frontend(handler) as (frontend, port):
+        _, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"GET / HTTP/1.1\r\n" + HEAD + b"\r\n")
+        await handler.called.wait()
+        writer.close()
+        await handler.cancelled.wait()
+        assert frontend.counters.callers_gone == 1
+
+
+async def test_a_caller_that_leaves_closes_the_answer_and_slow_callers_hold_it_back():
+    body = CountingBody(2000, bytes(65536))
+
+    async def long_answer(request):
+        return Response(200, [], body)
+
+    async with running_frontend(ScriptedHandler(long_answer)) as (_, port):
+        _, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"GET / HTTP/1.1\r\n" + HEAD + b"\r\n")
+        await body.begun.wait()
+        await asyncio.sleep(0.05)
+        assert body.given < 2000
+        writer.transport.abort()
+        await body.closed.wait()
+
+
+class CutBody(Body):
+    """A body that ends too early."""
+
+    def __init__(self):
+        self.parts = [b"some"]
+
+    async def read(self):
+        if self.parts:
+            return self.parts.pop()
+        raise BodyCutShortError("cut")
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+@pytest.mark.parametrize("length", [None, 10])
+async def test_a_cut_answer_ends_the_connection_by_a_reset(version, length):
+    async def cut(request):
+        return Response(200, [], CutBody(), length)
+
+    async with running_frontend(ScriptedHandler(cut)) as (_, port):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"GET / HTTP/" + version + b"\r\n" + HEAD + b"\r\n")
+        with pytest.raises(ConnectionResetError):
+            while await reader.read(1000):
+                pass
+            raise AssertionError("the answer looked complete")
+        writer.close()
+
+
+async def test_slow_heads_and_slow_bodies_are_timed_out():
+    limits = FrontendLimits(
+        headers_timeout=timedelta(milliseconds=50), body_timeout=timedelta(milliseconds=50)
+    )
+    async with running_frontend(ScriptedHandler(echo), limits) as (_, port):
+        slow_head = await talk(port, b"GET / HTTP/1.1\r\nHost:")
+        slow_body = await talk(
+            port, b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 5\r\n\r\nab"
+        )
+    assert slow_head.startswith(b"HTTP/1.1 408 ")
+    assert slow_body.startswith(b"HTTP/1.1 408 ")
+
+
+async def test_bodies_are_limited():
+    limits = FrontendLimits(max_body=4)
+    async with running_frontend(ScriptedHandler(echo), limits) as (_, port):
+        announced = await talk(
+            port, b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 5\r\n\r\nabcde"
+        )
+        chunked = await talk(
+            port,
+            b"POST / HTTP/1.1\r\n"
+            + HEAD
+            + b"Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+        )
+    assert announced.startswith(b"HTTP/1.1 413 ")
+    assert chunked.startswith(b"HTTP/1.1 413 ")
+
+
+async def test_connections_are_limited():
+    limits = FrontendLimits(max_connections=1)
+    async with running_frontend(ScriptedHandler(echo), limits) as (_, port):
+        reader, holder = await asyncio.open_connection(HOST, port)
+        holder.write(b"GET / HTTP/1.1\r\n" + HEAD + b"\r\n")
+        await reader.readuntil(b"k1:")
+        second = await talk(port, b"GET / HTTP/1.1\r\n" + HEAD + b"\r\n")
+        holder.close()
+    assert second.startswith(b"HTTP/1.1 503 ")
+    assert b"too-many-connections" in second
+
+
+async def test_the_deadline_ends_a_request():
+    async def never(request):
+        await asyncio.Event().wait()
+
+    async with running_frontend(ScriptedHandler(never)) as (_, port):
+        received = await talk(
+            port,
+            b"GET / HTTP/1.1\r\n" + HEAD + CLOSE + b"Fireflylock-Deadline-Ms: 20\r\n\r\n",
+        )
+    assert received.startswith(b"HTTP/1.1 504 ")
+
+
+async def test_drain_cuts_off_no_request_in_flight():
+    go_on = asyncio.Event()
+
+    async def wait(request):
+        await go_on.wait()
+        return await echo(request)
+
+    handler = ScriptedHandler(wait)
+    limits = FrontendLimits(drain_idle=timedelta(0), linger=timedelta(0))
+    async with running_frontend(handler, limits) as (frontend, port):
+        request = b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 2\r\n\r\n"
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(request + b"ab" + request)
+        await handler.called.wait()
+        drain = asyncio.create_task(frontend.drain(timedelta(seconds=20)))
+        await asyncio.sleep(0)
+        writer.write(b"cd")
+        await asyncio.sleep(0.01)
+        assert not drain.done()
+        go_on.set()
+        received = await reader.read()
+        assert await drain
+        writer.close()
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert received.count(b"connection: close") == 1
+    assert received.endswith(b"k1:cd")
+    with pytest.raises(ConnectionRefusedError):
+        await asyncio.open_connection(HOST, port)
+
+
+async def test_a_refused_body_does_not_cost_the_connection_when_it_has_come_in():
+    async def refuse(request):
+        raise RequestError(ErrorKind.QUEUE_FULL)
+
+    request = b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 2\r\n\r\nab"
+    last = b"GET / HTTP/1.1\r\n" + HEAD + CLOSE + b"\r\n"
+    async with running_frontend(ScriptedHandler(refuse)) as (_, port):
+        received = await talk(port, request + last)
+    assert received.count(b"HTTP/1.1 503") == 2
+
+
+async def test_answers_of_unknown_length_are_chunked_for_new_callers_only():
+    async def stream(request):
+        return Response(200, [], BytesBody(b"hello"))
+
+    async with running_frontend(ScriptedHandler(stream)) as (_, port):
+        new = await talk(port, b"GET / HTTP/1.1\r\n" + HEAD + CLOSE + b"\r\n")
+        old = await talk(port, b"GET / HTTP/1.0\r\n" + HEAD + b"\r\n")
+    assert new.endswith(b"5\r\nhello\r\n0\r\n\r\n")
+    assert old.endswith(b"\r\n\r\nhello")
