--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,63 @@
+"""Run both deployments one after the other: ``python -m demo``."""
+
+import argparse
+import asyncio
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+from demo.deployment import PLANS
+from demo.run import DemoError, Run
+
+BROKEN = 1
+INTERRUPTED = 130
+
+
+def parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="python -m demo", description=__doc__)
+    names = [plan.name for plan in PLANS]
+    parser.add_argument("--only", choices=names, help="run one deployment")
+    parser.add_argument("--seconds", type=float, default=20.0, help="length of the traffic")
+    parser.add_argument("--rate", type=float, default=120.0, help="calls per second")
+    parser.add_argument("--seed", type=int, default=1, help="decides the traffic")
+    parser.add_argument("--keep", metavar="FOLDER", help="keep logs and settings here")
+    return parser
+
+
+async def run_all(options: argparse.Namespace, folder: Path) -> int:
+    """Run the deployments; return how many rules were broken."""
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    broken = 0
+    for plan in PLANS:
+        if options.only not in (None, plan.name):
+            continue
+        run = Run(plan, folder / plan.name, options.seconds, options.rate, options.seed)
+        findings = await run.run()
+        broken += len(findings.broken)
+    return broken
+
+
+def main() -> int:
+    """Run the demo and return its exit status."""
+    options = parser().parse_args()
+    with tempfile.TemporaryDirectory(prefix="fireflylock-demo-") as temporary:
+        folder = Path(options.keep) if options.keep else Path(temporary)
+        try:
+            broken = asyncio.run(run_all(options, folder))
+        except DemoError as error:
+            print(f"demo: {error}", file=sys.stderr)
+            return BROKEN
+        except asyncio.CancelledError:
+            print("demo: interrupted; everything it started has ended.", file=sys.stderr)
+            return INTERRUPTED
+    print(f"\n{'Every rule held.' if not broken else f'{broken} rules were broken.'}")
+    return BROKEN if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/demo/invariants.py
+++ b/demo/invariants.py
@@ -111,7 +111,9 @@
     return events
 
 
-def check_logs(paths: Iterable[Path], not_run: Iterable[str] = ()) -> Findings:
+def check_logs(
+    paths: Iterable[Path], not_run: Iterable[str] = (), answered: Iterable[str] = ()
+) -> Findings:
     """Return what the execution logs at `paths` show.
 
     Parameters
@@ -120,19 +122,24 @@
         One log per backend server process.
     not_run : iterable of str
         Ids of the requests that callers were told did not run.
+    answered : iterable of str
+        Ids of the orders that callers hold an answer to.
     """
     logs = [read_log(path) for path in paths]
-    return check_events(logs, not_run)
+    return check_events(logs, not_run, answered)
 
 
-def check_events(logs: Iterable[list[Event]], not_run: Iterable[str] = ()) -> Findings:
-    """Return what the events of several backend servers show."""
+def check_events(
+    logs: Iterable[list[Event]], not_run: Iterable[str] = (), answered: Iterable[str] = ()
+) -> Findings:
+    """Return what the events of several backend servers show; see `check_logs`."""
     findings = Findings()
     for log in logs:
         findings.executions.extend(executions_of(log))
     findings.executions.sort(key=lambda execution: execution.start.at_ns)
     check_single_runs(findings)
     check_not_run(findings, frozenset(not_run))
+    check_answered(findings, answered)
     check_single_owner(findings)
     check_epochs(findings)
     return findings
@@ -182,6 +189,27 @@
             )
 
 
+def check_answered(findings: Findings, answered: Iterable[str]) -> None:
+    """Find orders that were answered though no backend server ran them."""
+    ran = set()
+    for execution in findings.executions:
+        if execution.effect_ns is not None:
+            ran.add(execution.start.idempotency_key)
+    for order in answered:
+        if order not in ran:
+            findings.broken.append(f"Order {order} was answered, but it ran nowhere.")
+
+
+def check_drained(findings: Findings, server: str, since_ns: int) -> None:
+    """Find work that a draining backend server was given after `since_ns`."""
+    late = 0
+    for execution in findings.executions:
+        if execution.start.server == server and execution.start.at_ns > since_ns:
+            late += 1
+    if late:
+        findings.broken.append(f"{server} was given {late} requests though it was leaving.")
+
+
 def check_single_owner(findings: Findings) -> None:
     """Count the backend servers that work for a key at one moment."""
     by_key: dict[tuple[str, str], list[Execution]] = defaultdict(list)
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,93 @@
+"""The processes of a demo: started, killed on purpose, and ended together."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+STOP_SECONDS = 10.0
+POLL_SECONDS = 0.05
+
+
+class Processes:
+    """Everything that one deployment started.
+
+    Parameters
+    ----------
+    folder : Path
+        Where their output goes, a file each.
+
+    Attributes
+    ----------
+    running : dict of str to Popen
+        By name.
+    killed : set of str
+        Names of those that were killed on purpose.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self.killed: set[str] = set()
+
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        """Start ``python -m module``; its output goes to ``NAME.log``."""
+        with (self.folder / f"{name}.log").open("ab") as output:
+            # A session of its own keeps Ctrl-C from ending it before the demo does.
+            self.running[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def kill(self, name: str) -> None:
+        """Kill a process without warning, as a lost VM."""
+        self.killed.add(name)
+        self.running[name].send_signal(signal.SIGKILL)
+        self.running[name].wait()
+
+    def ended(self) -> list[str]:
+        """Return the names of processes that ended though nobody ended them."""
+        found = []
+        for name, process in self.running.items():
+            if process.poll() is not None and name not in self.killed:
+                found.append(f"{name} ended with status {process.returncode}")
+        return found
+
+    def stop(self) -> None:
+        """End everything: politely first, then not."""
+        for process in self.running.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+        deadline = time.monotonic() + STOP_SECONDS
+        for process in self.running.values():
+            try:
+                process.wait(max(0.0, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def tail(self, name: str, lines: int = 15) -> str:
+        """Return the last lines that a process wrote."""
+        text = (self.folder / f"{name}.log").read_text("utf-8", "replace")
+        return "\n".join(text.splitlines()[-lines:])
+
+
+async def wait_for_port(host: str, port: int, seconds: float) -> bool:
+    """Return whether something accepts connections at an address within `seconds`."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        try:
+            _, writer = await asyncio.open_connection(host, port)
+        except OSError:
+            await asyncio.sleep(POLL_SECONDS)
+            continue
+        writer.close()
+        return True
+    return False
--- a/fireflylock/cmdline.py
+++ b/fireflylock/cmdline.py
@@ -264,3 +264,7 @@
     _note(f"{options.file} is for {options.name} alone; this line is for every tokens_file:")
     print(record.line())
     return OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from demo.invariants import Event, check_events, read_log
+from demo.invariants import Event, check_drained, check_events, read_log
 
 START = Event("start", 10, "s1", "mesa", "molino", "POST", "r1", "order-1", 3, 1)
 
@@ -60,3 +60,16 @@
     line += '"request_id":"r","idempotency_key":"","unit":1,"unit_epoch":1}\n'
     path.write_text(line + '{"event":"connection-refused","at_ns":2}\n' + line[:40])
     assert len(read_log(path)) == 1
+
+
+def test_an_answered_order_that_ran_nowhere_is_found():
+    found = check_events([FIRST], answered=["order-1", "order-9"])
+    assert found.broken == ["Order order-9 was answered, but it ran nowhere."]
+
+
+def test_work_for_a_drained_server_is_found():
+    found = check_events([FIRST])
+    check_drained(found, "s1", since_ns=10)
+    assert found.broken == []
+    check_drained(found, "s1", since_ns=9)
+    assert found.broken == ["s1 was given 1 requests though it was leaving."]
