--- a/fireflylock/auth.py
+++ b/fireflylock/auth.py
@@ -82,7 +82,7 @@
 
 def digest_of(token: str) -> str:
     """Return the hash that is kept; a random token needs no salt."""
-    return hashlib.sha256(token.encode()).hexdigest()
+    return hashlib.sha256(token.encode("utf-8", "surrogatepass")).hexdigest()
 
 
 def read_tokens(path: str | Path) -> list[TokenRecord]:
--- a/fireflylock/cmdline.py
+++ b/fireflylock/cmdline.py
@@ -11,8 +11,9 @@
 from fireflylock.auth import ALL_TEAMS, Principal, Role, new_token
 from fireflylock.client import AdminClient, AdminError, AdminUnreachableError
 from fireflylock.commands import FAILED, OK, Commands
-from fireflylock.keys import new_keys, write_keys
+from fireflylock.keys import write_keys
 from fireflylock.log import LEVELS
+from fireflylock.peer_keys import CurveKeys
 from fireflylock.top import Top
 
 USAGE = 2
@@ -247,10 +248,10 @@
 
 def make_keys(options: argparse.Namespace) -> int:
     """Make an entry VM's key pair; print the line for the file of known keys."""
-    keys = new_keys()
+    keys = CurveKeys.new()
     write_keys(options.file, keys)
     _note(f"{options.file} is for {options.vm} alone; this line is for every VM's known_keys:")
-    print(f"{options.vm} {keys.public.decode()}")
+    print(f"{options.vm} {keys.public}")
     return OK
 
 
--- a/fireflylock/keys.py
+++ b/fireflylock/keys.py
@@ -2,39 +2,18 @@
 
 import os
 import re
-from dataclasses import dataclass, field
 from pathlib import Path
 
-import zmq
-
+from fireflylock.config import PeersSection
 from fireflylock.exceptions import SettingsError
+from fireflylock.peer_keys import CurveKeys
 
-_Z85 = re.compile(rb"[0-9a-zA-Z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}")
-_PUBLIC = b"public"
-_SECRET = b"secret"
-
-
-@dataclass(frozen=True)
-class KeyPair:
-    """The keys of one entry VM, in Z85.
-
-    Attributes
-    ----------
-    public, secret : bytes
-        40 characters each; the secret one is left out of `repr`.
-    """
-
-    public: bytes
-    secret: bytes = field(repr=False)
-
-
-def new_keys() -> KeyPair:
-    """Return a new random key pair."""
-    public, secret = zmq.curve_keypair()
-    return KeyPair(public, secret)
+_Z85 = re.compile(r"[0-9a-zA-Z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}")
+_PUBLIC = "public"
+_SECRET = "secret"
 
 
-def write_keys(path: str | Path, keys: KeyPair) -> None:
+def write_keys(path: str | Path, keys: CurveKeys) -> None:
     """Write a key pair to a new file that only its owner can read.
 
     Raises
@@ -43,32 +22,32 @@
         The file exists; keys are never overwritten.
     """
     descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
-    with os.fdopen(descriptor, "wb") as file:
-        file.write(_PUBLIC + b" " + keys.public + b"\n" + _SECRET + b" " + keys.secret + b"\n")
+    with os.fdopen(descriptor, "w", encoding="ascii") as file:
+        file.write(f"{_PUBLIC} {keys.public}\n{_SECRET} {keys.secret}\n")
 
 
-def read_keys(path: str | Path) -> KeyPair:
-    """Return the key pair in a file.
+def read_keys(path: str | Path) -> CurveKeys:
+    """Return the key pair in a file, without any known keys.
 
     Raises
     ------
     SettingsError
         The file is missing, open to others, or holds no key pair.
     """
-    data = _read(path)
+    text = _read(path)
     if Path(path).stat().st_mode & 0o077:
         raise SettingsError([f"{path}: open to others; allowed: mode 0600."])
     found = {}
-    for line in data.splitlines():
-        name, _, value = line.partition(b" ")
+    for line in text.splitlines():
+        name, _, value = line.partition(" ")
         if name in (_PUBLIC, _SECRET) and _Z85.fullmatch(value.strip()):
             found[name] = value.strip()
     if len(found) != 2:
         raise SettingsError([f"{path}: no key pair; allowed: what `fireflylock keys new` writes."])
-    return KeyPair(found[_PUBLIC], found[_SECRET])
+    return CurveKeys(found[_PUBLIC], found[_SECRET])
 
 
-def read_known_keys(path: str | Path) -> dict[str, bytes]:
+def read_known_keys(path: str | Path) -> dict[str, str]:
     """Return the public keys of the entry VMs, by name; one ``NAME KEY`` a line.
 
     Raises
@@ -76,13 +55,13 @@
     SettingsError
         Lists every line that is not valid.
     """
-    found: dict[str, bytes] = {}
+    found: dict[str, str] = {}
     problems = []
     for number, line in enumerate(_read(path).splitlines(), 1):
         words = line.split()
-        if not words or words[0].startswith(b"# ") or words[0] == b"#":
+        if not words or words[0].startswith("#"):
             continue
-        name = words[0].decode("ascii", "replace")
+        name = words[0]
         if len(words) != 2 or not _Z85.fullmatch(words[1]):
             problems.append(f"{path}: line {number}: allowed: a VM's name and its public key.")
             continue
@@ -95,9 +74,23 @@
     return found
 
 
-def _read(path: str | Path) -> bytes:
+def peer_keys(section: PeersSection) -> CurveKeys | None:
+    """Return the keys that the settings name, or None when links are not encrypted.
+
+    Raises
+    ------
+    SettingsError
+        One of the files is not valid.
+    """
+    if not section.key_file:
+        return None
+    own = read_keys(section.key_file)
+    return CurveKeys(own.public, own.secret, read_known_keys(section.known_keys))
+
+
+def _read(path: str | Path) -> str:
     """Return the content of a file."""
     try:
-        return Path(path).read_bytes()
+        return Path(path).read_text("ascii", "replace")
     except OSError as error:
         raise SettingsError([f"{path}: {error.strerror or error}."]) from None
