--- a/fireflylock/metrics.py
+++ b/fireflylock/metrics.py
@@ -1,8 +1,14 @@
 """Metrics of one process, for Prometheus."""
 
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
 
 OTHER = "other"
+PREFIX = "fireflylock_"
 LATENCY_BUCKETS = (
     0.001,
     0.002,
@@ -23,6 +29,9 @@
     10.0,
 )
 
+Labels = tuple[str, ...]
+Samples = Iterable[tuple[Labels, float]]
+
 
 class LabelValues:
     """A bounded set of values of one label; what comes later is counted as ``other``.
@@ -47,6 +56,59 @@
         return value
 
 
+@dataclass(frozen=True)
+class Reading:
+    """A metric that is read from the process's state whenever it is asked for.
+
+    Attributes
+    ----------
+    name, meaning : str
+        Name without the prefix, and the help text.
+    labels : tuple of str
+        Names of the labels.
+    read : callable
+        Returns pairs of label values and value.
+    counts : bool
+        Whether the value only grows.
+    """
+
+    name: str
+    meaning: str
+    labels: Labels
+    read: Callable[[], Samples]
+    counts: bool = False
+
+
+class StateCollector(Collector):
+    """Reads metrics from the process's state at the moment of a scrape.
+
+    Parameters
+    ----------
+    limit : int
+        Number of samples of one metric; the rest is left out.
+
+    Attributes
+    ----------
+    readings : list of Reading
+        What is read.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.readings: list[Reading] = []
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every metric."""
+        for reading in self.readings:
+            kind = CounterMetricFamily if reading.counts else GaugeMetricFamily
+            family = kind(PREFIX + reading.name, reading.meaning, labels=reading.labels)
+            for index, (labels, value) in enumerate(reading.read()):
+                if index >= self.limit:
+                    break
+                family.add_metric(labels, value)
+            yield family
+
+
 class Metrics:
     """All metrics of one process, in a registry of its own.
 
@@ -59,121 +121,54 @@
     ----------
     registry : CollectorRegistry
         What ``/metrics`` shows.
-    services, servers : LabelValues
-        Bounds for the labels ``service`` and ``server``.
+    services : LabelValues
+        Bound for the label ``service``.
+    state : StateCollector
+        Metrics that are read at a scrape.
     """
 
     def __init__(self, label_limit: int = 500) -> None:
         self.registry = CollectorRegistry()
         self.services = LabelValues(label_limit)
-        self.servers = LabelValues(label_limit)
-        self._add_requests()
-        self._add_ownership()
-        self._add_control()
-        self._add_process()
-
-    def _add_requests(self) -> None:
-        """Define the metrics of callers' requests."""
-        self.requests = self._counter(
-            "requests", "Callers' requests by how they ended.", ("service", "result")
-        )
-        self.errors = self._counter(
-            "errors", "Answers that this system gave itself, by error kind.", ("service", "kind")
-        )
-        self.request_time = self._histogram(
-            "request_seconds", "From a request's headers to the end of its answer.", ("service",)
-        )
-        self.in_flight = self._gauge("requests_in_flight", "Requests being served.", ("service",))
-        self.connections = self._gauge("connections", "Connections of callers.", ())
-        self.connections_refused = self._counter(
-            "connections_refused", "Callers' connections beyond the limit.", ()
-        )
-        self.queue = self._gauge(
-            "queue_requests", "Requests that wait for a backend server.", ("service", "server")
-        )
-        self.queue_time = self._histogram(
-            "queue_seconds", "Wait for a backend server's turn.", ("service",)
-        )
-        self.retries = self._counter("retries", "Requests sent once more.", ("service",))
-        self.forwarded = self._counter(
-            "forwarded_requests", "Requests handed to another entry VM.", ("service",)
-        )
-        self.window_entries = self._gauge(
-            "idempotency_entries", "Idempotency keys remembered.", ("service",)
-        )
-        self.repeats = self._counter(
-            "idempotency_repeats", "Repeated orders by how they were met.", ("service", "result")
-        )
-
-    def _add_ownership(self) -> None:
-        """Define the metrics of ownership and load."""
-        self.sessions = self._gauge(
-            "sessions", "Backend servers whose gate this VM is, by session state.", ("state",)
-        )
-        self.units = self._gauge("units", "Units owned per backend server.", ("service", "server"))
-        self.units_without_owner = self._gauge(
-            "units_without_owner", "Units that no backend server owns.", ("service",)
-        )
-        self.moves = self._counter(
-            "unit_moves", "Units that this VM moved, by reason.", ("service", "reason")
-        )
-        self.takeovers = self._counter(
-            "gate_takeovers", "Backend servers that this VM took over.", ("service",)
-        )
-        self.imbalance = self._gauge(
-            "imbalance_ratio", "Highest load of a backend server over the mean.", ("service",)
-        )
-        self.assignment_revision = self._gauge(
-            "assignment_revision", "Platform revision of the assignment in force.", ("service",)
-        )
-        self.cut_zones = self._gauge("cut_zones", "Zones that this VM hears nothing from.", ())
-
-    def _add_control(self) -> None:
-        """Define the metrics of membership, the platform and configuration."""
-        self.members = self._gauge("members", "Entry VMs by state.", ("state",))
-        self.configuration_version = self._gauge(
-            "configuration_version", "Version of the configuration in force.", ()
-        )
-        self.platform_calls = self._counter(
-            "platform_calls", "Calls to the platform's services.", ("kind", "result")
-        )
-        self.platform_age = self._gauge(
-            "platform_reading_age_seconds", "Age of the last reading of the platform.", ()
-        )
-        self.peer_messages = self._counter(
-            "peer_messages", "Messages between entry VMs.", ("kind", "direction")
+        self.state = StateCollector(label_limit)
+        self.registry.register(self.state)
+        self.requests = Counter(
+            f"{PREFIX}requests",
+            "Callers' requests by result: answered, refused (not run) or unknown.",
+            ("service", "result"),
+            registry=self.registry,
         )
-        self.peer_bytes = self._counter(
-            "peer_bytes", "Bytes between entry VMs.", ("kind", "direction")
+        self.errors = Counter(
+            f"{PREFIX}errors",
+            "Answers that this system gave itself, by error kind.",
+            ("service", "kind"),
+            registry=self.registry,
         )
-        self.peer_refused = self._counter(
-            "peer_refused", "Peers refused for a wrong key or a bad message.", ()
+        self.request_time = Histogram(
+            f"{PREFIX}request_seconds",
+            "From a request's headers to the end of its answer.",
+            ("service",),
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS,
         )
-
-    def _add_process(self) -> None:
-        """Define the metrics of the process itself."""
-        self.loop_lag = self._histogram("loop_lag_seconds", "How late the event loop woke up.", ())
-        self.admin_requests = self._counter(
-            "admin_requests", "Requests to the admin API.", ("operation", "status")
+        self.in_flight = Gauge(
+            f"{PREFIX}requests_in_flight",
+            "Callers' requests being served.",
+            ("service",),
+            registry=self.registry,
         )
-
-    def _counter(self, name: str, meaning: str, labels: tuple[str, ...]) -> Counter:
-        """Add a counter; its public name ends in ``_total``."""
-        return Counter(f"fireflylock_{name}", meaning, labels, registry=self.registry)
-
-    def _gauge(self, name: str, meaning: str, labels: tuple[str, ...]) -> Gauge:
-        """Add a gauge."""
-        return Gauge(f"fireflylock_{name}", meaning, labels, registry=self.registry)
-
-    def _histogram(self, name: str, meaning: str, labels: tuple[str, ...]) -> Histogram:
-        """Add a histogram of seconds."""
-        return Histogram(
-            f"fireflylock_{name}",
-            meaning,
-            labels,
+        self.loop_lag = Histogram(
+            f"{PREFIX}loop_lag_seconds",
+            "How late the event loop woke up.",
             registry=self.registry,
             buckets=LATENCY_BUCKETS,
         )
+        self.admin_requests = Counter(
+            f"{PREFIX}admin_requests",
+            "Requests to the admin API.",
+            ("operation", "status"),
+            registry=self.registry,
+        )
 
     def text(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
