Split the connections of the HTTP edge by object; one buffered body for both sides

The caller's and the server's streamed bodies were the same logic twice; they now share StreamBody. Connection, exchange and the line for control calls each have a module.

--- a/fireflylock/backend.py
+++ b/fireflylock/backend.py
@@ -4,16 +4,15 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 
-import msgspec
-
 from fireflylock.clock import Clock
-from fireflylock.exceptions import BodyCutShortError, ErrorKind, ProtocolError, RequestError
-from fireflylock.exchange import BytesBody, Headers, Request, Response, read_all
+from fireflylock.exceptions import ErrorKind, RequestError
+from fireflylock.exchange import Headers, Request, Response
 from fireflylock.model import BackendServer
-from fireflylock.server_connection import ConnectionOwner, ServerConnection, ServerExchange
+from fireflylock.reserved_line import ReservedLine
+from fireflylock.server_connection import ConnectionOwner, PoolCounters, ServerConnection
+from fireflylock.server_exchange import ServerExchange
 
 SESSION_TARGET = b"/fireflylock/session"
 LOAD_TARGET = b"/fireflylock/load"
@@ -24,32 +23,6 @@
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
 IDLE_TIMEOUT = timedelta(seconds=30)
-CONTROL_ANSWER_BYTES = 1024 * 1024
-OK_STATUS = 200
-JSON_TYPE = (b"content-type", b"application/json")
-
-
-@dataclass
-class PoolCounters:
-    """What a pool has seen since it started.
-
-    Attributes
-    ----------
-    opened, connect_failures, replaced : int
-        Connections opened, failed to open, and found closed before they were used again.
-    sent, answered, refused, unknown, abandoned : int
-        Requests handed to a connection; those answered; those refused in a typed way;
-        those that failed afterwards; those nobody waited for any more.
-    """
-
-    opened: int = 0
-    connect_failures: int = 0
-    replaced: int = 0
-    sent: int = 0
-    answered: int = 0
-    refused: int = 0
-    unknown: int = 0
-    abandoned: int = 0
 
 
 class ServerPool(ConnectionOwner):
@@ -88,8 +61,8 @@
         self.idle: list[ServerConnection] = []
         self.idle_timer: asyncio.TimerHandle | None = None
         self.waiters: deque[asyncio.Future[None]] = deque()
-        self.control_line = ReservedLine(self)
-        self.load_line = ReservedLine(self)
+        self.control_line = ReservedLine(server, clock, self.connect)
+        self.load_line = ReservedLine(server, clock, self.connect)
         self.closed = False
 
     async def exchange(
@@ -287,84 +260,3 @@
             ("requests waiting for a connection", len(self.waiters)),
             *vars(self.counters).items(),
         ]
-
-
-class ReservedLine(ConnectionOwner):
-    """One connection that is kept apart from requests, for one call at a time.
-
-    Parameters
-    ----------
-    pool : ServerPool
-        Opens the connection.
-    """
-
-    def __init__(self, pool: ServerPool) -> None:
-        self.pool = pool
-        self.counters = PoolCounters()
-        self.connection: ServerConnection | None = None
-        self.lock = asyncio.Lock()
-
-    def released(self, connection: ServerConnection) -> None:
-        """Keep the connection for the next call."""
-
-    def lost(self, connection: ServerConnection) -> None:
-        """Forget the connection."""
-        if connection is self.connection:
-            self.connection = None
-
-    async def call(
-        self, method: str, target: bytes, content: dict | None, timeout: timedelta
-    ) -> dict:
-        """Make one call with a JSON body, and return the JSON object of its answer."""
-        async with asyncio.timeout(timeout.total_seconds()), self.lock:
-            try:
-                response = await self.send(method, target, content, timeout)
-                data = await read_all(response.body, CONTROL_ANSWER_BYTES)
-            except RequestError as error:
-                if error.kind is ErrorKind.DEADLINE_EXCEEDED:
-                    raise TimeoutError(str(error)) from None
-                raise ConnectionError(str(error)) from None
-            except BodyCutShortError as error:
-                raise ConnectionError(str(error)) from None
-        if data is None or response.status != OK_STATUS:
-            raise ProtocolError(f"The server answered a control call with {response.status}.")
-        return decode_object(data)
-
-    async def send(
-        self, method: str, target: bytes, content: dict | None, timeout: timedelta
-    ) -> Response:
-        """Send one call on the line's connection."""
-        data = b"" if content is None else msgspec.json.encode(content)
-        request = Request(
-            request_id="",
-            service=self.pool.server.service,
-            key="",
-            customer="",
-            method=method,
-            target=target,
-            headers=[(b"host", self.pool.server.host.encode()), JSON_TYPE],
-            body=BytesBody(data),
-            body_length=len(data),
-            deadline=self.pool.clock.elapsed() + timeout,
-            idempotent=True,
-        )
-        connection = self.connection
-        if connection is None or not connection.is_open() or connection.closed_by_server():
-            connection = await self.pool.connect(self)
-            self.connection = connection
-        exchange = ServerExchange(connection, request)
-        exchange.start([], timeout)
-        return await exchange.answer()
-
-    def close(self) -> None:
-        """Close the connection at once."""
-        if self.connection is not None:
-            self.connection.abort()
-
-
-def decode_object(data: bytes) -> dict:
-    """Return the JSON object in `data`."""
-    try:
-        return msgspec.json.decode(data, type=dict)
-    except msgspec.DecodeError as error:
-        raise ProtocolError(f"The server's reply is not a JSON object: {error}") from None
--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -5,7 +5,6 @@
 import enum
 import socket
 import struct
-from collections import deque
 from typing import TYPE_CHECKING
 
 import h11
@@ -13,9 +12,10 @@
 
 from fireflylock.clock import Instant
 from fireflylock.exceptions import BodyCutShortError, ErrorKind, Outcome, RequestError
-from fireflylock.exchange import Body, Headers, Request, Response
+from fireflylock.exchange import Headers, Request, Response
 from fireflylock.http1 import BODY_BUFFER_BYTES, REQUEST_ID_HEADER, error_response
 from fireflylock.request_parser import RequestParser
+from fireflylock.streams import StreamBody
 
 if TYPE_CHECKING:
     from fireflylock.frontend import Frontend
@@ -39,8 +39,8 @@
     CLOSING = "nothing is read any more"
 
 
-class CallerBody(Body):
-    """The body of a caller's request, with back-pressure onto the connection.
+class CallerBody(StreamBody):
+    """The body of a caller's request.
 
     Parameters
     ----------
@@ -49,63 +49,16 @@
     """
 
     def __init__(self, connection: "CallerConnection") -> None:
+        super().__init__()
         self.connection = connection
-        self.chunks: deque[bytes] = deque()
-        self.buffered = 0
-        self.complete = False
-        self.problem: RequestError | None = None
-        self.waiter: asyncio.Future[None] | None = None
-
-    async def read(self) -> bytes:
-        """Return the next chunk, or ``b""`` at the end."""
-        while not self.chunks:
-            if self.complete:
-                return b""
-            if self.problem is not None:
-                raise BodyCutShortError(str(self.problem))
-            self.connection.begin_wait()
-            self.waiter = asyncio.get_running_loop().create_future()
-            try:
-                await self.waiter
-            finally:
-                self.waiter = None
-        chunk = self.chunks.popleft()
-        self.buffered -= len(chunk)
-        self.connection.update_reading()
-        return chunk
-
-    def take_ready(self) -> bytes:
-        """Return everything that has come in so far."""
-        if not self.chunks:
-            return b""
-        data = b"".join(self.chunks)
-        self.chunks.clear()
-        self.buffered = 0
-        self.connection.update_reading()
-        return data
-
-    def append(self, data: bytes) -> None:
-        """Take in bytes from the connection."""
-        self.chunks.append(data)
-        self.buffered += len(data)
-        self.wake()
-
-    def end(self) -> None:
-        """Note that the body is complete."""
-        self.complete = True
-        self.wake()
-
-    def fail(self, problem: RequestError) -> None:
-        """Note that the rest of the body will not come."""
-        if self.complete or self.problem is not None:
-            return
-        self.problem = problem
-        self.wake()
 
-    def wake(self) -> None:
-        """Let the reader look again."""
-        if self.waiter is not None and not self.waiter.done():
-            self.waiter.set_result(None)
+    def waiting(self) -> None:
+        """Tell the caller to go on if it asked, and start its timeout."""
+        self.connection.begin_wait()
+
+    def buffer_changed(self) -> None:
+        """Pause or resume reading."""
+        self.connection.update_reading()
 
 
 class CallerConnection(asyncio.Protocol):
