--- a/fireflylock/config.py
+++ b/fireflylock/config.py
@@ -148,7 +148,7 @@
 
     name: Name = required("Name of this entry VM; unique and lasting.", NAME_FORM)
     zone: Name = required("Its availability zone.", NAME_FORM)
-    region: Name = option("region", "Its region.", NAME_FORM)
+    region: Name = option("default", "Its region.", NAME_FORM)
 
 
 class ListenSection(Section):
--- /dev/null
+++ b/fireflylock/loop_lag.py
@@ -0,0 +1,17 @@
+"""How late the event loop wakes up: the first sign of a process that is short of time."""
+
+from datetime import timedelta
+
+from fireflylock.clock import Clock
+from fireflylock.metrics import Metrics
+
+PERIOD = timedelta(milliseconds=200)
+
+
+async def measure_loop_lag(clock: Clock, metrics: Metrics, period: timedelta = PERIOD) -> None:
+    """Sleep again and again and record by how much each sleep was too long; runs until cancelled."""
+    while True:
+        before = clock.elapsed()
+        await clock.sleep(period)
+        lag = clock.elapsed() - before - period
+        metrics.loop_lag.observe(max(0.0, lag.total_seconds()))
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,5 +1,6 @@
 """Tests of the metrics."""
 
+import asyncio
 import contextlib
 from dataclasses import replace
 from datetime import timedelta
@@ -9,6 +10,7 @@
 from fireflylock.clock import FakeClock
 from fireflylock.exceptions import BodyCutShortError, ErrorKind, RequestError
 from fireflylock.exchange import Body, BytesBody, Handler, Request, Response, read_all
+from fireflylock.loop_lag import measure_loop_lag
 from fireflylock.measured import MeasuredHandler
 from fireflylock.metrics import OTHER, LabelValues, Metrics, Reading
 from fireflylock.model import Configuration
@@ -103,3 +105,16 @@
     assert value("fireflylock_unit_moves_total", {"service": "mesa-pedidos"}) == 5
     node.current = replace(node.current, version=5)
     assert value("fireflylock_configuration_version") == 5
+
+
+async def test_loop_lag_is_recorded_for_each_period():
+    clock, metrics = FakeClock(), Metrics()
+    task = asyncio.create_task(measure_loop_lag(clock, metrics))
+    for _ in range(3):
+        await asyncio.sleep(0)
+        clock.advance(timedelta(milliseconds=500))
+        await asyncio.sleep(0)
+    task.cancel()
+    assert metrics.registry.get_sample_value("fireflylock_loop_lag_seconds_count") == 3
+    total = metrics.registry.get_sample_value("fireflylock_loop_lag_seconds_sum")
+    assert total == pytest.approx(0.9)
