--- a/fireflylock/loop_lag.py
+++ b/fireflylock/loop_lag.py
@@ -9,7 +9,7 @@
 
 
 async def measure_loop_lag(clock: Clock, metrics: Metrics, period: timedelta = PERIOD) -> None:
-    """Sleep again and again and record by how much each sleep was too long; runs until cancelled."""
+    """Record by how much each of many sleeps was too long; runs until cancelled."""
     while True:
         before = clock.elapsed()
         await clock.sleep(period)
