--- a/fireflylock/administration.py
+++ b/fireflylock/administration.py
@@ -5,7 +5,9 @@
 from fireflylock.assignment import Ownership
 from fireflylock.auth import Principal, require_scope
 from fireflylock.clock import Clock
-from fireflylock.configuration import check_change, diff, next_version, scope_of
+from fireflylock.configuration import next_version
+from fireflylock.configuration_diff import diff
+from fireflylock.configuration_rules import check_change, scope_of
 from fireflylock.exceptions import (
     ErrorKind,
     PlatformError,
--- a/fireflylock/apimodels.py
+++ b/fireflylock/apimodels.py
@@ -4,7 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from fireflylock.config import Name
+from fireflylock.config_fields import Name
 from fireflylock.configuration import Change
 from fireflylock.debug import DumpSection
 from fireflylock.model import ServerState
--- a/fireflylock/auth.py
+++ b/fireflylock/auth.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from fireflylock.config import NAME_PATTERN
-from fireflylock.configuration import Scope
+from fireflylock.config_fields import NAME_PATTERN
+from fireflylock.configuration_rules import Scope
 from fireflylock.exceptions import ErrorKind, RequestError, SettingsError
 from fireflylock.model import Configuration
 
--- a/fireflylock/client.py
+++ b/fireflylock/client.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from fireflylock.config import split_endpoint
+from fireflylock.config_fields import split_endpoint
 from fireflylock.exceptions import FireflylockError
 
 READ_BYTES = 65536
--- a/fireflylock/config.py
+++ b/fireflylock/config.py
@@ -1,137 +1,34 @@
 """The daemon's settings: an INI file, read and checked as a whole."""
 
-import configparser
 import ipaddress
-import re
 from collections.abc import Iterable
 from datetime import timedelta
 from pathlib import Path
-from typing import Annotated, Any, Literal
-
-from pydantic import (
-    AfterValidator,
-    BaseModel,
-    BeforeValidator,
-    ConfigDict,
-    Field,
-    ValidationError,
-    model_validator,
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, ValidationError, model_validator
+
+from fireflylock.config_fields import (
+    NAME_FORM,
+    Duration,
+    Endpoints,
+    IPNumber,
+    Name,
+    Port,
+    Size,
+    Url,
+    count,
+    duration,
+    option,
+    required,
+    size,
 )
-
 from fireflylock.exceptions import SettingsError
-from fireflylock.units import DURATION_FORM, SIZE_FORM, parse_duration, parse_size
+from fireflylock.ini import read_ini
 
-NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
-NAME_FORM = "letters, digits, '.', '_' and '-', at most 63, starting with a letter or digit"
 # A file that is longer than this is not a settings file.
 MAX_FILE_BYTES = 256 * 1024
 
-
-def _name(value: str) -> str:
-    """Return `value` when it can name a VM, a zone or a service."""
-    if re.fullmatch(NAME_PATTERN, value, re.ASCII) is None:
-        raise ValueError(f"{value!r} is not a name")
-    return value
-
-
-def _ip_number(value: str) -> str:
-    """Return `value` when it is an IP number; host names are never looked up."""
-    try:
-        return str(ipaddress.ip_address(value))
-    except ValueError:
-        raise ValueError(f"{value!r} is not an IP number") from None
-
-
-def split_endpoint(value: str) -> tuple[str, int]:
-    """Return the IP number and the port of ``ip:port`` or ``[ipv6]:port``.
-
-    Raises
-    ------
-    ValueError
-        The text has another form.
-    """
-    host, colon, port = value.rpartition(":")
-    if not colon or not port.isascii() or not port.isdigit() or not 0 < int(port[:6]) <= 65535:
-        raise ValueError(f"{value!r} is not ip:port")
-    if host.startswith("[") and host.endswith("]"):
-        host = host[1:-1]
-    return _ip_number(host), int(port)
-
-
-def _endpoint(value: str) -> str:
-    """Return `value` when it is ``ip:port``."""
-    split_endpoint(value)
-    return value
-
-
-def _url(value: str) -> str:
-    """Return `value` when it is an HTTP URL of an IP number."""
-    match = re.fullmatch(r"http://([^/]+)(/[!-~]*)", value)
-    if match is None:
-        raise ValueError(f"{value!r} is not a URL")
-    split_endpoint(match[1])
-    return value
-
-
-def _words(value: Any) -> Any:
-    """Split a comma or blank separated list."""
-    return tuple(re.split(r"[\s,]+", value.strip())) if isinstance(value, str) else value
-
-
-def _duration(value: Any) -> Any:
-    """Turn text into a duration."""
-    return parse_duration(value) if isinstance(value, str) else value
-
-
-def _size(value: Any) -> Any:
-    """Turn text into a number of bytes."""
-    return parse_size(value) if isinstance(value, str) else value
-
-
-Name = Annotated[str, AfterValidator(_name)]
-IPNumber = Annotated[str, AfterValidator(_ip_number)]
-Endpoint = Annotated[str, AfterValidator(_endpoint)]
-Endpoints = Annotated[tuple[Endpoint, ...], BeforeValidator(_words)]
-Url = Annotated[str, AfterValidator(_url)]
-Port = Annotated[int, Field(ge=0, le=65535)]
-Duration = Annotated[timedelta, BeforeValidator(_duration)]
-Size = Annotated[int, BeforeValidator(_size)]
-
-
-def option(default: Any, meaning: str, allowed: str, **bounds: Any) -> Any:
-    """Return a model field with its meaning and the words that say what is allowed."""
-    return Field(default, description=meaning, json_schema_extra={"allowed": allowed}, **bounds)
-
-
-def required(meaning: str, allowed: str) -> Any:
-    """Return a model field that has no default."""
-    return Field(description=meaning, json_schema_extra={"allowed": allowed})
-
-
-def duration(default: timedelta, meaning: str, least: timedelta, most: timedelta) -> Any:
-    """Return a field for a duration between two bounds."""
-    allowed = f"{DURATION_FORM}, from {_bound(least)} to {_bound(most)}"
-    return option(default, meaning, allowed, ge=least, le=most)
-
-
-def count(default: int, meaning: str, least: int, most: int) -> Any:
-    """Return a field for a whole number between two bounds."""
-    allowed = f"a whole number from {least} to {most}"
-    return option(default, meaning, allowed, ge=least, le=most)
-
-
-def size(default: int, meaning: str, least: int, most: int) -> Any:
-    """Return a field for a number of bytes between two bounds."""
-    allowed = f"{SIZE_FORM}, from {least} to {most} bytes"
-    return option(default, meaning, allowed, ge=least, le=most)
-
-
-def _bound(value: timedelta) -> str:
-    """Return a bound of a duration as it is written in settings."""
-    seconds = value.total_seconds()
-    return f"{seconds:g} s" if seconds >= 1 else f"{seconds * 1000:g} ms"
-
-
 _MS = timedelta(milliseconds=1)
 _SECOND = timedelta(seconds=1)
 _FILE = "the path of a file, or nothing"
@@ -341,7 +238,7 @@
         SettingsError
             Lists every mistake of the text.
         """
-        sections, problems = _parse(text, source)
+        sections, problems = read_ini(text, source)
         # Sections without a default must be looked into even when they are absent, so
         # that the missing options are named and not just the section.
         for name, field in cls.model_fields.items():
@@ -365,53 +262,6 @@
         return found
 
 
-def _parse(text: str, source: str) -> tuple[dict[str, dict[str, str]], list[str]]:
-    """Return the options by section, and what is wrong with the form of the file."""
-    problems: list[str] = []
-    parser = _parser(strict=True)
-    if not _read(parser, text, source, problems):
-        # The rest is read all the same, so that one run shows every mistake.
-        parser = _parser(strict=False)
-        _read(parser, text, source, problems)
-    sections = {}
-    for name in parser.sections():
-        options = parser.items(name)
-        sections[name] = {option: value for option, value in options if value is not None}
-    return sections, problems
-
-
-def _read(parser: configparser.ConfigParser, text: str, source: str, problems: list[str]) -> bool:
-    """Read `text`, add what is wrong with its form to `problems`, return whether it is whole."""
-    found = []
-    try:
-        parser.read_string(text, source)
-    except configparser.DuplicateSectionError as error:
-        found.append(f"{source}: line {error.lineno}: section [{error.section}] stands twice.")
-    except configparser.DuplicateOptionError as error:
-        place = f"{source}: line {error.lineno}: [{error.section}] {error.option}"
-        found.append(f"{place} stands twice; allowed: once.")
-    except configparser.MissingSectionHeaderError as error:
-        found.append(f"{source}: line {error.lineno}: an option stands before any [section].")
-    except configparser.ParsingError as error:
-        for line, content in error.errors:
-            found.append(f"{source}: line {line}: {content} is not 'option = value'.")
-    except AttributeError:
-        # The parser of Python 3.11 trips over a continued line after an option without value.
-        found.append(f"{source}: a continued line follows a line that is not 'option = value'.")
-    problems.extend(problem for problem in found if problem not in problems)
-    return not found
-
-
-def _parser(strict: bool) -> configparser.ConfigParser:
-    """Return a parser without interpolation and without a section that leaks into others."""
-    return configparser.ConfigParser(
-        strict=strict,
-        interpolation=None,
-        default_section="\0",
-        inline_comment_prefixes=("#",),
-    )
-
-
 def _explain(error: ValidationError, source: str) -> Iterable[str]:
     """Return a sentence for each mistake, with section, option and what is allowed."""
     for mistake in error.errors():
--- /dev/null
+++ b/fireflylock/config_fields.py
@@ -0,0 +1,118 @@
+"""The kinds of values in settings and sheets: names, addresses, durations, sizes."""
+
+import ipaddress
+import re
+from datetime import timedelta
+from typing import Annotated, Any
+
+from pydantic import AfterValidator, BeforeValidator, Field
+
+from fireflylock.units import DURATION_FORM, SIZE_FORM, parse_duration, parse_size
+
+NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
+NAME_FORM = "letters, digits, '.', '_' and '-', at most 63, starting with a letter or digit"
+
+
+def _name(value: str) -> str:
+    """Return `value` when it can name a VM, a zone or a service."""
+    if re.fullmatch(NAME_PATTERN, value, re.ASCII) is None:
+        raise ValueError(f"{value!r} is not a name")
+    return value
+
+
+def _ip_number(value: str) -> str:
+    """Return `value` when it is an IP number; host names are never looked up."""
+    try:
+        return str(ipaddress.ip_address(value))
+    except ValueError:
+        raise ValueError(f"{value!r} is not an IP number") from None
+
+
+def split_endpoint(value: str) -> tuple[str, int]:
+    """Return the IP number and the port of ``ip:port`` or ``[ipv6]:port``.
+
+    Raises
+    ------
+    ValueError
+        The text has another form.
+    """
+    host, colon, port = value.rpartition(":")
+    if not colon or not port.isascii() or not port.isdigit() or not 0 < int(port[:6]) <= 65535:
+        raise ValueError(f"{value!r} is not ip:port")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    return _ip_number(host), int(port)
+
+
+def _endpoint(value: str) -> str:
+    """Return `value` when it is ``ip:port``."""
+    split_endpoint(value)
+    return value
+
+
+def _url(value: str) -> str:
+    """Return `value` when it is an HTTP URL of an IP number."""
+    match = re.fullmatch(r"http://([^/]+)(/[!-~]*)", value)
+    if match is None:
+        raise ValueError(f"{value!r} is not a URL")
+    split_endpoint(match[1])
+    return value
+
+
+def _words(value: Any) -> Any:
+    """Split a comma or blank separated list."""
+    return tuple(re.split(r"[\s,]+", value.strip())) if isinstance(value, str) else value
+
+
+def _duration(value: Any) -> Any:
+    """Turn text into a duration."""
+    return parse_duration(value) if isinstance(value, str) else value
+
+
+def _size(value: Any) -> Any:
+    """Turn text into a number of bytes."""
+    return parse_size(value) if isinstance(value, str) else value
+
+
+Name = Annotated[str, AfterValidator(_name)]
+IPNumber = Annotated[str, AfterValidator(_ip_number)]
+Endpoint = Annotated[str, AfterValidator(_endpoint)]
+Endpoints = Annotated[tuple[Endpoint, ...], BeforeValidator(_words)]
+Url = Annotated[str, AfterValidator(_url)]
+Port = Annotated[int, Field(ge=0, le=65535)]
+Duration = Annotated[timedelta, BeforeValidator(_duration)]
+Size = Annotated[int, BeforeValidator(_size)]
+
+
+def option(default: Any, meaning: str, allowed: str, **bounds: Any) -> Any:
+    """Return a model field with its meaning and the words that say what is allowed."""
+    return Field(default, description=meaning, json_schema_extra={"allowed": allowed}, **bounds)
+
+
+def required(meaning: str, allowed: str) -> Any:
+    """Return a model field that has no default."""
+    return Field(description=meaning, json_schema_extra={"allowed": allowed})
+
+
+def duration(default: timedelta, meaning: str, least: timedelta, most: timedelta) -> Any:
+    """Return a field for a duration between two bounds."""
+    allowed = f"{DURATION_FORM}, from {_bound(least)} to {_bound(most)}"
+    return option(default, meaning, allowed, ge=least, le=most)
+
+
+def count(default: int, meaning: str, least: int, most: int) -> Any:
+    """Return a field for a whole number between two bounds."""
+    allowed = f"a whole number from {least} to {most}"
+    return option(default, meaning, allowed, ge=least, le=most)
+
+
+def size(default: int, meaning: str, least: int, most: int) -> Any:
+    """Return a field for a number of bytes between two bounds."""
+    allowed = f"{SIZE_FORM}, from {least} to {most} bytes"
+    return option(default, meaning, allowed, ge=least, le=most)
+
+
+def _bound(value: timedelta) -> str:
+    """Return a bound of a duration as it is written in settings."""
+    seconds = value.total_seconds()
+    return f"{seconds:g} s" if seconds >= 1 else f"{seconds * 1000:g} ms"
--- /dev/null
+++ b/fireflylock/configuration_diff.py
@@ -0,0 +1,93 @@
+"""What changed between two versions of the configuration, as plain sentences."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import fields
+from typing import Any
+
+from fireflylock.model import BackendServer, Configuration, EntryVM, ExpectedPeak, Service
+from fireflylock.units import format_duration
+
+
+def diff(old: Configuration, new: Configuration) -> list[str]:
+    """Return one plain sentence for each thing that `new` changes against `old`."""
+    sentences: list[str] = []
+    sentences.extend(_diff_items("Service", old.services, new.services))
+    sentences.extend(_diff_items("Backend server", old.servers, new.servers))
+    sentences.extend(_diff_items("Entry VM", old.vms, new.vms))
+    sentences.extend(_diff_peaks(old.peaks, new.peaks))
+    for statement in new.gone:
+        if statement not in old.gone:
+            sentences.append(
+                f"{statement.name} is stated gone by {statement.author}: {statement.reason}."
+            )
+    for statement in old.gone:
+        if statement not in new.gone:
+            sentences.append(f"{statement.name} is no longer stated gone.")
+    return sentences
+
+
+_Item = Service | BackendServer | EntryVM
+
+
+def _diff_items(kind: str, old: Mapping[str, _Item], new: Mapping[str, _Item]) -> Iterator[str]:
+    """Yield a sentence for each item added, removed or changed."""
+    for name in sorted(set(old) | set(new)):
+        if name not in old:
+            yield f"{kind} {name} is added{_extent(new[name])}."
+            continue
+        if name not in new:
+            yield f"{kind} {name} is removed."
+            continue
+        for item in fields(new[name]):
+            before = getattr(old[name], item.name)
+            after = getattr(new[name], item.name)
+            if before != after:
+                yield f"{kind} {name}: {item.name} {show(before)} -> {show(after)}."
+
+
+def _extent(item: _Item) -> str:
+    """Return where an added item belongs."""
+    if isinstance(item, BackendServer):
+        return f" to {item.service} in {item.zone}"
+    if isinstance(item, EntryVM):
+        return f" in {item.zone}"
+    return ""
+
+
+def show(value: Any) -> str:
+    """Return a value of the model as people write it."""
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if hasattr(value, "total_seconds"):
+        return format_duration(value)
+    if isinstance(value, tuple):
+        return " ".join(value) or "(none)"
+    if hasattr(value, "value"):
+        return str(value.value)
+    return str(value) or "(none)"
+
+
+def _diff_peaks(old: tuple[ExpectedPeak, ...], new: tuple[ExpectedPeak, ...]) -> Iterator[str]:
+    """Yield a sentence for each service whose expected peaks change."""
+    for service in sorted({peak.service for peak in (*old, *new)}):
+        before = [peak for peak in old if peak.service == service]
+        after = [peak for peak in new if peak.service == service]
+        if before == after:
+            continue
+        yield f"Service {service}: expected peaks {_peaks(before)} -> {_peaks(after)}."
+
+
+def _peaks(peaks: list[ExpectedPeak]) -> str:
+    """Return expected peaks in short."""
+    shown = []
+    for peak in peaks:
+        keys = f" with {len(peak.hot_keys)} hot keys" if peak.hot_keys else ""
+        times = f"{time_of_day(peak.start)}-{time_of_day(peak.end)}"
+        shown.append(f"{times} {peak.rate:g}/s{keys}")
+    return ", ".join(shown) or "(none)"
+
+
+def time_of_day(offset: Any) -> str:
+    """Return a time since midnight as ``hh:mm``."""
+    minutes = int(offset.total_seconds()) // 60
+    return f"{minutes // 60:02}:{minutes % 60:02}"
--- /dev/null
+++ b/fireflylock/configuration_rules.py
@@ -0,0 +1,131 @@
+"""What a change of the configuration touches, and what it must not do."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from fireflylock.model import (
+    BackendServer,
+    Configuration,
+    ExpectedPeak,
+    GoneStatement,
+    ServerState,
+)
+
+
+@dataclass(frozen=True)
+class Scope:
+    """What a change touches.
+
+    Attributes
+    ----------
+    services : frozenset of str
+        Services that are added, changed or removed, with their servers and peaks.
+    fleet : bool
+        Whether the entry VMs, which belong to no team, are touched.
+    """
+
+    services: frozenset[str] = field(default_factory=frozenset)
+    fleet: bool = False
+
+
+def scope_of(old: Configuration, new: Configuration) -> Scope:
+    """Return what the change from `old` to `new` touches."""
+    services: set[str] = set()
+    for name in set(old.services) | set(new.services):
+        if old.services.get(name) != new.services.get(name):
+            services.add(name)
+    for name in set(old.servers) | set(new.servers):
+        before, after = old.servers.get(name), new.servers.get(name)
+        if before != after:
+            services.update(server.service for server in (before, after) if server is not None)
+    for peak in set(_keyed(old.peaks)) ^ set(_keyed(new.peaks)):
+        services.add(peak[0])
+    fleet = old.vms != new.vms
+    for statement in set(old.gone) ^ set(new.gone):
+        touched = _services_on(new, statement)
+        services.update(touched)
+        fleet = fleet or not touched
+    return Scope(frozenset(services), fleet)
+
+
+def _keyed(peaks: tuple[ExpectedPeak, ...]) -> Iterator[tuple[Any, ...]]:
+    """Yield expected peaks in a form that can stand in a set."""
+    for peak in peaks:
+        yield peak.service, peak.start, peak.end, peak.rate, tuple(sorted(peak.hot_keys.items()))
+
+
+def _services_on(configuration: Configuration, statement: GoneStatement) -> set[str]:
+    """Return the services of the backend server or VM that a statement names."""
+    if statement.name in configuration.vms:
+        return set()
+    found = set()
+    for server in configuration.servers.values():
+        if statement.name in (server.name, server.vm):
+            found.add(server.service)
+    return found
+
+
+def check(configuration: Configuration) -> list[str]:
+    """Return what is wrong inside one configuration."""
+    problems = []
+    endpoints: dict[tuple[str, int], str] = {}
+    for name, server in configuration.servers.items():
+        if server.service not in configuration.services:
+            problems.append(f"Backend server {name}: there is no service {server.service}.")
+        other = endpoints.setdefault((server.host, server.port), name)
+        if other != name:
+            problems.append(
+                f"Backend server {name}: {server.host}:{server.port} is already {other}'s."
+            )
+    for peak in configuration.peaks:
+        if peak.service not in configuration.services:
+            problems.append(f"Expected peak: there is no service {peak.service}.")
+    for name in sorted(set(configuration.servers) & set(configuration.vms)):
+        problems.append(f"{name} is both a backend server and an entry VM.")
+    addresses: dict[str, str] = {}
+    for name, vm in configuration.vms.items():
+        other = addresses.setdefault(vm.peer_address, name)
+        if other != name:
+            problems.append(f"Entry VM {name}: peer_address {vm.peer_address} is {other}'s.")
+    return problems
+
+
+def check_change(old: Configuration, new: Configuration) -> list[str]:
+    """Return what in `new` must not follow directly on `old`.
+
+    A running backend server is known by its name, so its identity may change only while
+    it is out; the number of hash slots is fixed when a service is created.
+    """
+    problems = check(new)
+    for name, service in new.services.items():
+        before = old.services.get(name)
+        if before is None:
+            continue
+        if service.hash_slots != before.hash_slots:
+            problems.append(f"Service {name}: hash_slots is fixed at {before.hash_slots}.")
+        in_use = any(server.state is not ServerState.OUT for server in old.servers_of(name))
+        for attribute in ("keyed", "checks_grants"):
+            if in_use and getattr(service, attribute) != getattr(before, attribute):
+                problems.append(
+                    f"Service {name}: {attribute} can change only while all its servers are out."
+                )
+    for name, before_server in old.servers.items():
+        problems.extend(_check_server(before_server, new.servers.get(name)))
+    for name, vm in old.vms.items():
+        if name not in new.vms and vm.state is not ServerState.OUT:
+            problems.append(f"Entry VM {name} can be removed only while its state is out.")
+    return problems
+
+
+def _check_server(before: BackendServer, after: BackendServer | None) -> Iterator[str]:
+    """Yield what must not happen to a backend server that is not out."""
+    if before.state is ServerState.OUT:
+        return
+    name = before.name
+    if after is None:
+        yield f"Backend server {name} can be removed only while its state is out."
+        return
+    for attribute in ("service", "vm", "zone", "host", "port"):
+        if getattr(before, attribute) != getattr(after, attribute):
+            yield f"Backend server {name}: {attribute} can change only while its state is out."
--- a/fireflylock/sheet.py
+++ b/fireflylock/sheet.py
@@ -7,19 +7,11 @@
 
 from pydantic import ValidationError
 
-from fireflylock.configuration import check_change
+from fireflylock.configuration_rules import check_change
 from fireflylock.exceptions import SheetError
 from fireflylock.model import Configuration
-from fireflylock.sheetrows import (
-    CLEARED,
-    ROW_KINDS,
-    CellError,
-    HotKeyRow,
-    PeakRow,
-    RemoveRow,
-    Row,
-    ServiceRow,
-)
+from fireflylock.sheetcells import CLEARED, CellError, Row
+from fireflylock.sheetrows import ROW_KINDS, HotKeyRow, PeakRow, RemoveRow, ServiceRow
 
 MAX_SHEET_BYTES = 4 * 1024**2
 # A longer list of mistakes helps nobody; the rest is counted.
--- /dev/null
+++ b/fireflylock/sheetcells.py
@@ -0,0 +1,158 @@
+"""The cells of the planners' sheet: their values, and what every row has in common."""
+
+import re
+from abc import abstractmethod
+from collections.abc import Iterator
+from datetime import timedelta
+from typing import Annotated, Any, ClassVar
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+
+from fireflylock.configuration_diff import show
+from fireflylock.model import Configuration, CutZonePolicy, ServerState
+
+DAY = timedelta(days=1)
+
+
+def _yes_or_no(value: Any) -> Any:
+    """Read a truth value as planners and spreadsheets write it."""
+    words = {"yes": True, "true": True, "no": False, "false": False}
+    if not isinstance(value, str):
+        return value
+    if value.lower() not in words:
+        raise ValueError(f"{value!r} is neither yes nor no")
+    return words[value.lower()]
+
+
+def _time_of_day(value: Any) -> Any:
+    """Read ``hh:mm`` or ``hh:mm:ss``."""
+    if not isinstance(value, str):
+        return value
+    match = re.fullmatch(r"(\d{1,2}):(\d{2})(?::(\d{2}))?", value, re.ASCII)
+    if match is None:
+        raise ValueError(f"{value!r} is not a time of day")
+    hours, minutes, seconds = (int(part or 0) for part in match.groups())
+    if minutes > 59 or seconds > 59:
+        raise ValueError(f"{value!r} is not a time of day")
+    return timedelta(hours=hours, minutes=minutes, seconds=seconds)
+
+
+def _blank_separated(value: Any) -> Any:
+    """Split a list of words."""
+    return tuple(value.split()) if isinstance(value, str) else value
+
+
+def _state(value: Any) -> Any:
+    """Read a state in any case."""
+    return value.lower() if isinstance(value, str) else value
+
+
+YesOrNo = Annotated[bool, BeforeValidator(_yes_or_no)]
+TimeOfDay = Annotated[timedelta, BeforeValidator(_time_of_day), Field(ge=timedelta(0), le=DAY)]
+Words = Annotated[tuple[str, ...], BeforeValidator(_blank_separated), Field(max_length=50)]
+State = Annotated[ServerState, BeforeValidator(_state)]
+Policy = Annotated[CutZonePolicy, BeforeValidator(_state)]
+Header = Annotated[str, Field(pattern=r"^[A-Za-z0-9-]{0,64}$")]
+Text = Annotated[str, Field(max_length=256)]
+Key = Annotated[str, Field(min_length=1, max_length=512)]
+Rate = Annotated[float, Field(ge=0, le=1e9, allow_inf_nan=False)]
+Weight = Annotated[float, Field(ge=0, le=1e6, allow_inf_nan=False)]
+
+YES = "yes or no"
+STATES = "in, draining or out"
+RATE = "a number from 0, in requests per second"
+WEIGHT = "a number from 0 to 1000000"
+TIME = "hh:mm"
+HEADER = "a header name, or - for none"
+# A cell that empties what a blank cell would leave alone.
+CLEARED = "-"
+
+
+def cell(allowed: str, **bounds: Any) -> Any:
+    """Return a field that may be left blank."""
+    return Field(None, json_schema_extra={"allowed": allowed}, **bounds)
+
+
+def filled(allowed: str, **bounds: Any) -> Any:
+    """Return a field that must be filled in."""
+    return Field(json_schema_extra={"allowed": allowed}, **bounds)
+
+
+class CellError(ValueError):
+    """A cell does not fit the rest of the sheet.
+
+    Parameters
+    ----------
+    column : str
+        Name of the cell's column.
+    text : str
+        What is wrong, without a full stop.
+    """
+
+    def __init__(self, column: str, text: str) -> None:
+        super().__init__(text)
+        self.column = column
+
+
+class Row(BaseModel):
+    """One row of the sheet.
+
+    Attributes
+    ----------
+    kind : str
+        First cell of the row.
+    order : int
+        Rows of lower order are applied first.
+    decimals : frozenset of str
+        Columns that hold decimal numbers.
+    clearable : frozenset of str
+        Columns where `CLEARED` stands for an empty value.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    kind: ClassVar[str]
+    order: ClassVar[int] = 0
+    decimals: ClassVar[frozenset[str]] = frozenset()
+    clearable: ClassVar[frozenset[str]] = frozenset()
+
+    @classmethod
+    def allowed(cls, column: str) -> str:
+        """Return the words that say what a column allows."""
+        field = cls.model_fields.get(column)
+        extra = field.json_schema_extra if field is not None else None
+        return str(extra["allowed"]) if isinstance(extra, dict) else ""
+
+    @classmethod
+    @abstractmethod
+    def rows_of(cls, configuration: Configuration) -> Iterator["Row"]:
+        """Yield the rows that state the matching part of `configuration`."""
+
+    @abstractmethod
+    def identity(self) -> tuple[str, ...]:
+        """Return what must stand in one sheet only once."""
+
+    @abstractmethod
+    def apply(self, content: Configuration) -> Configuration:
+        """Return `content` with this row applied.
+
+        Raises
+        ------
+        CellError
+            The row does not fit the rest.
+        """
+
+    def filled_in(self) -> dict[str, Any]:
+        """Return the cells that are not blank, by column."""
+        return {name: getattr(self, name) for name in self.model_fields_set}
+
+    def cell(self, column: str) -> str:
+        """Return the text of a cell."""
+        value = getattr(self, column)
+        if column in self.clearable and not value:
+            return CLEARED
+        if value is None:
+            return ""
+        if isinstance(value, float):
+            return repr(value)
+        return show(value) if value != "" else ""
--- a/fireflylock/sheetrows.py
+++ b/fireflylock/sheetrows.py
@@ -1,173 +1,40 @@
 """The rows of the planners' sheet, one validated model for each kind."""
 
-import re
-from abc import abstractmethod
 from collections.abc import Iterator
 from dataclasses import replace
 from datetime import timedelta
-from typing import Annotated, Any, ClassVar, Literal
-
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, model_validator
-
-from fireflylock.config import NAME_FORM, Duration, Endpoint, Name, split_endpoint
-from fireflylock.configuration import show, time_of_day
-from fireflylock.model import (
-    BackendServer,
-    Configuration,
-    CutZonePolicy,
-    EntryVM,
-    ExpectedPeak,
-    ServerState,
-    Service,
+from typing import Any, Literal
+
+from pydantic import model_validator
+
+from fireflylock.config_fields import NAME_FORM, Duration, Endpoint, Name, split_endpoint
+from fireflylock.configuration_diff import time_of_day
+from fireflylock.model import BackendServer, Configuration, EntryVM, ExpectedPeak, Service
+from fireflylock.sheetcells import (
+    DAY,
+    HEADER,
+    RATE,
+    STATES,
+    TIME,
+    WEIGHT,
+    YES,
+    CellError,
+    Header,
+    Key,
+    Policy,
+    Rate,
+    Row,
+    State,
+    Text,
+    TimeOfDay,
+    Weight,
+    Words,
+    YesOrNo,
+    cell,
+    filled,
 )
 from fireflylock.units import DURATION_FORM
 
-_DAY = timedelta(days=1)
-
-
-def _yes_or_no(value: Any) -> Any:
-    """Read a truth value as planners and spreadsheets write it."""
-    words = {"yes": True, "true": True, "no": False, "false": False}
-    if not isinstance(value, str):
-        return value
-    if value.lower() not in words:
-        raise ValueError(f"{value!r} is neither yes nor no")
-    return words[value.lower()]
-
-
-def _time_of_day(value: Any) -> Any:
-    """Read ``hh:mm`` or ``hh:mm:ss``."""
-    if not isinstance(value, str):
-        return value
-    match = re.fullmatch(r"(\d{1,2}):(\d{2})(?::(\d{2}))?", value, re.ASCII)
-    if match is None:
-        raise ValueError(f"{value!r} is not a time of day")
-    hours, minutes, seconds = (int(part or 0) for part in match.groups())
-    if minutes > 59 or seconds > 59:
-        raise ValueError(f"{value!r} is not a time of day")
-    return timedelta(hours=hours, minutes=minutes, seconds=seconds)
-
-
-def _blank_separated(value: Any) -> Any:
-    """Split a list of words."""
-    return tuple(value.split()) if isinstance(value, str) else value
-
-
-def _state(value: Any) -> Any:
-    """Read a state in any case."""
-    return value.lower() if isinstance(value, str) else value
-
-
-YesOrNo = Annotated[bool, BeforeValidator(_yes_or_no)]
-TimeOfDay = Annotated[timedelta, BeforeValidator(_time_of_day), Field(ge=timedelta(0), le=_DAY)]
-Words = Annotated[tuple[str, ...], BeforeValidator(_blank_separated), Field(max_length=50)]
-State = Annotated[ServerState, BeforeValidator(_state)]
-Policy = Annotated[CutZonePolicy, BeforeValidator(_state)]
-Header = Annotated[str, Field(pattern=r"^[A-Za-z0-9-]{0,64}$")]
-Text = Annotated[str, Field(max_length=256)]
-Key = Annotated[str, Field(min_length=1, max_length=512)]
-Rate = Annotated[float, Field(ge=0, le=1e9, allow_inf_nan=False)]
-Weight = Annotated[float, Field(ge=0, le=1e6, allow_inf_nan=False)]
-
-_YES = "yes or no"
-_STATES = "in, draining or out"
-_RATE = "a number from 0, in requests per second"
-_WEIGHT = "a number from 0 to 1000000"
-_TIME = "hh:mm"
-_HEADER = "a header name, or - for none"
-# A cell that empties what a blank cell would leave alone.
-CLEARED = "-"
-
-
-def cell(allowed: str, **bounds: Any) -> Any:
-    """Return a field that may be left blank."""
-    return Field(None, json_schema_extra={"allowed": allowed}, **bounds)
-
-
-def filled(allowed: str, **bounds: Any) -> Any:
-    """Return a field that must be filled in."""
-    return Field(json_schema_extra={"allowed": allowed}, **bounds)
-
-
-class CellError(ValueError):
-    """A cell does not fit the rest of the sheet.
-
-    Parameters
-    ----------
-    column : str
-        Name of the cell's column.
-    text : str
-        What is wrong, without a full stop.
-    """
-
-    def __init__(self, column: str, text: str) -> None:
-        super().__init__(text)
-        self.column = column
-
-
-class Row(BaseModel):
-    """One row of the sheet.
-
-    Attributes
-    ----------
-    kind : str
-        First cell of the row.
-    order : int
-        Rows of lower order are applied first.
-    decimals : frozenset of str
-        Columns that hold decimal numbers.
-    clearable : frozenset of str
-        Columns where `CLEARED` stands for an empty value.
-    """
-
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-    kind: ClassVar[str]
-    order: ClassVar[int] = 0
-    decimals: ClassVar[frozenset[str]] = frozenset()
-    clearable: ClassVar[frozenset[str]] = frozenset()
-
-    @classmethod
-    def allowed(cls, column: str) -> str:
-        """Return the words that say what a column allows."""
-        field = cls.model_fields.get(column)
-        extra = field.json_schema_extra if field is not None else None
-        return str(extra["allowed"]) if isinstance(extra, dict) else ""
-
-    @classmethod
-    @abstractmethod
-    def rows_of(cls, configuration: Configuration) -> Iterator["Row"]:
-        """Yield the rows that state the matching part of `configuration`."""
-
-    @abstractmethod
-    def identity(self) -> tuple[str, ...]:
-        """Return what must stand in one sheet only once."""
-
-    @abstractmethod
-    def apply(self, content: Configuration) -> Configuration:
-        """Return `content` with this row applied.
-
-        Raises
-        ------
-        CellError
-            The row does not fit the rest.
-        """
-
-    def filled_in(self) -> dict[str, Any]:
-        """Return the cells that are not blank, by column."""
-        return {name: getattr(self, name) for name in self.model_fields_set}
-
-    def cell(self, column: str) -> str:
-        """Return the text of a cell."""
-        value = getattr(self, column)
-        if column in self.clearable and not value:
-            return CLEARED
-        if value is None:
-            return ""
-        if isinstance(value, float):
-            return repr(value)
-        return show(value) if value != "" else ""
-
 
 class ServiceRow(Row):
     """A service and its terms."""
@@ -178,25 +45,25 @@
 
     name: Name = filled(NAME_FORM)
     team: Name | None = cell(NAME_FORM)
-    keyed: YesOrNo | None = cell(_YES)
+    keyed: YesOrNo | None = cell(YES)
     hash_slots: int | None = cell("a whole number from 1 to 65536", ge=1, le=65536)
     concurrency_limit: int | None = cell("a whole number from 1 to 10000", ge=1, le=10_000)
     connection_limit: int | None = cell("a whole number from 2 to 100000", ge=2, le=100_000)
-    checks_grants: YesOrNo | None = cell(_YES)
-    churn_weight: Weight | None = cell(_WEIGHT)
-    unavailable_weight: Weight | None = cell(_WEIGHT)
+    checks_grants: YesOrNo | None = cell(YES)
+    churn_weight: Weight | None = cell(WEIGHT)
+    unavailable_weight: Weight | None = cell(WEIGHT)
     cut_zone_policy: Policy | None = cell("hold or move")
-    move_after: Duration | None = cell(DURATION_FORM, ge=timedelta(seconds=1), le=_DAY)
+    move_after: Duration | None = cell(DURATION_FORM, ge=timedelta(seconds=1), le=DAY)
     hosts: Words | None = cell("host names, separated by blanks, or - for none")
     path_prefix: Text | None = cell("a path that starts with /", pattern=r"^/[!-~]*$")
-    key_header: Header | None = cell(_HEADER)
+    key_header: Header | None = cell(HEADER)
     key_segment: int | None = cell("a whole number from -1 to 50", ge=-1, le=50)
-    customer_header: Header | None = cell(_HEADER)
+    customer_header: Header | None = cell(HEADER)
     idempotent_methods: Words | None = cell("methods, separated by blanks, or - for none")
     request_timeout: Duration | None = cell(
         DURATION_FORM, ge=timedelta(milliseconds=1), le=timedelta(hours=1)
     )
-    window: Duration | None = cell(DURATION_FORM, ge=timedelta(0), le=_DAY)
+    window: Duration | None = cell(DURATION_FORM, ge=timedelta(0), le=DAY)
 
     def identity(self) -> tuple[str, ...]:
         """Return the service's name."""
@@ -237,7 +104,7 @@
     vm: Name | None = cell("the VM's name in the platform's list")
     zone: Name | None = cell("the name of an availability zone")
     address: Endpoint | None = cell("ip:port")
-    state: State | None = cell(_STATES)
+    state: State | None = cell(STATES)
 
     def identity(self) -> tuple[str, ...]:
         """Return the server's name."""
@@ -287,7 +154,7 @@
     region: Name | None = cell("the name of a region")
     peer_address: Endpoint | None = cell("ip:port")
     admin_address: Endpoint | None = cell("ip:port")
-    state: State | None = cell(_STATES)
+    state: State | None = cell(STATES)
 
     def identity(self) -> tuple[str, ...]:
         """Return the VM's name."""
@@ -328,9 +195,9 @@
     decimals = frozenset({"rate"})
 
     service: Name = filled("the name of a service")
-    start: TimeOfDay = filled(_TIME)
-    end: TimeOfDay = filled(_TIME)
-    rate: Rate = filled(_RATE)
+    start: TimeOfDay = filled(TIME)
+    end: TimeOfDay = filled(TIME)
+    rate: Rate = filled(RATE)
 
     @model_validator(mode="after")
     def check_times(self) -> "PeakRow":
@@ -373,9 +240,9 @@
     decimals = frozenset({"rate"})
 
     service: Name = filled("the name of a service")
-    start: TimeOfDay = filled(_TIME)
+    start: TimeOfDay = filled(TIME)
     key: Key = filled("a key")
-    rate: Rate = filled(_RATE)
+    rate: Rate = filled(RATE)
 
     def identity(self) -> tuple[str, ...]:
         """Return service, start and key."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -11,15 +11,14 @@
     Change,
     History,
     change_between,
-    check_change,
     decode_configuration,
     decode_history,
-    diff,
     encode_configuration,
     encode_history,
     next_version,
-    scope_of,
 )
+from fireflylock.configuration_diff import diff
+from fireflylock.configuration_rules import check_change, scope_of
 from fireflylock.exceptions import ProtocolError
 from fireflylock.model import (
     BackendServer,
