Membership by ring monitoring, and the relay of the platform's state zone by zone

Members of a zone monitor two places to each side of a ring; a loss needs two votes as long as two members can vote, so that a half-open link loses nobody. A few link members per pair of zones carry news between zones and tell when a zone is cut off. One VM per zone reads and watches the platform and spreads changes along a tree; gaps are repaired from neighbours, whose heartbeats carry the revision they hold.

The random-fault test found members that called each other lost for ever after a time of isolation: a member that was lost in another's eyes got no heartbeats from it, and so called it lost in turn. Ruled out: longer hold-down (only slows the circle).

--- a/fireflylock/etcd.py
+++ b/fireflylock/etcd.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
 import json
 import random
@@ -13,15 +12,25 @@
 from fireflylock.clock import Clock
 from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
 from fireflylock.http_client import HTTPClient
-from fireflylock.platform import MAX_VALUE_BYTES, CallCounts, Store, TokenBucket, Value
+from fireflylock.platform import (
+    FLEET_READS_PER_SECOND,
+    FLEET_WRITES_PER_SECOND,
+    MAX_VALUE_BYTES,
+    VM_CALLS_BURST,
+    VM_CALLS_PER_SECOND,
+    CallCounts,
+    Store,
+    TokenBucket,
+    Value,
+)
 
 CALL_TIMEOUT = timedelta(seconds=2)
 # A failed endpoint is left alone for a time that doubles up to the second figure.
 BACKOFF = timedelta(milliseconds=200)
 BACKOFF_MAX = timedelta(seconds=10)
 
-CALLS_PER_SECOND = 4.0
-CALLS_BURST = 20.0
+# Calls that count against the fleet's share of writes.
+WRITE_CALLS = ("txn", "lease")
 
 # What may go wrong below HTTP, and in an answer that is not what it should be.
 CALL_ERRORS = (OSError, TimeoutError, ProtocolError, ValueError, KeyError, TypeError)
@@ -38,8 +47,9 @@
         Source of time.
     timeout : timedelta
         Bound of one call.
-    bucket : TokenBucket or None
-        Bounds the rate of calls of this VM.
+    rate : float or None
+        Calls per second of this VM, reads and writes each; None takes its share of what the
+        fleet may ask.
     rng : random.Random or None
         Source of the jitter.
     """
@@ -49,13 +59,16 @@
         endpoints: list[str],
         clock: Clock,
         timeout: timedelta = CALL_TIMEOUT,
-        bucket: TokenBucket | None = None,
+        rate: float | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self.clients = [HTTPClient(endpoint) for endpoint in endpoints]
         self.clock = clock
         self.timeout = timeout
-        self.bucket = bucket or TokenBucket(CALLS_PER_SECOND, CALLS_BURST)
+        self.has_share = rate is None
+        rate = rate or VM_CALLS_PER_SECOND
+        self.reads = TokenBucket(rate, max(rate, VM_CALLS_BURST))
+        self.writes = TokenBucket(rate, max(rate, VM_CALLS_BURST))
         self.rng = rng or random.Random()
         self.counts = CallCounts()
         self.failures_in_a_row = 0
@@ -111,7 +124,7 @@
                 "progress_notify": True,
             }
         }
-        await self._respect_rate()
+        await self._respect_rate(self.reads)
         self.counts.calls["watch"] += 1
         client = self.clients[self.preferred]
         parts = client.stream("POST", "/v3/watch", self.timeout, json.dumps(request).encode())
@@ -142,6 +155,12 @@
         """End `lease`."""
         await self._call("lease", "/v3/lease/revoke", {"ID": str(lease)})
 
+    def set_fleet_size(self, members: int) -> None:
+        """Take this VM's share of what the fleet may ask."""
+        if self.has_share:
+            self.reads.set_rate(FLEET_READS_PER_SECOND / max(1, members))
+            self.writes.set_rate(FLEET_WRITES_PER_SECOND / max(1, members))
+
     async def close(self) -> None:
         """Close every connection."""
         for client in self.clients:
@@ -152,7 +171,7 @@
         if not self.failures_in_a_row:
             return timedelta(0)
         longest = min(BACKOFF * 2 ** min(self.failures_in_a_row, 10), BACKOFF_MAX)
-        return longest * self.rng.uniform(0.5, 1.0)
+        return longest * self.rng.uniform(0.1, 1.0)
 
     def state(self) -> list[tuple[str, object]]:
         """Return what a dump shows, as plain names and values."""
@@ -166,7 +185,7 @@
 
     async def _call(self, kind: str, path: str, body: dict) -> dict:
         """Return the decoded answer to one call of the gateway."""
-        await self._respect_rate()
+        await self._respect_rate(self.writes if kind in WRITE_CALLS else self.reads)
         self.counts.calls[kind] += 1
         client = self.clients[self.preferred]
         data = json.dumps(body).encode()
@@ -182,13 +201,11 @@
         self.failures_in_a_row = 0
         return decoded
 
-    async def _respect_rate(self) -> None:
+    async def _respect_rate(self, bucket: TokenBucket) -> None:
         """Wait until this VM may make one more call."""
-        wait = self.bucket.wait(self.clock.elapsed())
+        wait = bucket.wait(self.clock.elapsed())
         if wait > timedelta(0):
             await self.clock.sleep(wait)
-            return
-        await asyncio.sleep(0)
 
     def _note_failure(self, kind: str) -> None:
         """Count a failed call and turn to the next endpoint."""
--- /dev/null
+++ b/fireflylock/member_runner.py
@@ -0,0 +1,82 @@
+"""Runs membership: ticks, messages, connections with every member, events."""
+
+import contextlib
+from collections.abc import Callable
+
+from fireflylock.clock import Clock
+from fireflylock.exceptions import ProtocolError
+from fireflylock.member_events import EventKind, MemberEvent, Send
+from fireflylock.membership import Membership
+from fireflylock.messages import (
+    Heartbeat,
+    Join,
+    MemberRows,
+    Suspect,
+    TablePull,
+    Versions,
+    ZoneReach,
+)
+from fireflylock.peers import Peers
+
+MEMBERSHIP_MESSAGES = (Heartbeat, Join, MemberRows, TablePull, Suspect, ZoneReach, Versions)
+
+
+class MemberRunner:
+    """Connects pure membership with the transport.
+
+    Parameters
+    ----------
+    peers, membership, clock : Peers, Membership, Clock
+        The transport, the members, and the source of time.
+
+    Attributes
+    ----------
+    on_event : list of callable
+        Called with each `MemberEvent`.
+    """
+
+    def __init__(self, peers: Peers, membership: Membership, clock: Clock) -> None:
+        self.peers = peers
+        self.membership = membership
+        self.clock = clock
+        self.on_event: list[Callable[[MemberEvent], None]] = []
+        self.connected_places = -1
+        for message_type in MEMBERSHIP_MESSAGES:
+            peers.subscribe(message_type, self._on_message)
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self._send(self.membership.tick(self.clock.elapsed()))
+            self._follow_changes()
+            await self.clock.sleep(self.membership.timing.tick)
+
+    def connect_all(self) -> None:
+        """Keep connections with exactly the members and contacts there are."""
+        addresses = self.membership.addresses()
+        for name in list(self.peers.links):
+            if name not in addresses:
+                self.peers.disconnect(name)
+        for name, address in addresses.items():
+            # A member without a known key is left out; the transport counts refusals.
+            with contextlib.suppress(ProtocolError):
+                self.peers.connect(name, address)
+
+    def _on_message(self, sender: str, message: object) -> None:
+        self._send(self.membership.on_message(self.clock.elapsed(), sender, message))
+        self._follow_changes()
+
+    def _send(self, sends: list[Send]) -> None:
+        for send in sends:
+            self.peers.send(send.to, send.message)
+
+    def _follow_changes(self) -> None:
+        """Adapt the connections, and tell what happened."""
+        events = self.membership.take_events()
+        gone = any(event.kind is EventKind.GONE for event in events)
+        if gone or self.connected_places != self.membership.table.places:
+            self.connected_places = self.membership.table.places
+            self.connect_all()
+        for event in events:
+            for callback in self.on_event:
+                callback(event)
--- /dev/null
+++ b/fireflylock/members.py
@@ -0,0 +1,145 @@
+"""The table of members: what is known of each, and which news is newer."""
+
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+
+from fireflylock.messages import MemberRow
+from fireflylock.ring import ring_order
+
+
+@dataclass(frozen=True)
+class MemberView:
+    """One member as this VM sees it.
+
+    Attributes
+    ----------
+    name, zone, region, peer_address : str
+        Identity and place.
+    incarnation : int
+        Grows with every start of the daemon under this name.
+    alive : bool
+        False once its neighbours agreed that they no longer hear it.
+    reachable : bool
+        False while its zone is cut off from this VM's zone.
+    leaving : bool
+        Whether the platform's list says that it is about to go.
+    config_version : int
+        Version of the configuration that it has in force.
+    """
+
+    name: str
+    zone: str
+    region: str
+    peer_address: str
+    incarnation: int
+    alive: bool
+    reachable: bool
+    leaving: bool
+    config_version: int
+
+
+class MemberTable:
+    """Rows by name, merged so that every VM that has heard the same news holds the same.
+
+    Attributes
+    ----------
+    rows : dict of str to MemberRow
+        The newest row of each member, lost ones included.
+    generation : int
+        Grows with every change.
+    places : int
+        Grows when a member comes, goes or changes its place.
+    digest : int
+        Checksum over the live rows.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[str, MemberRow] = {}
+        self.generation = 0
+        self.places = 0
+        self.digest = 0
+        self.rings: dict[str, list[str]] = {}
+
+    def merge(self, row: MemberRow) -> bool:
+        """Take a row if it is news; return whether it was."""
+        known = self.rows.get(row.name)
+        if known is None:
+            # Nothing is lost with a member that was never known.
+            return row.alive and self._store(row)
+        if _order(row) > _order(known):
+            if row.incarnation == known.incarnation:
+                version = max(row.config_version, known.config_version)
+                row = msgspec.structs.replace(row, config_version=version)
+            return self._store(row)
+        return self.merge_version(row.name, row.incarnation, row.config_version)
+
+    def merge_version(self, name: str, incarnation: int, version: int) -> bool:
+        """Take a member's configuration version if it is news; return whether it was."""
+        known = self.rows.get(name)
+        if known is None or known.incarnation != incarnation:
+            return False
+        if version <= known.config_version:
+            return False
+        return self._store(msgspec.structs.replace(known, config_version=version))
+
+    def forget(self, name: str) -> None:
+        """Drop a lost member's row."""
+        row = self.rows.pop(name)
+        self._changed(row, None)
+
+    def is_alive(self, name: str) -> bool:
+        """Return whether `name` is known and not lost."""
+        row = self.rows.get(name)
+        return row is not None and row.alive
+
+    def zones(self) -> list[str]:
+        """Return the zones that have live members."""
+        self._fill_rings()
+        return list(self.rings)
+
+    def ring(self, zone: str) -> list[str]:
+        """Return the live members of a zone, in the order of its ring."""
+        self._fill_rings()
+        return self.rings.get(zone, [])
+
+    def _fill_rings(self) -> None:
+        """Compute the rings again after a change."""
+        if self.rings:
+            return
+        zones: dict[str, list[str]] = {}
+        for row in self.rows.values():
+            if row.alive:
+                zones.setdefault(row.zone, []).append(row.name)
+        self.rings = {zone: ring_order(zones[zone]) for zone in sorted(zones)}
+
+    def _store(self, row: MemberRow) -> bool:
+        known = self.rows.get(row.name)
+        self.rows[row.name] = row
+        self._changed(known, row)
+        return True
+
+    def _changed(self, old: MemberRow | None, new: MemberRow | None) -> None:
+        self.generation += 1
+        self.digest ^= _checksum(old) ^ _checksum(new)
+        same_place = old is not None and new is not None and _place(old) == _place(new)
+        if not same_place:
+            self.places += 1
+            self.rings = {}
+
+
+def _order(row: MemberRow) -> tuple[int, int, bool]:
+    """Return what decides which of two rows is newer; the news of a loss beats its own life."""
+    return row.incarnation, row.refutation, not row.alive
+
+
+def _place(row: MemberRow) -> tuple[str, str, bool]:
+    return row.zone, row.address, row.alive
+
+
+def _checksum(row: MemberRow | None) -> int:
+    if row is None or not row.alive:
+        return 0
+    text = f"{row.name}\0{row.incarnation}\0{row.refutation}\0{row.config_version}"
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/fireflylock/membership_timing.py
@@ -0,0 +1,54 @@
+"""Periods and bounds of membership."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+
+@dataclass(frozen=True)
+class MembershipTiming:
+    """Periods and bounds of membership.
+
+    Attributes
+    ----------
+    tick : timedelta
+        How often `Membership.tick` is called.
+    heartbeat, loss_after : timedelta
+        Between heartbeats, and the silence after which a neighbour is suspected.
+    zone_loss_after : timedelta
+        The silence after which another zone counts as cut off.
+    pause_after : timedelta
+        Ticks that are further apart mean that this VM was paused.
+    join_every, rejoin_every : timedelta
+        Between attempts to join, and between attempts to reach members that are not live.
+    repair_after, repair_every : timedelta
+        How long tables may differ, and how often a table is asked for.
+    batch : timedelta
+        How long news of versions is collected.
+    forget_after : timedelta
+        How long a lost member is remembered.
+    hold_down, hold_down_max, flap_window : timedelta
+        A member that was called lost again within the window waits before it contradicts,
+        twice as long each time.
+    ring_reach, zone_links : int
+        Ring places to each side, and link members per pair of zones.
+    """
+
+    tick: timedelta = timedelta(milliseconds=25)
+    heartbeat: timedelta = timedelta(milliseconds=100)
+    loss_after: timedelta = timedelta(milliseconds=350)
+    zone_loss_after: timedelta = timedelta(seconds=1)
+    pause_after: timedelta = timedelta(milliseconds=300)
+    join_every: timedelta = timedelta(milliseconds=200)
+    rejoin_every: timedelta = timedelta(seconds=2)
+    repair_after: timedelta = timedelta(seconds=1)
+    repair_every: timedelta = timedelta(seconds=3)
+    batch: timedelta = timedelta(milliseconds=100)
+    forget_after: timedelta = timedelta(minutes=10)
+    hold_down: timedelta = timedelta(milliseconds=500)
+    hold_down_max: timedelta = timedelta(seconds=16)
+    flap_window: timedelta = timedelta(minutes=1)
+    ring_reach: int = 2
+    zone_links: int = 2
+
+
+DEFAULT_TIMING = MembershipTiming()
--- a/fireflylock/messages.py
+++ b/fireflylock/messages.py
@@ -48,26 +48,25 @@
         The sender's own.
     reading_us : int
         The sender's clock when it sent this, in microseconds.
-    echo_us : int
-        The newest `reading_us` that the sender has got from the receiver; -1 for none.
+    echo_incarnation, echo_us : int
+        The newest `reading_us` that the sender has got from the receiver, and the
+        incarnation of the receiver that sent it; -1 for none.
     platform_age_ms : int
         How long before this was sent somebody read the platform, as far as known; -1 for never.
     digest : int
         Checksum of the sender's table of live members.
     state_revision : int
         The platform's revision up to which the sender holds the state.
-    config_version : int
-        Version of the configuration that the sender has in force.
     """
 
     incarnation: int
     refutation: int
     reading_us: int
+    echo_incarnation: int
     echo_us: int
     platform_age_ms: int
     digest: int
     state_revision: int
-    config_version: int
 
 
 class Join(Message, frozen=True, tag=2):
@@ -168,15 +167,47 @@
     ----------
     values : list of StateValue
         New values, in the order of their revisions.
-    revision : int
-        With these, the state is complete up to this revision; 0 when it may not be.
-    since_revision : int
-        The values are complete only for a receiver that holds this revision.
+    since_revision, revision : int
+        These are all the values that changed after the first revision up to the second.
+    root : str
+        The member that spreads these values in its zone; empty for an answer to one member.
     """
 
     values: list[StateValue]
+    since_revision: int
     revision: int
-    since_revision: int = 0
+    root: str = ""
+
+
+class VMRow(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One row of the platform's list of VMs."""
+
+    name: str
+    zone: str
+    region: str
+    address: str
+    leaving: bool
+
+
+class VMListNews(Message, frozen=True, tag=10):
+    """The platform's list of VMs, passed on.
+
+    Attributes
+    ----------
+    version : int
+        Later lists have higher versions.
+    rows : list of VMRow
+        The list.
+    root : str
+        The member that spreads the list in its zone.
+    turn : int
+        Tells the times apart that `root` spreads a list.
+    """
+
+    version: int
+    rows: list[VMRow]
+    root: str
+    turn: int
 
 
 # Requests on their way to a gate.
@@ -532,6 +563,7 @@
     | Versions
     | StatePull
     | StateValues
+    | VMListNews
     | ForwardRequest
     | ForwardResponse
     | ForwardFailure
--- /dev/null
+++ b/fireflylock/neighbours.py
@@ -0,0 +1,190 @@
+"""The members that this one exchanges heartbeats with: in its zone's ring and across zones."""
+
+from dataclasses import dataclass
+
+from fireflylock.clock import Instant
+from fireflylock.freshness import MICROSECOND
+from fireflylock.members import MemberTable
+from fireflylock.membership_timing import MembershipTiming
+from fireflylock.messages import Heartbeat
+from fireflylock.ring import SMALL_ZONE, rendezvous, ring_neighbours, zone_link_members
+
+
+@dataclass
+class Neighbour:
+    """What this member hears from one that it exchanges heartbeats with.
+
+    Attributes
+    ----------
+    heard_at : timedelta
+        When the last heartbeat arrived, or monitoring began.
+    heard_us_at : timedelta
+        When the other side last heard this member, by the echo of an own reading.
+    reading_us, incarnation : int
+        The clock reading in the last heartbeat, and which life of the sender took it; -1 for
+        none.
+    revision : int
+        State revision that the other side holds.
+    differs_since : timedelta or None
+        Since when the tables differ.
+    """
+
+    heard_at: Instant
+    heard_us_at: Instant
+    reading_us: int = -1
+    incarnation: int = -1
+    revision: int = 0
+    differs_since: Instant | None = None
+
+
+class Neighbours:
+    """Who monitors whom, from the point of view of one member.
+
+    Parameters
+    ----------
+    name, zone : str
+        This member.
+    table : MemberTable
+        The members.
+    timing : MembershipTiming
+        Periods and bounds.
+
+    Attributes
+    ----------
+    monitored : dict of str to Neighbour
+        The members that this one monitors, each way.
+    followers : dict of str to Neighbour
+        Members that send heartbeats without being monitored, because they see the fleet
+        differently; they get heartbeats too, lest they call this member lost.
+    ring_peers : list of str
+        Neighbours in the zone's ring.
+    link_peers : dict of str to list of str
+        Counterparts by zone, for the zones that this member keeps a link with.
+    """
+
+    def __init__(self, name: str, zone: str, table: MemberTable, timing: MembershipTiming) -> None:
+        self.name = name
+        self.zone = zone
+        self.table = table
+        self.timing = timing
+        self.monitored: dict[str, Neighbour] = {}
+        self.followers: dict[str, Neighbour] = {}
+        self.ring_peers: list[str] = []
+        self.link_peers: dict[str, list[str]] = {}
+        self.places = -1
+        self.links: dict[tuple[str, str], list[str]] = {}
+        self.choices: dict[str, str] = {}
+
+    def refresh(self, now: Instant) -> None:
+        """Recompute who is monitored, after members came or went."""
+        if self.places == self.table.places:
+            return
+        self._forget_choices()
+        ring = self.table.ring(self.zone)
+        self.ring_peers = ring_neighbours(ring, self.name, self.timing.ring_reach)
+        self.link_peers = {}
+        for zone in self.table.zones():
+            if zone != self.zone and self.name in self.link_members(self.zone, zone):
+                self.link_peers[zone] = self.link_members(zone, self.zone)
+        known = self.monitored
+        self.monitored = {}
+        for name in [*self.ring_peers, *self.linked()]:
+            self.monitored[name] = known.get(name) or Neighbour(now, now)
+            self.followers.pop(name, None)
+
+    def linked(self) -> list[str]:
+        """Return the counterparts in other zones, each once."""
+        names: dict[str, None] = {}
+        for linked in self.link_peers.values():
+            names.update(dict.fromkeys(linked))
+        return list(names)
+
+    def link_members(self, zone: str, other_zone: str) -> list[str]:
+        """Return the members of `zone` that keep its links with `other_zone`."""
+        self._forget_old_choices()
+        pair = (zone, other_zone)
+        if pair not in self.links:
+            ring = self.table.ring(zone)
+            self.links[pair] = zone_link_members(ring, zone, other_zone, self.timing.zone_links)
+        return self.links[pair]
+
+    def chosen(self, purpose: str) -> str:
+        """Return the live member of this zone that carries out `purpose` for the zone."""
+        self._forget_old_choices()
+        if purpose not in self.choices:
+            self.choices[purpose] = rendezvous(self.table.ring(self.zone), purpose)[0]
+        return self.choices[purpose]
+
+    def monitors_of(self, name: str) -> list[str]:
+        """Return the members that vote on the loss of `name`."""
+        zone = self.table.rows[name].zone
+        ring = self.table.ring(zone)
+        monitors = ring_neighbours(ring, name, self.timing.ring_reach)
+        if len(ring) >= SMALL_ZONE:
+            return monitors
+        for other in self.table.zones():
+            if other != zone and name in self.link_members(zone, other):
+                monitors += self.link_members(other, zone)
+        return list(dict.fromkeys(monitors))
+
+    def is_silent(self, now: Instant, name: str) -> bool:
+        """Return whether `name` is monitored and was not heard for long."""
+        neighbour = self.monitored.get(name)
+        return neighbour is not None and now - neighbour.heard_at > self.timing.loss_after
+
+    def hears_zone(self, now: Instant, zone: str) -> bool:
+        """Return whether any counterpart in `zone` was heard lately."""
+        for name in self.link_peers[zone]:
+            if now - self.monitored[name].heard_at <= self.timing.zone_loss_after:
+                return True
+        return False
+
+    def all(self) -> list[tuple[str, Neighbour]]:
+        """Return everybody who gets heartbeats."""
+        return [*self.monitored.items(), *self.followers.items()]
+
+    def hear(self, now: Instant, sender: str, message: Heartbeat, own_incarnation: int) -> None:
+        """Take what a heartbeat says of its sender."""
+        neighbour = self.monitored.get(sender)
+        if neighbour is None:
+            neighbour = self.followers.setdefault(sender, Neighbour(now, now))
+        neighbour.heard_at = now
+        neighbour.reading_us = message.reading_us
+        neighbour.incarnation = message.incarnation
+        neighbour.revision = message.state_revision
+        if message.echo_incarnation == own_incarnation and message.echo_us >= 0:
+            heard_us_at = message.echo_us * MICROSECOND
+            neighbour.heard_us_at = max(neighbour.heard_us_at, heard_us_at)
+        if message.digest == self.table.digest:
+            neighbour.differs_since = None
+        elif neighbour.differs_since is None:
+            neighbour.differs_since = now
+
+    def forgive(self, now: Instant) -> None:
+        """Start every silence afresh: this member itself was paused."""
+        for _, neighbour in self.all():
+            neighbour.heard_at = now
+            neighbour.heard_us_at = now
+
+    def forget_life(self, now: Instant, name: str) -> None:
+        """Start afresh with a member that began a new life."""
+        self.followers.pop(name, None)
+        if name in self.monitored:
+            self.monitored[name] = Neighbour(now, now)
+
+    def drop_silent_followers(self, now: Instant) -> None:
+        """Forget the followers that have fallen silent."""
+        for name, follower in list(self.followers.items()):
+            if now - follower.heard_at > self.timing.zone_loss_after:
+                del self.followers[name]
+
+    def _forget_old_choices(self) -> None:
+        if self.places != self.table.places:
+            self._forget_choices()
+            # `refresh` has still to be called.
+            self.places = -1
+
+    def _forget_choices(self) -> None:
+        self.places = self.table.places
+        self.links = {}
+        self.choices = {}
--- a/fireflylock/peer_keys.py
+++ b/fireflylock/peer_keys.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True)
 class CurveKeys:
-    """A member's key pair and the public keys of its peers, as Z85 text of 40 characters.
+    """A member's key pair and the public keys of its peers, as 40 characters of Z85.
 
     Attributes
     ----------
--- a/fireflylock/platform.py
+++ b/fireflylock/platform.py
@@ -13,6 +13,13 @@
 
 MAX_VALUE_BYTES = 1024 * 1024
 
+# What the whole fleet may ask of the platform, per second.
+FLEET_READS_PER_SECOND = 1000.0
+FLEET_WRITES_PER_SECOND = 200.0
+# What one VM may ask at most, and may ask at once, however small the fleet is.
+VM_CALLS_PER_SECOND = 50.0
+VM_CALLS_BURST = 20.0
+
 # Read-backs after a write without an answer, before the outcome is left unknown.
 READ_BACK_TRIES = 5
 READ_BACK_PAUSE = timedelta(milliseconds=200)
@@ -66,6 +73,11 @@
     tokens: float = -1.0
     filled_at: Instant = timedelta(0)
 
+    def set_rate(self, rate: float) -> None:
+        """Change the rate, and let at most two seconds' worth be used at once."""
+        self.rate = min(rate, VM_CALLS_PER_SECOND)
+        self.burst = min(VM_CALLS_BURST, max(2.0, 2 * self.rate))
+
     def wait(self, now: Instant) -> timedelta:
         """Take a token and return how long to wait before it may be used."""
         if self.tokens < 0 and self.filled_at == timedelta(0):
@@ -149,6 +161,9 @@
     async def revoke_lease(self, lease: int) -> None:
         """End `lease`."""
 
+    def set_fleet_size(self, members: int) -> None:  # noqa: B027 - a store may know no rates.
+        """Say how many VMs share the platform's rates."""
+
     @abstractmethod
     async def close(self) -> None:
         """Close every connection."""
--- /dev/null
+++ b/fireflylock/relay.py
@@ -0,0 +1,337 @@
+"""Keeps this VM's copy of the platform's state up to date, sparing the platform.
+
+One VM of each zone reads and watches the platform and spreads the changes in its zone along
+a tree; the others repair gaps from their neighbours, whose heartbeats tell how far they are.
+"""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+from contextlib import aclosing
+from dataclasses import dataclass
+from datetime import timedelta
+
+from fireflylock.clock import Clock
+from fireflylock.exceptions import PlatformError
+from fireflylock.member_events import MemberEvent
+from fireflylock.member_runner import MemberRunner
+from fireflylock.membership import Membership
+from fireflylock.messages import StatePull, StateValue, StateValues
+from fireflylock.model import VMList
+from fireflylock.peers import Peers
+from fireflylock.platform import Store, Value
+from fireflylock.spreading import WATCHER, Spreader
+from fireflylock.state import StateCache
+from fireflylock.vm_list import VMListReader
+from fireflylock.vm_list_relay import VMListRelay
+
+# Size of one answer to a peer, so that a message stays below the transport's bound.
+ANSWER_BYTES = 2 * 1024 * 1024
+
+# At most one call in so long to ask who else is there, before reading the platform at start.
+JOIN_CHECK = timedelta(milliseconds=20)
+
+
+@dataclass(frozen=True)
+class RelayTiming:
+    """Periods of the relay.
+
+    Attributes
+    ----------
+    join_patience : timedelta
+        How long a starting VM waits for others that may hold the state already.
+    poll : timedelta
+        Between two readings by the zone's watcher; also bounds how old its news can be.
+    pull : timedelta
+        Between two looks at the neighbours' revisions.
+    stale_after : timedelta
+        After so long without news of the platform others try to read it, too.
+    retry, retry_max : timedelta
+        Waits after failed readings.
+    """
+
+    join_patience: timedelta = timedelta(milliseconds=500)
+    poll: timedelta = timedelta(seconds=1)
+    pull: timedelta = timedelta(milliseconds=200)
+    stale_after: timedelta = timedelta(seconds=5)
+    retry: timedelta = timedelta(milliseconds=500)
+    retry_max: timedelta = timedelta(seconds=3)
+
+
+DEFAULT_TIMING = RelayTiming()
+
+
+class StateRelay:
+    """Runs membership and the copy of the platform's state for one daemon.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's service.
+    vm_lists : VMListReader or None
+        The platform's list of VMs.
+    peers, membership, cache : Peers, Membership, StateCache
+        The transport, the members, and the copy that is kept up to date.
+    clock : Clock
+        Source of time.
+    prefix : str
+        Keys of the platform that are kept.
+    timing : RelayTiming
+        Periods.
+    rng : random.Random or None
+        Source of jitter.
+
+    Attributes
+    ----------
+    on_change : list of callable
+        Called with the list of the changed keys.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        vm_lists: VMListReader | None,
+        peers: Peers,
+        membership: Membership,
+        cache: StateCache,
+        clock: Clock,
+        prefix: str,
+        timing: RelayTiming = DEFAULT_TIMING,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.store = store
+        self.peers = peers
+        self.membership = membership
+        self.cache = cache
+        self.clock = clock
+        self.prefix = prefix
+        self.timing = timing
+        self.rng = rng or random.Random()
+        self.runner = MemberRunner(peers, membership, clock)
+        self.spreader = Spreader(peers, membership)
+        self.vm_lists = VMListRelay(vm_lists, self.runner, self.spreader, clock, self.rng)
+        self.on_change: list[Callable[[list[str]], None]] = []
+        self.failed_readings = 0
+        # Nothing under the prefix changed between the cache's revision and this one.
+        self.read_revision = 0
+        self.watching: asyncio.Task | None = None
+        self.tasks: list[asyncio.Task] = []
+        peers.subscribe(StatePull, self._on_pull)
+        peers.subscribe(StateValues, self._on_values)
+
+    @property
+    def on_event(self) -> list[Callable[[MemberEvent], None]]:
+        """Callables that are called with each `MemberEvent`."""
+        return self.runner.on_event
+
+    @property
+    def on_vm_list(self) -> list[Callable[[VMList], None]]:
+        """Callables that are called with each newer `VMList`."""
+        return self.vm_lists.on_vm_list
+
+    def start(self) -> None:
+        """Begin to run; needs a running loop."""
+        loops = (
+            self.runner.run,
+            self.vm_lists.run,
+            self._run_reading,
+            self._run_watch,
+            self._run_pull,
+        )
+        self.tasks = [asyncio.create_task(loop()) for loop in loops]
+
+    async def stop(self) -> None:
+        """Stop running."""
+        self._end_watch()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    @property
+    def ready(self) -> bool:
+        """Whether any state is known: from the platform or from peers."""
+        return self.cache.revision > 0
+
+    async def put(
+        self,
+        key: str,
+        data: bytes,
+        expected_revision: int,
+        also: dict[str, bytes] | None = None,
+    ) -> int:
+        """Write to the platform as `Store.put` does, and spread the change at once."""
+        revision = await self.store.put(key, data, expected_revision, also)
+        self.note_written({key: data, **(also or {})}, revision)
+        return revision
+
+    def note_written(self, written: dict[str, bytes], revision: int) -> None:
+        """Apply and spread an own write that the platform acknowledged."""
+        kept = [
+            Value(key, revision, data)
+            for key, data in written.items()
+            if key.startswith(self.prefix)
+        ]
+        # Other writers may have come in between, so only a direct successor closes the gap.
+        self._take(kept, revision - 1, revision, spread=True)
+
+    def state(self) -> list[tuple[str, object]]:
+        """Return what a dump shows, as plain names and values."""
+        return [
+            ("relay.revision", self.cache.revision),
+            ("relay.watcher", self.membership.chosen(WATCHER)),
+            ("relay.platform_age", self.membership.freshness(self.clock.elapsed())),
+            ("relay.failed_readings", self.failed_readings),
+        ]
+
+    # Reading the platform.
+
+    async def _run_reading(self) -> None:
+        """Read the platform regularly as the zone's watcher, otherwise only when needed."""
+        await self._wait_for_others()
+        while True:
+            if self._should_read():
+                await self._read()
+            await self.clock.sleep(self._next_reading())
+
+    async def _wait_for_others(self) -> None:
+        """Wait for a while to join others, so that a start of many spares the platform."""
+        patience = self.clock.elapsed() + self.timing.join_patience * self.rng.uniform(0.6, 1.0)
+        while not self.membership.joined and self.clock.elapsed() < patience:
+            await self.clock.sleep(JOIN_CHECK)
+
+    def _should_read(self) -> bool:
+        """Return whether to read now.
+
+        Without news of the platform each member of a zone tries with a small chance, so that
+        the zone as a whole makes about one call per retry.
+        """
+        if self.spreader.is_watcher():
+            return True
+        age = self.membership.freshness(self.clock.elapsed())
+        if age is not None and age < self.timing.stale_after:
+            return False
+        members = len(self.membership.table.ring(self.membership.me.zone))
+        return self.rng.random() < 1 / members
+
+    def _next_reading(self) -> timedelta:
+        if self.failed_readings:
+            longest = self.timing.retry * 2 ** min(self.failed_readings, 8)
+            return min(longest, self.timing.retry_max) * self.rng.uniform(0.5, 1.0)
+        return self.timing.poll * self.rng.uniform(0.9, 1.1)
+
+    async def _read(self) -> None:
+        """Read what changed since the revision that is held."""
+        started = self.clock.elapsed()
+        since = self.cache.revision
+        try:
+            values, revision = await self.store.list(self.prefix, since)
+        except PlatformError:
+            self.failed_readings += 1
+            # The watch may be half open; a new one is made once readings succeed.
+            self._end_watch()
+            return
+        self.failed_readings = 0
+        self.membership.note_platform_read(started)
+        newest = max([since, *(value.revision for value in values)])
+        self._take(values, since, newest, spread=True)
+        self.read_revision = max(self.read_revision, revision)
+
+    async def _run_watch(self) -> None:
+        """Hold a watch as the zone's watcher."""
+        while True:
+            await self.clock.sleep(self._next_reading())
+            if self.spreader.is_watcher() and self.read_revision and not self.failed_readings:
+                self.watching = asyncio.create_task(self._watch())
+                await asyncio.wait([self.watching])
+
+    def _end_watch(self) -> None:
+        if self.watching is not None:
+            self.watching.cancel()
+
+    async def _watch(self) -> None:
+        """Take changes as they happen, for as long as this VM is the watcher."""
+        held = self.cache.revision
+        first = max(self.read_revision, held) + 1
+        with contextlib.suppress(PlatformError):
+            async with aclosing(self.store.watch(self.prefix, first)) as changes:
+                async for values in changes:
+                    if not self.spreader.is_watcher():
+                        return
+                    self._take_watched(values, held)
+
+    def _take_watched(self, values: list[Value], held: int) -> None:
+        """Take one batch of a watch.
+
+        Nothing changed between `held` and the first revision of the watch, and every change
+        from there on comes through the watch, in order.
+        """
+        if values:
+            newest = max(value.revision for value in values)
+            self._take(values, held, newest, spread=True)
+
+    # Passing on.
+
+    def _take(self, values: list[Value], since: int, revision: int, spread: bool) -> None:
+        """Take values; spread those that were news."""
+        before = self.cache.revision
+        changed = self.cache.apply(values, since, revision)
+        after = self.membership.state_revision = self.cache.revision
+        if not changed:
+            return
+        if spread:
+            # Values that came early, ahead of a gap, complete what lies up to `after`.
+            news = [value for value in values if value.key in changed]
+            if after > before:
+                news = self.cache.since(before)
+            message = _state_values(news, before, after, self.membership.me.name)
+            self.spreader.start(message, max(value.revision for value in news))
+        for callback in self.on_change:
+            callback(changed)
+
+    def _on_values(self, sender: str, message: StateValues) -> None:
+        values = [Value(each.key, each.revision, each.data) for each in message.values]
+        if message.root and values:
+            turn = max(value.revision for value in values)
+            self.spreader.pass_on(message, message.root, turn)
+        # An answer from another zone is news for the whole zone.
+        spread = not message.root and self._is_elsewhere(sender)
+        self._take(values, message.since_revision, message.revision, spread)
+
+    def _on_pull(self, sender: str, message: StatePull) -> None:
+        answer: list[Value] = []
+        size = 0
+        revision = self.cache.revision
+        for value in self.cache.since(message.since_revision):
+            if answer and size + len(value.data) > ANSWER_BYTES:
+                revision = min(revision, answer[-1].revision)
+                break
+            answer.append(value)
+            size += len(value.data)
+        self.peers.send(sender, _state_values(answer, message.since_revision, revision, ""))
+
+    async def _run_pull(self) -> None:
+        """Repair gaps from the neighbour that is furthest ahead."""
+        while True:
+            await self.clock.sleep(self.timing.pull * self.rng.uniform(0.8, 1.2))
+            self.store.set_fleet_size(len(self.membership.table.rows))
+            ahead = self._furthest_neighbour()
+            if ahead:
+                self.peers.send(ahead, StatePull(self.cache.revision))
+
+    def _furthest_neighbour(self) -> str:
+        """Return the neighbour that holds the highest revision above this VM's own."""
+        best, best_revision = "", self.cache.revision
+        for name, neighbour in self.membership.neighbours.monitored.items():
+            if neighbour.revision > best_revision:
+                best, best_revision = name, neighbour.revision
+        return best
+
+    def _is_elsewhere(self, name: str) -> bool:
+        row = self.membership.table.rows.get(name)
+        return row is not None and row.zone != self.membership.me.zone
+
+
+def _state_values(values: list[Value], since: int, revision: int, root: str) -> StateValues:
+    rows = [StateValue(value.key, value.revision, value.data) for value in values]
+    return StateValues(rows, since, revision, root)
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -17,7 +17,7 @@
     request = ForwardRequest(
         number, text, text, text, text, "GET", body, headers, body, True, None, 5, False
     )
-    values = StateValues([StateValue(text, number, body)], number)
+    values = StateValues([StateValue(text, number, body)], 0, number)
     for message in (request, values):
         assert decode(encode(message)) == message
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,8 +19,7 @@
 async def platform_and_store():
     platform = PlatformStandIn()
     port = await platform.start()
-    bucket = TokenBucket(rate=1000, burst=1000)
-    store = EtcdStore([f"http://127.0.0.1:{port}"], SystemClock(), bucket=bucket)
+    store = EtcdStore([f"http://127.0.0.1:{port}"], SystemClock(), rate=1000)
     try:
         yield platform, store, port
     finally:
