Logs: loggers made before the set-up obey it, and exceptions are logged with their cause

A module's logger was bound at import, which fixed structlog's defaults for good, so that modules wrote console lines at any level. exception() left its traceback out.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -60,13 +60,20 @@
                 found.append(f"{name} ended with status {process.returncode}")
         return found
 
-    def stop(self) -> None:
-        """End everything: politely first, then not."""
-        for process in self.running.values():
+    def stop(self, first: list[str]) -> None:
+        """End everything, those named `first` before the rest."""
+        rest = [name for name in self.running if name not in first]
+        self.stop_some([name for name in first if name in self.running])
+        self.stop_some(rest)
+
+    def stop_some(self, names: list[str]) -> None:
+        """End some processes: politely first, then not."""
+        processes = [self.running[name] for name in names]
+        for process in processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGTERM)
         deadline = time.monotonic() + STOP_SECONDS
-        for process in self.running.values():
+        for process in processes:
             try:
                 process.wait(max(0.0, deadline - time.monotonic()))
             except subprocess.TimeoutExpired:
--- a/demo/run.py
+++ b/demo/run.py
@@ -75,7 +75,7 @@
             await asyncio.gather(self.traffic.run(self.seconds), self.disturb())
             moved = self.count_moved(before)
         finally:
-            self.processes.stop()
+            self.processes.stop(first=[vm.name for vm in self.deployment.vms()])
             self.deployment.close()
         self.check()
         self.say("\n" + format_report(self.plan.name, self.traffic, self.findings, moved))
--- a/fireflylock/log.py
+++ b/fireflylock/log.py
@@ -84,6 +84,7 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.dev.set_exc_info,
             structlog.processors.format_exc_info,
             hide_secrets,
             renderer,
@@ -98,8 +99,8 @@
 
 
 def logger(module: str) -> Any:
-    """Return the logger of a module."""
-    return structlog.get_logger().bind(module=module)
+    """Return the logger of a module; it may be made before `configure` is called."""
+    return structlog.get_logger(module=module)
 
 
 def request_context(request_id: str) -> Any:
