--- /dev/null
+++ b/fireflylock/fleet.py
@@ -0,0 +1,90 @@
+"""The fleet: the entry VMs as this one sees them, and who does what among them."""
+
+from collections.abc import Mapping
+
+from fireflylock.clock import Clock
+from fireflylock.gate_election import Candidate
+from fireflylock.members import MemberView
+from fireflylock.membership import Membership
+from fireflylock.model import Configuration, ServerState
+from fireflylock.ring import rendezvous
+
+
+class Processes(Mapping[str, str]):
+    """The latest known process of each member, by name.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Where members are known.
+    """
+
+    def __init__(self, fleet: "Fleet") -> None:
+        self.fleet = fleet
+
+    def __getitem__(self, name: str) -> str:
+        return process_of(self.fleet.views()[name])
+
+    def __iter__(self):
+        return iter(self.fleet.views())
+
+    def __len__(self) -> int:
+        return len(self.fleet.views())
+
+
+class Fleet:
+    """What this entry VM knows of the others.
+
+    Parameters
+    ----------
+    membership : Membership
+        The members.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(self, membership: Membership, clock: Clock) -> None:
+        self.membership = membership
+        self.clock = clock
+        self.processes = Processes(self)
+
+    def views(self) -> dict[str, MemberView]:
+        """Return every known member by name, lost ones included."""
+        return self.membership.live(self.clock.elapsed())
+
+    def known(self) -> list[MemberView]:
+        """Return every known member, sorted by name."""
+        return sorted(self.views().values(), key=lambda view: view.name)
+
+    def is_live(self, name: str) -> bool:
+        """Return whether messages to `name` are believed to arrive."""
+        if name == self.membership.me.name:
+            return True
+        view = self.views().get(name)
+        if view is None or not view.alive or not view.reachable:
+            return False
+        return not self.membership.is_unreachable(self.clock.elapsed(), name)
+
+    def live_names(self) -> list[str]:
+        """Return the members that are alive and in a zone that can be reached."""
+        return [view.name for view in self.views().values() if view.alive and view.reachable]
+
+    def candidates(self, configuration: Configuration) -> list[Candidate]:
+        """Return the live members that may hold gates; those going out may not."""
+        found = []
+        for view in self.views().values():
+            vm = configuration.vms.get(view.name)
+            in_use = vm is None or vm.state is ServerState.IN
+            if view.alive and view.reachable and in_use and not view.leaving:
+                found.append(Candidate(view.name, view.zone, view.region))
+        return found
+
+    def planner_of(self, service: str) -> str:
+        """Return which entry VM plans for `service`."""
+        chosen = rendezvous(self.live_names(), f"planner of {service}")
+        return chosen[0] if chosen else ""
+
+
+def process_of(view: MemberView) -> str:
+    """Return the name of a member's running process."""
+    return str(view.incarnation)
--- /dev/null
+++ b/fireflylock/gate.py
@@ -0,0 +1,341 @@
+"""The gate: the one place that sends requests to one backend server."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from fireflylock.admission import Admission, Queued, Refused, Ticket
+from fireflylock.backend import ServerPool
+from fireflylock.clock import Clock, Instant
+from fireflylock.exceptions import ErrorKind, RequestError
+from fireflylock.exchange import Body, Headers, Request, Response
+from fireflylock.model import BackendServer, Service
+from fireflylock.session import GateSession, SessionState
+
+# An idle control loop looks at queue deadlines at least this often.
+LONGEST_IDLE = timedelta(milliseconds=50)
+
+
+class FinishingBody(Body):
+    """A response body that calls back exactly once when it ends, breaks or is closed.
+
+    Parameters
+    ----------
+    body : Body
+        The backend server's body.
+    on_end : callable
+        Called with True after a complete body, else with False.
+    """
+
+    def __init__(self, body: Body, on_end: Callable[[bool], None]) -> None:
+        self.body = body
+        self.on_end: Callable[[bool], None] | None = on_end
+
+    async def read(self) -> bytes:
+        """Return the next chunk."""
+        try:
+            chunk = await self.body.read()
+        except BaseException:
+            self.finish(False)
+            raise
+        if not chunk:
+            self.finish(True)
+        return chunk
+
+    async def close(self) -> None:
+        """Release the server's body; what was not read is abandoned."""
+        try:
+            await self.body.close()
+        finally:
+            self.finish(False)
+
+    def finish(self, complete: bool) -> None:
+        """Call back, once."""
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end(complete)
+
+
+@dataclass(frozen=True)
+class Waiting:
+    """A request that waits for the server's room.
+
+    Attributes
+    ----------
+    unit : int
+        Which unit it belongs to.
+    future : asyncio.Future
+        Ends when the request may go on, or with the error that answers it.
+    """
+
+    unit: int
+    future: asyncio.Future[None]
+
+
+class Gate:
+    """Everything that one entry VM does for one backend server that it is the gate of.
+
+    Parameters
+    ----------
+    server : BackendServer
+        The server.
+    service : Service
+        Its service.
+    session : GateSession
+        The right to send, held against the server.
+    pool : ServerPool
+        Connections to the server.
+    admission : Admission
+        Queue and concurrency limit.
+    clock : Clock
+        Time.
+    call_timeout : timedelta
+        Longest wait for the answer to one control call.
+    """
+
+    def __init__(
+        self,
+        server: BackendServer,
+        service: Service,
+        session: GateSession,
+        pool: ServerPool,
+        admission: Admission,
+        clock: Clock,
+        call_timeout: timedelta,
+    ) -> None:
+        self.server = server
+        self.service = service
+        self.session = session
+        self.pool = pool
+        self.admission = admission
+        self.clock = clock
+        self.call_timeout = call_timeout
+        self.running: Counter[int] = Counter()
+        self.waiting: dict[str, Waiting] = {}
+        self.wake = asyncio.Event()
+        self.closing = False
+        self.refused = 0
+        self.on_progress: Callable[[Gate], None] = lambda _gate: None
+
+    async def handle(self, request: Request, unit: int, epoch: int) -> Response:
+        """Send `request` to the server under the grant (`unit`, `epoch`).
+
+        Raises
+        ------
+        RequestError
+            The system answers itself.
+        """
+        self.check(request, unit, epoch)
+        ticket = await self.admit(request, unit)
+        started = False
+
+        def before_send() -> None:
+            nonlocal started
+            self.check(request, unit, epoch)
+            if not started:
+                self.running[unit] += 1
+                started = True
+
+        def finish(complete: bool) -> None:
+            if started:
+                self.running[unit] -= 1
+                self.wake.set()
+            self.start(self.admission.finish(self.clock.elapsed(), ticket, complete))
+
+        try:
+            headers = self.headers(request, unit, epoch)
+            response = await self.pool.exchange(request, headers, before_send)
+        except BaseException:
+            finish(False)
+            raise
+        response.body = FinishingBody(response.body, finish)
+        return response
+
+    def check(self, request: Request, unit: int, epoch: int) -> None:
+        """Raise unless the request may be handed to the transport in this very step."""
+        now = self.clock.elapsed()
+        if now >= request.deadline:
+            raise RequestError(ErrorKind.DEADLINE_TOO_SHORT, "the deadline passed in the queue")
+        if self.closing:
+            raise RequestError(ErrorKind.MOVED, "the gate is being handed over")
+        if not self.session.may_send(now, unit, epoch):
+            raise RequestError(ErrorKind.MOVED, f"unit {unit} at epoch {epoch} is not granted")
+
+    def headers(self, request: Request, unit: int, epoch: int) -> Headers:
+        """Return the headers that tell the server under which grant the request comes."""
+        gate_epoch, rank = self.session.gate_epoch
+        remaining = request.deadline - self.clock.elapsed()
+        milliseconds = max(1, int(remaining / timedelta(milliseconds=1)))
+        return [
+            (b"fireflylock-request-id", request.request_id.encode("ascii")),
+            (b"fireflylock-gate-epoch", b"%d.%d" % (gate_epoch, rank)),
+            (b"fireflylock-unit", b"%d" % unit),
+            (b"fireflylock-unit-epoch", b"%d" % epoch),
+            (b"fireflylock-deadline-ms", b"%d" % milliseconds),
+        ]
+
+    async def admit(self, request: Request, unit: int) -> Ticket:
+        """Wait until the server has room for `request`.
+
+        Raises
+        ------
+        RequestError
+            The queue is full, or the deadline cannot be met.
+        """
+        ticket = Ticket(request.request_id, request.customer, request.deadline)
+        decision = self.admission.offer(self.clock.elapsed(), ticket)
+        if isinstance(decision, Refused):
+            self.refused += 1
+            raise RequestError(decision.kind, retry_after=decision.retry_after)
+        if not isinstance(decision, Queued):
+            return ticket
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[ticket.request_id] = Waiting(unit, future)
+        self.wake.set()
+        try:
+            await future
+        except asyncio.CancelledError:
+            self.abandon(ticket, future)
+            raise
+        except RequestError:
+            self.start(self.admission.cancel(self.clock.elapsed(), ticket))
+            raise
+        finally:
+            self.waiting.pop(ticket.request_id, None)
+        return ticket
+
+    def abandon(self, ticket: Ticket, future: asyncio.Future[None]) -> None:
+        """Give back what a cancelled request held: its place, or the room it was just given."""
+        now = self.clock.elapsed()
+        if future.done() and not future.cancelled():
+            self.start(self.admission.finish(now, ticket, False))
+            return
+        self.start(self.admission.cancel(now, ticket))
+
+    def start(self, tickets: list[Ticket]) -> None:
+        """Let queued requests go on that the server now has room for."""
+        for ticket in tickets:
+            waiting = self.waiting.get(ticket.request_id)
+            if waiting is None or waiting.future.done():
+                # The request was cancelled in the same step; its room goes to the next one.
+                self.start(self.admission.finish(self.clock.elapsed(), ticket, False))
+                continue
+            waiting.future.set_result(None)
+
+    def expire(self, now: Instant) -> None:
+        """Answer queued requests that can no longer meet their deadline."""
+        for ticket, refused in self.admission.expire(now):
+            waiting = self.waiting.get(ticket.request_id)
+            if waiting is None or waiting.future.done():
+                continue
+            self.refused += 1
+            error = RequestError(refused.kind, retry_after=refused.retry_after)
+            waiting.future.set_exception(error)
+
+    async def run(self) -> None:
+        """Keep the session with the server until cancelled."""
+        while True:
+            now = self.clock.elapsed()
+            self.expire(now)
+            call = self.session.poll(now)
+            if call is not None:
+                await self.call(call)
+                self.on_progress(self)
+                continue
+            self.on_progress(self)
+            await self.idle(now)
+
+    async def call(self, call: dict) -> None:
+        """Make one control call and tell the session what came of it."""
+        try:
+            reply = await self.pool.control(call, self.call_timeout)
+        except Exception:
+            # Whatever went wrong, the server may or may not have carried out the call.
+            self.session.on_failure(self.clock.elapsed(), call)
+            return
+        self.session.on_reply(self.clock.elapsed(), call, reply)
+
+    async def idle(self, now: Instant) -> None:
+        """Wait until the session is due, the queue changed, or `LONGEST_IDLE` passed."""
+        self.wake.clear()
+        pause = min(self.session.next_due(now) - now, LONGEST_IDLE)
+        if pause <= timedelta(0):
+            await asyncio.sleep(0)
+            return
+        try:
+            async with asyncio.timeout(pause.total_seconds()):
+                await self.wake.wait()
+        except TimeoutError:
+            return
+
+    def set_grants(self, grants: dict[int, int], revision: int) -> None:
+        """Take over the units and epochs that one revision of the assignment gives."""
+        self.session.set_grants(self.clock.elapsed(), grants, revision)
+        self.wake.set()
+
+    def release(self, units: Iterable[int]) -> None:
+        """Stop sending for `units` under their present epochs for good."""
+        units = set(units)
+        self.session.release(self.clock.elapsed(), units)
+        self.turn_away(units)
+        self.wake.set()
+
+    def turn_away(self, units: set[int] | None = None) -> None:
+        """Answer the queued requests of `units`, or all, so that they look for the next gate."""
+        for waiting in list(self.waiting.values()):
+            if waiting.future.done() or (units is not None and waiting.unit not in units):
+                continue
+            waiting.future.set_exception(RequestError(ErrorKind.MOVED, "the key is moving"))
+
+    def released(self) -> dict[int, int]:
+        """Return the units whose release is complete: nothing of them runs any more."""
+        return self.session.released(self.clock.elapsed(), self.running.__getitem__)
+
+    @property
+    def idle_now(self) -> bool:
+        """Whether no request is queued or under way."""
+        return not self.waiting and not any(self.running.values())
+
+    @property
+    def open(self) -> bool:
+        """Whether the server accepts requests from this gate."""
+        return self.session.state is SessionState.OPEN
+
+    async def drain(self) -> None:
+        """Take no new request; return when the last one under way has ended."""
+        self.closing = True
+        self.turn_away()
+        while not self.idle_now:
+            await self.clock.sleep(timedelta(milliseconds=5))
+
+    def replace_session(self, session: GateSession) -> None:
+        """Go on under a new gate epoch; what was granted before is claimed afresh."""
+        self.session = session
+        self.wake.set()
+
+    def give_up(self) -> None:
+        """Answer everything under way at once: the server is lost."""
+        self.turn_away()
+        self.pool.close()
+        self.pool = ServerPool(self.server, self.service.connection_limit, self.clock)
+
+    def close(self) -> None:
+        """Close every connection to the server."""
+        self.closing = True
+        self.pool.close()
+
+    def debug(self) -> list[tuple[str, object]]:
+        """Return the gate's state as (name, value) pairs."""
+        now = self.clock.elapsed()
+        return [
+            ("server", self.server.name),
+            ("service", self.service.name),
+            ("gate_epoch", "{}.{}".format(*self.session.gate_epoch)),
+            ("session", self.session.state.value),
+            ("session_over", self.session.over(now)),
+            ("running", sum(self.running.values())),
+            ("waiting", len(self.waiting)),
+            ("closing", self.closing),
+        ]
--- /dev/null
+++ b/fireflylock/gatekeeper.py
@@ -0,0 +1,302 @@
+"""The gates that this entry VM holds, kept in step with configuration and assignments."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from fireflylock.admission import Admission
+from fireflylock.assignment import Assignment, GateRecord
+from fireflylock.assignments import AssignmentBook
+from fireflylock.backend import ServerPool
+from fireflylock.clock import Clock
+from fireflylock.coverage import Coverage
+from fireflylock.exceptions import ErrorKind, RequestError
+from fireflylock.exchange import Handler, Request, Response
+from fireflylock.fenced_session import FencedSession
+from fireflylock.gate import Gate
+from fireflylock.idempotency import EntryState, IdempotencyWindow, WindowLimits
+from fireflylock.log import logger
+from fireflylock.model import BackendServer, Configuration, Service
+from fireflylock.orders import Orders
+from fireflylock.session import GateSession, SessionTiming, UncheckedSession
+
+# Service time that admission assumes before it has seen one.
+FIRST_SERVICE_TIME = timedelta(milliseconds=20)
+
+# The unit of services without keys: every backend server serves all of it.
+WHOLE_SERVICE = 0
+
+LOG = logger("gatekeeper")
+
+
+@dataclass(frozen=True)
+class GateLimits:
+    """Bounds of one gate.
+
+    Attributes
+    ----------
+    queue_requests : int
+        Requests that may wait for one backend server.
+    window_entries, window_bytes : int
+        Idempotency keys, and bytes of answers, remembered per service.
+    """
+
+    queue_requests: int = 200
+    window_entries: int = 200_000
+    window_bytes: int = 32 * 1024 * 1024
+
+
+class Gatekeeper(Handler):
+    """The gates of this entry VM.
+
+    Parameters
+    ----------
+    me, process : str
+        This entry VM, and this process of its daemon.
+    configuration : callable
+        Returns the configuration in force.
+    book : AssignmentBook
+        Assignments in force.
+    clock : Clock
+        Time.
+    timing : SessionTiming
+        Times of sessions with backend servers.
+    limits : GateLimits
+        Bounds.
+
+    Attributes
+    ----------
+    gates : dict of str to Gate
+        By backend server.
+    on_progress : callable
+        Called with a gate after each step of its session.
+    on_request : callable
+        Called with gate, request and unit for each request, for counting load.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        process: str,
+        configuration: Callable[[], Configuration],
+        book: AssignmentBook,
+        clock: Clock,
+        timing: SessionTiming,
+        limits: GateLimits,
+    ) -> None:
+        self.me = me
+        self.process = process
+        self.configuration = configuration
+        self.book = book
+        self.clock = clock
+        self.timing = timing
+        self.limits = limits
+        self.gates: dict[str, Gate] = {}
+        self.loops: dict[str, asyncio.Task[None]] = {}
+        self.closing: set[asyncio.Task[None]] = set()
+        self.orders: dict[str, Orders] = {}
+        self.held: dict[str, dict[int, int]] = {}
+        self.coverage: dict[str, Coverage] = {}
+        self.on_progress: Callable[[Gate], None] = lambda _gate: None
+        self.on_request: Callable[[Gate, Request, int], None] = lambda _gate, _request, _unit: None
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a request through the gate of its owner, which must be here."""
+        service = self.configuration().services.get(request.service)
+        assignment = self.book.get(request.service)
+        if service is None or assignment is None:
+            raise RequestError(ErrorKind.NO_CONFIGURATION)
+        if not service.keyed:
+            return await self.handle_without_key(service, request)
+        unit = assignment.unit_of(request.key)
+        ownership = assignment.units.get(unit)
+        if ownership is None or not ownership.server:
+            raise RequestError(ErrorKind.NO_OWNER)
+        gate = self.gates.get(ownership.server)
+        if gate is None:
+            raise RequestError(ErrorKind.MOVED, f"{self.me} is not the gate of the key's owner")
+        self.on_request(gate, request, unit)
+        epoch = ownership.epoch
+        if request.idempotent or not request.idempotency_key:
+            return await gate.handle(request, unit, epoch)
+        orders = self.orders_of(service)
+        return await orders.handle(request, unit, lambda order: gate.handle(order, unit, epoch))
+
+    async def handle_without_key(self, service: Service, request: Request) -> Response:
+        """Answer a request of a service without keys through the least busy gate here."""
+        gates = [gate for gate in self.gates.values() if gate.service.name == service.name]
+        usable = [gate for gate in gates if gate.open and not gate.admission.draining]
+        if not usable:
+            raise RequestError(ErrorKind.MOVED, f"{self.me} has no open gate of {service.name}")
+        gate = min(usable, key=lambda found: found.running[WHOLE_SERVICE] + len(found.waiting))
+        self.on_request(gate, request, WHOLE_SERVICE)
+        epoch = gate.session.granted.get(WHOLE_SERVICE, 0)
+        return await gate.handle(request, WHOLE_SERVICE, epoch)
+
+    def orders_of(self, service: Service) -> Orders:
+        """Return the orders of `service`, with a window of its own."""
+        orders = self.orders.get(service.name)
+        if orders is None:
+            limits = WindowLimits(
+                duration=service.window,
+                entries=self.limits.window_entries,
+                bytes=self.limits.window_bytes,
+            )
+            orders = Orders(IdempotencyWindow(limits), self.clock)
+            self.orders[service.name] = orders
+        return orders
+
+    def follow(self) -> None:
+        """Open, change and close gates after a change of configuration or assignments."""
+        configuration = self.configuration()
+        for server in list(self.gates):
+            if not self.is_mine(configuration, server):
+                self.drop(server)
+        for service in configuration.services.values():
+            assignment = self.book.get(service.name)
+            if assignment is None:
+                continue
+            self.follow_service(configuration, service, assignment)
+
+    def is_mine(self, configuration: Configuration, server: str) -> bool:
+        """Return whether this process is the recorded gate of `server`."""
+        known = configuration.servers.get(server)
+        assignment = None if known is None else self.book.get(known.service)
+        if assignment is None:
+            return False
+        record = assignment.gates.get(server)
+        return record is not None and (record.member, record.process) == (self.me, self.process)
+
+    def follow_service(
+        self, configuration: Configuration, service: Service, assignment: Assignment
+    ) -> None:
+        """Bring the gates of one service in step with its assignment."""
+        by_server: dict[str, dict[int, int]] = {}
+        for unit, ownership in assignment.units.items():
+            by_server.setdefault(ownership.server, {})[unit] = ownership.epoch
+        held: dict[int, int] = {}
+        fresh: list[Gate] = []
+        for server, record in assignment.gates.items():
+            known = configuration.servers.get(server)
+            if known is None or not self.is_mine(configuration, server):
+                continue
+            gate = self.gates.get(server)
+            if gate is None:
+                gate = self.open(known, service, record)
+                fresh.append(gate)
+            elif gate.session.gate_epoch != (record.epoch, 0):
+                gate.replace_session(self.new_session(known, service, record))
+            units = by_server.get(server, {})
+            if not service.keyed:
+                units = {WHOLE_SERVICE: record.epoch}
+            held.update(units)
+            gate.set_grants(units, assignment.revision)
+        self.cover(service, assignment, held)
+
+    def cover(self, service: Service, assignment: Assignment, held: dict[int, int]) -> None:
+        """Find out for which units earlier idempotency keys may not be known here."""
+        before = self.held.get(service.name, {})
+        self.held[service.name] = held
+        if not service.keyed:
+            return
+        coverage = self.coverage.setdefault(service.name, Coverage())
+        lost = [
+            unit
+            for unit, epoch in held.items()
+            if unit not in before and not coverage.knows(assignment, unit, epoch)
+        ]
+        lost += coverage.unknown_returns(assignment, held)
+        coverage.assignment = assignment
+        window = self.orders_of(service).window
+        window.taken_over(self.clock.elapsed(), self.clock.now(), lost)
+
+    def take_window(
+        self,
+        service: Service,
+        units: dict[int, int],
+        hot_keys: dict[str, int],
+        entries: list[bytes],
+    ) -> None:
+        """Take over idempotency keys; see `WindowTransfer` for the arguments."""
+        window = self.orders_of(service).window
+        window.import_(self.clock.elapsed(), entries)
+        coverage = self.coverage.setdefault(service.name, Coverage())
+        coverage.units.update(units)
+        coverage.hot_keys.update(hot_keys)
+
+    def export_window(self, service: Service, units: Iterable[int]) -> list[bytes]:
+        """Return the remembered idempotency keys of `units`.
+
+        Orders that are still queued were not sent; they look for the next gate themselves.
+        """
+        wanted = set(units)
+        assignment = self.book.get(service.name)
+        window = self.orders_of(service).window
+        now = self.clock.elapsed()
+        exported = []
+        for entry in window.entries.values():
+            if entry.state is EntryState.RUNNING:
+                continue
+            if assignment is None or assignment.unit_of(entry.identity[1]) not in wanted:
+                continue
+            exported.append(window.export_entry(now, entry))
+        return exported
+
+    def open(self, server: BackendServer, service: Service, record: GateRecord) -> Gate:
+        """Begin to be the gate of `server`."""
+        gate = Gate(
+            server,
+            service,
+            self.new_session(server, service, record),
+            ServerPool(server, service.connection_limit, self.clock),
+            Admission(service.concurrency_limit, self.limits.queue_requests, FIRST_SERVICE_TIME),
+            self.clock,
+            self.timing.call_timeout,
+        )
+        gate.on_progress = lambda found: self.on_progress(found)
+        self.gates[server.name] = gate
+        self.loops[server.name] = asyncio.create_task(gate.run())
+        LOG.info("gate_opened", server=server.name, gate_epoch=record.epoch)
+        return gate
+
+    def new_session(
+        self, server: BackendServer, service: Service, record: GateRecord
+    ) -> GateSession:
+        """Return the session that belongs to a gate record."""
+        now = self.clock.elapsed()
+        epoch = (record.epoch, 0)
+        if service.checks_grants:
+            return FencedSession(
+                server.name, epoch, self.timing, now, incarnation=record.server_incarnation
+            )
+        if record.epoch == 1:
+            return UncheckedSession(server.name, epoch, self.timing, now)
+        # Requests of the gate before this one may run until their deadline.
+        quiet_until = now + service.request_timeout
+        return UncheckedSession(server.name, epoch, self.timing, now, quiet_until)
+
+    def drop(self, server: str) -> None:
+        """Stop being the gate of `server`; requests under way may still end."""
+        gate = self.gates.pop(server)
+        loop = self.loops.pop(server)
+        gate.session.close(self.clock.elapsed())
+        loop.cancel()
+        task = asyncio.create_task(self.finish(gate))
+        self.closing.add(task)
+        task.add_done_callback(self.closing.discard)
+        LOG.info("gate_closed", server=server)
+
+    async def finish(self, gate: Gate) -> None:
+        """Let a gate's last requests end, then close its connections."""
+        await gate.drain()
+        gate.close()
+
+    async def close(self) -> None:
+        """Close every gate at once."""
+        for server in list(self.gates):
+            gate = self.gates.pop(server)
+            self.loops.pop(server).cancel()
+            gate.close()
+        for task in list(self.closing):
+            task.cancel()
--- /dev/null
+++ b/fireflylock/handover.py
@@ -0,0 +1,108 @@
+"""Handover: a daemon that stops gives its gates to other entry VMs, cutting nothing off."""
+
+import asyncio
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from fireflylock.assignment import Assignment, GateRecord
+from fireflylock.assignment_changes import with_gate
+from fireflylock.exceptions import InvariantError, PlatformError
+from fireflylock.fleet import process_of
+from fireflylock.gate import Gate
+from fireflylock.gate_election import decide_gate
+from fireflylock.log import logger
+from fireflylock.messages import GateHandover
+from fireflylock.proofs import HandedOver
+from fireflylock.windows import Handoff
+
+if TYPE_CHECKING:
+    from fireflylock.node import Node
+
+LOG = logger("handover")
+
+RETRY_PAUSE = timedelta(milliseconds=200)
+
+
+class Handover:
+    """Hands gates over.
+
+    Parameters
+    ----------
+    node : Node
+        The running daemon.
+    """
+
+    def __init__(self, node: "Node") -> None:
+        self.node = node
+
+    async def all(self, timeout: timedelta) -> None:
+        """Hand every gate over, or give up after `timeout`."""
+        gates = list(self.node.gatekeeper.gates.values())
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                await asyncio.gather(*(self.hand_over(gate) for gate in gates))
+        except TimeoutError:
+            LOG.warning("gates not handed over in time", servers=list(self.node.gatekeeper.gates))
+
+    async def hand_over(self, gate: Gate) -> None:
+        """Let the gate's requests end, send its idempotency keys on, and record the next gate."""
+        successor = self.successor(gate)
+        if successor is None:
+            return
+        await gate.drain()
+        await self.send_window(gate, successor.member)
+        while gate.server.name in self.node.gatekeeper.gates:
+            if await self.record(gate, successor):
+                return
+            await self.node.clock.sleep(RETRY_PAUSE)
+
+    def successor(self, gate: Gate) -> GateRecord | None:
+        """Return the record of the next gate, or None when there is nobody."""
+        candidates = self.node.fleet.candidates(self.node.configuration())
+        others = [candidate for candidate in candidates if candidate.name != self.node.name]
+        member = decide_gate(gate.server, None, others).gate
+        assignment = self.node.book.get(gate.service.name)
+        if not member or assignment is None:
+            return None
+        process = process_of(self.node.fleet.views()[member])
+        present = assignment.gates[gate.server.name]
+        return GateRecord(
+            member, 0, process=process, server_incarnation=present.server_incarnation
+        )
+
+    async def send_window(self, gate: Gate, member: str) -> None:
+        """Send the idempotency keys of the gate's units to the next gate."""
+        assignment = self.node.book.get(gate.service.name)
+        if assignment is None or not gate.service.keyed:
+            return
+        units = assignment.units_of(gate.server.name)
+        await self.node.windows.transfer(Handoff(gate.service.name, member, set(units), units))
+
+    async def record(self, gate: Gate, successor: GateRecord) -> bool:
+        """Write the next gate; True when nothing is left to do."""
+        server = gate.server.name
+        epoch = gate.session.gate_epoch[0]
+
+        def change(present: Assignment | None, change_id: str) -> Assignment | None:
+            if present is None or present.gates[server].epoch != epoch:
+                return None
+            proof = HandedOver(server, epoch)
+            return with_gate(present, server, successor, proof, change_id)
+
+        try:
+            await self.node.book.update(gate.service.name, change)
+        except PlatformError as error:
+            LOG.info("handover not recorded", server=server, reason=str(error))
+            # The next gate can record itself when the platform answers it.
+            message = GateHandover(gate.service.name, server, epoch, [], True)
+            self.node.peers.send(successor.member, message)
+            return False
+        except InvariantError as error:
+            LOG.info("handover outdated", server=server, reason=str(error))
+        return True
+
+    def on_handover(self, sender: str, message: GateHandover) -> None:
+        """Take notice that a gate was given to this entry VM."""
+        self.node.takeover.handed_over[message.server] = HandedOver(
+            message.server, message.gate_epoch
+        )
--- /dev/null
+++ b/fireflylock/load_reports.py
@@ -0,0 +1,195 @@
+"""Load reports: what gates count, and what a planner knows from their reports."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from fireflylock.assignment import Assignment, hash_slot
+from fireflylock.clock import Instant
+from fireflylock.gate import Gate
+from fireflylock.hotkeys import HotKeys
+from fireflylock.loadview import LoadView, ServerView, expected_hot_keys
+from fireflylock.messages import LoadReport
+from fireflylock.model import Configuration, Service
+
+HOT_KEYS_REPORTED = 20
+# The weight of a new report against what earlier ones said.
+REPORT_GAIN = 0.4
+# A report that is older says nothing about the present.
+REPORT_LIFETIME = timedelta(seconds=30)
+SECOND = timedelta(seconds=1)
+
+
+class GateLoad:
+    """What one gate counts between two reports.
+
+    Parameters
+    ----------
+    now : timedelta
+        When counting starts.
+    """
+
+    def __init__(self, now: Instant) -> None:
+        self.since = now
+        self.units: Counter[int] = Counter()
+        self.hot_keys = HotKeys(now)
+        self.refused_before = 0
+
+    def count(self, now: Instant, key: str, unit: int) -> None:
+        """Count one request."""
+        self.units[unit] += 1
+        self.hot_keys.add(now, key)
+
+    def report(self, now: Instant, gate: Gate) -> LoadReport:
+        """Return the report since the last one and start counting afresh."""
+        period = max(now - self.since, timedelta(milliseconds=1))
+        units = {unit: count / (period / SECOND) for unit, count in self.units.items()}
+        refused = gate.refused - self.refused_before
+        self.refused_before = gate.refused
+        self.units.clear()
+        self.since = now
+        return LoadReport(
+            gate.service.name,
+            gate.server.name,
+            units,
+            self.hot_keys.top(now, HOT_KEYS_REPORTED),
+            len(gate.waiting),
+            refused,
+            period // timedelta(milliseconds=1),
+        )
+
+
+@dataclass
+class ServerReports:
+    """What is known of one backend server's load.
+
+    Attributes
+    ----------
+    units : dict of int to float
+        Requests per second by unit, smoothed.
+    hot_keys : dict of str to float
+        Keys that stand out, with their requests per second.
+    received_at : timedelta
+        When the last report came.
+    refused : int
+        Requests refused since the first report.
+    """
+
+    units: dict[int, float] = field(default_factory=dict)
+    hot_keys: dict[str, float] = field(default_factory=dict)
+    received_at: Instant = timedelta(0)
+    refused: int = 0
+
+
+class ServiceReports:
+    """What a planner knows of one service's load."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, ServerReports] = {}
+
+    def take(self, now: Instant, message: LoadReport) -> None:
+        """Take one gate's report."""
+        known = self.servers.setdefault(message.server, ServerReports())
+        smoothed = {}
+        for unit in known.units.keys() | message.units.keys():
+            before = known.units.get(unit, 0.0)
+            rate = before + REPORT_GAIN * (message.units.get(unit, 0.0) - before)
+            if rate > 0.001:
+                smoothed[unit] = rate
+        known.units = smoothed
+        known.hot_keys = dict(message.hot_keys)
+        known.refused += message.refused
+        known.received_at = now
+
+    def fresh(self, now: Instant) -> dict[str, ServerReports]:
+        """Return the servers whose last report still counts."""
+        return {
+            name: known
+            for name, known in self.servers.items()
+            if now - known.received_at <= REPORT_LIFETIME
+        }
+
+    def unit_loads(self, now: Instant, assignment: Assignment) -> dict[int, float]:
+        """Return requests per second of each unit, as its present owner's gate reported."""
+        loads = {}
+        for name, known in self.fresh(now).items():
+            for unit, rate in known.units.items():
+                ownership = assignment.units.get(unit)
+                if ownership is None:
+                    continue
+                if ownership.server == name or unit not in loads:
+                    loads[unit] = rate
+        return loads
+
+    def hot_rates(self, now: Instant) -> dict[str, float]:
+        """Return requests per second of the keys that stand out."""
+        rates: dict[str, float] = {}
+        for known in self.fresh(now).values():
+            for key, rate in known.hot_keys.items():
+                rates[key] = max(rate, rates.get(key, 0.0))
+        return rates
+
+    def server_rates(self, now: Instant) -> dict[str, float]:
+        """Return requests per second of each backend server."""
+        return {name: sum(known.units.values()) for name, known in self.fresh(now).items()}
+
+
+@dataclass(frozen=True)
+class PlanningState:
+    """What a plan depends on besides configuration, assignment and reports.
+
+    Attributes
+    ----------
+    cold_since : dict of str to timedelta
+        When servers that are still cold came up.
+    moving : frozenset of int
+        Units whose move is under way.
+    keys_moved_last_hour : float
+        Keys that moved by choice.
+    time_of_day : timedelta
+        Since local midnight.
+    """
+
+    cold_since: dict[str, Instant] = field(default_factory=dict)
+    moving: frozenset[int] = frozenset()
+    keys_moved_last_hour: float = 0.0
+    time_of_day: timedelta = timedelta(0)
+
+
+def load_view(
+    now: Instant,
+    configuration: Configuration,
+    service: Service,
+    assignment: Assignment,
+    reports: ServiceReports,
+    state: PlanningState,
+) -> LoadView:
+    """Return what the planner of `service` looks at."""
+    servers = {
+        server.name: ServerView(
+            server.name,
+            server.zone,
+            float(service.concurrency_limit),
+            server.state,
+            state.cold_since.get(server.name),
+        )
+        for server in configuration.servers_of(service.name)
+    }
+    owners = {
+        unit: ownership.server for unit, ownership in assignment.units.items() if ownership.server
+    }
+    hot_rates = reports.hot_rates(now)
+    expected = expected_hot_keys(configuration.peaks, service.name, state.time_of_day)
+    keys = {*assignment.hot_keys, *hot_rates, *expected}
+    return LoadView(
+        service,
+        servers,
+        owners,
+        reports.unit_loads(now, assignment),
+        placed=dict(assignment.hot_keys),
+        hot_rates=hot_rates,
+        home_slots={key: hash_slot(service.name, key, assignment.hash_slots) for key in keys},
+        expected=expected,
+        keys_moved_last_hour=state.keys_moved_last_hour,
+        moving=state.moving,
+    )
--- a/fireflylock/messages.py
+++ b/fireflylock/messages.py
@@ -377,6 +377,10 @@
         Unit to epoch.
     change_id : str
         Id of the change that needs the release.
+    receivers : dict of int to str
+        Entry VM that holds the gate of each unit's next owner.
+    hot_receivers : dict of str to str
+        Entry VM that holds the next gate of each key that leaves its hash slot.
     """
 
     service: str
@@ -384,6 +388,8 @@
     gate_epoch: int
     units: dict[int, int]
     change_id: str
+    receivers: dict[int, str] = {}
+    hot_receivers: dict[str, str] = {}
 
 
 class UnitsReleased(Message, frozen=True, tag=41):
@@ -553,6 +559,58 @@
     last: bool
 
 
+class WindowTransfer(Message, frozen=True, tag=67):
+    """Idempotency keys for the gate that serves units next.
+
+    Attributes
+    ----------
+    service : str
+        Whose keys.
+    number : int
+        Acknowledged by `WindowTransferAck`; unique per sender.
+    units : dict of int to int
+        Units whose keys are complete with this message, and the epochs that begin.
+    hot_keys : dict of str to int
+        Keys that leave their hash slots and are complete with this message, and the
+        epochs of their hash slots that begin.
+    entries : list of bytes
+        Encoded entries.
+    """
+
+    service: str
+    number: int
+    units: dict[int, int]
+    hot_keys: dict[str, int]
+    entries: list[bytes]
+
+
+class WindowTransferAck(Message, frozen=True, tag=68):
+    """The receiver holds the entries of the transfer with this number."""
+
+    number: int
+
+
+class DumpPull(Message, frozen=True, tag=80):
+    """Asks for the receiver's state dump."""
+
+    number: int
+
+
+class DumpRows(Message, frozen=True, tag=81):
+    """A state dump.
+
+    Attributes
+    ----------
+    number : int
+        The question's.
+    sections : list of (str, list of (str, str))
+        Title, and names and values, of each section.
+    """
+
+    number: int
+    sections: list[tuple[str, list[tuple[str, str]]]]
+
+
 PeerMessage = (
     Heartbeat
     | Join
@@ -581,6 +639,10 @@
     | WindowEntry
     | WindowAck
     | GateHandover
+    | WindowTransfer
+    | WindowTransferAck
+    | DumpPull
+    | DumpRows
 )
 
 # Messages that carry callers' requests; all others count as control.
--- /dev/null
+++ b/fireflylock/mover.py
@@ -0,0 +1,214 @@
+"""Moves of units: ask the old owners' gates for release, then record the new owners."""
+
+import asyncio
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from fireflylock.assignment import Assignment, hash_slot
+from fireflylock.assignment_changes import with_hot_key, with_moves, without_hot_key
+from fireflylock.assignments import AssignmentBook
+from fireflylock.exceptions import InvariantError, PlatformError
+from fireflylock.log import logger
+from fireflylock.messages import PeerMessage, ReleaseRefused, ReleaseUnits, UnitsReleased
+from fireflylock.proofs import Released
+
+# A little longer than a gate waits for requests in flight.
+ANSWER_TIMEOUT = timedelta(seconds=11)
+
+LOG = logger("mover")
+
+
+@dataclass(frozen=True)
+class Batch:
+    """Changes of one service that are recorded in one write.
+
+    Attributes
+    ----------
+    moves : dict of int to str
+        New owner of units.
+    place : dict of str to str
+        Owner of hot keys that get a unit of their own.
+    give_back : tuple of str
+        Hot keys that return to their hash slot.
+    """
+
+    moves: dict[int, str] = field(default_factory=dict)
+    place: dict[str, str] = field(default_factory=dict)
+    give_back: tuple[str, ...] = ()
+
+
+class Mover:
+    """Carries out batches of moves.
+
+    Parameters
+    ----------
+    book : AssignmentBook
+        Assignments in force, and how they are changed.
+    send : callable
+        ``send(member, message)`` to another entry VM, or to this one.
+    """
+
+    def __init__(self, book: AssignmentBook, send: Callable[[str, PeerMessage], bool]) -> None:
+        self.book = book
+        self.send = send
+        self.waiting: dict[tuple[str, str], asyncio.Future[Released | None]] = {}
+        self.moving: dict[str, set[int]] = {}
+
+    async def carry_out(self, service: str, batch: Batch) -> int:
+        """Make the changes of `batch` as far as the old owners release their units.
+
+        Returns
+        -------
+        int
+            Units and hot keys whose owner changed.
+        """
+        assignment = self.book.get(service)
+        if assignment is None:
+            return 0
+        wanted = self.units_to_release(assignment, batch)
+        moving = self.moving.setdefault(service, set())
+        moving.update(wanted)
+        try:
+            proofs = await self.collect(assignment, batch, wanted)
+            return await self.record(service, batch, proofs)
+        finally:
+            moving.difference_update(wanted)
+
+    def units_to_release(self, assignment: Assignment, batch: Batch) -> dict[int, str]:
+        """Return the units that have to be released, with the next owner of their keys."""
+        units = dict(batch.moves)
+        for key in batch.place:
+            slot = assignment.unit_of(key)
+            units.setdefault(slot, owner(assignment, slot))
+        for key in batch.give_back:
+            unit = assignment.hot_keys.get(key)
+            if unit is None:
+                continue
+            slot = hash_slot(assignment.service, key, assignment.hash_slots)
+            units.setdefault(unit, owner(assignment, slot))
+        return units
+
+    async def collect(
+        self, assignment: Assignment, batch: Batch, wanted: dict[int, str]
+    ) -> list[Released]:
+        """Ask every old owner's gate for release and return what was released."""
+        by_server: dict[str, dict[int, int]] = {}
+        for unit in wanted:
+            ownership = assignment.units.get(unit)
+            if ownership is None or not ownership.server:
+                continue
+            by_server.setdefault(ownership.server, {})[unit] = ownership.epoch
+        questions = []
+        for server, units in by_server.items():
+            receivers = {unit: gate_of(assignment, wanted[unit]) for unit in units}
+            hot_receivers = {}
+            for key, target in batch.place.items():
+                if assignment.unit_of(key) in units:
+                    hot_receivers[key] = gate_of(assignment, target)
+            questions.append(self.ask(assignment, server, units, receivers, hot_receivers))
+        answers = await asyncio.gather(*questions)
+        return [proof for proof in answers if proof is not None]
+
+    async def ask(
+        self,
+        assignment: Assignment,
+        server: str,
+        units: dict[int, int],
+        receivers: dict[int, str],
+        hot_receivers: dict[str, str],
+    ) -> Released | None:
+        """Ask one gate for release."""
+        record = assignment.gates.get(server)
+        if record is None or not record.member:
+            return None
+        change_id = uuid.uuid4().hex
+        question = ReleaseUnits(
+            assignment.service, server, record.epoch, units, change_id, receivers, hot_receivers
+        )
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[server, change_id] = future
+        try:
+            if not self.send(record.member, question):
+                return None
+            async with asyncio.timeout(ANSWER_TIMEOUT.total_seconds()):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            del self.waiting[server, change_id]
+
+    def on_released(self, sender: str, message: UnitsReleased) -> None:
+        """Take the answer of a gate that released units."""
+        future = self.waiting.get((message.server, message.change_id))
+        if future is not None and not future.done():
+            future.set_result(Released(message.server, message.gate_epoch, message.units))
+
+    def on_refused(self, sender: str, message: ReleaseRefused) -> None:
+        """Take the answer of a gate that did not release units."""
+        LOG.info("release_refused", server=message.server, reason=message.reason)
+        future = self.waiting.get((message.server, message.change_id))
+        if future is not None and not future.done():
+            future.set_result(None)
+
+    async def record(self, service: str, batch: Batch, proofs: list[Released]) -> int:
+        """Write what the proofs allow; return how many owners changed."""
+        changed = 0
+
+        def change(present: Assignment | None, change_id: str) -> Assignment | None:
+            nonlocal changed
+            if present is None:
+                return None
+            result, changed = apply(present, batch, proofs, change_id)
+            return result if changed else None
+
+        try:
+            await self.book.update(service, change)
+        except PlatformError as error:
+            LOG.warning("moves_not_recorded", service=service, reason=str(error))
+            return 0
+        return changed
+
+
+def owner(assignment: Assignment, unit: int) -> str:
+    """Return the backend server that owns `unit`, or ""."""
+    ownership = assignment.units.get(unit)
+    return "" if ownership is None else ownership.server
+
+
+def gate_of(assignment: Assignment, server: str) -> str:
+    """Return the entry VM that is the gate of `server`, or ""."""
+    record = assignment.gates.get(server)
+    return "" if record is None else record.member
+
+
+def apply(
+    present: Assignment, batch: Batch, proofs: list[Released], change_id: str
+) -> tuple[Assignment, int]:
+    """Return the assignment with every change that the proofs allow, and their number."""
+    result = present
+    changed = 0
+    for unit, server in batch.moves.items():
+        if result.units.get(unit) is not None and result.units[unit].server == server:
+            continue
+        try:
+            result = with_moves(result, {unit: server}, proofs, change_id)
+        except InvariantError:
+            continue
+        changed += 1
+    for key, server in batch.place.items():
+        try:
+            result = with_hot_key(result, key, server, change_id, proofs)
+        except InvariantError:
+            continue
+        changed += 1
+    for key in batch.give_back:
+        if key not in result.hot_keys:
+            continue
+        try:
+            result = without_hot_key(result, key, change_id, proofs)
+        except InvariantError:
+            continue
+        changed += 1
+    return result, changed
--- /dev/null
+++ b/fireflylock/node.py
@@ -0,0 +1,414 @@
+"""A node: everything that one entry VM runs, wired together."""
+
+import asyncio
+import ssl
+import time
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+
+from fireflylock.assignments import AssignmentBook
+from fireflylock.clock import Clock
+from fireflylock.config import Settings
+from fireflylock.debug import DumpSection
+from fireflylock.etcd import EtcdStore
+from fireflylock.exchange import Request
+from fireflylock.fleet import Fleet
+from fireflylock.forwarding import Forwarder
+from fireflylock.frontend import Frontend, FrontendLimits
+from fireflylock.gate import Gate
+from fireflylock.gatekeeper import Gatekeeper, GateLimits
+from fireflylock.handover import Handover
+from fireflylock.load_reports import GateLoad
+from fireflylock.log import LogControl, logger
+from fireflylock.measured import MeasuredHandler
+from fireflylock.membership import EventKind, MemberEvent, Membership, MembershipTiming
+from fireflylock.messages import (
+    GateHandover,
+    LoadReport,
+    ReleaseRefused,
+    ReleaseUnits,
+    UnitsReleased,
+    WindowTransfer,
+    WindowTransferAck,
+)
+from fireflylock.metrics import Metrics
+from fireflylock.model import Configuration, EntryVM
+from fireflylock.mover import Mover
+from fireflylock.node_state import NodeState
+from fireflylock.operators_view import OperatorsView
+from fireflylock.ownership import Evidence
+from fireflylock.peer_keys import CurveKeys
+from fireflylock.peers import PeerLimits, Peers
+from fireflylock.placement import CostPlanner
+from fireflylock.platform_writer import PlatformWriter
+from fireflylock.rebalancer import Rebalancer
+from fireflylock.recovery import Recovery
+from fireflylock.relay import RelayTiming, StateRelay
+from fireflylock.releases import Releases
+from fireflylock.retry import RetryBudget
+from fireflylock.router import Router
+from fireflylock.routing_view import NodeRoutingView
+from fireflylock.session import SessionTiming
+from fireflylock.state import StateCache
+from fireflylock.state_keys import StateKeys
+from fireflylock.takeover import Takeover
+from fireflylock.vm_history import VMHistory
+from fireflylock.vm_list import VMListReader
+from fireflylock.windows import WindowTransfers
+
+LOG = logger("node")
+
+TAKEOVER_PERIOD = timedelta(milliseconds=50)
+# A leaving server must get no new work within a few seconds.
+LEAVING_PERIOD = timedelta(milliseconds=250)
+TAKE_BACK_PERIOD = timedelta(milliseconds=250)
+GONE_PERIOD = timedelta(seconds=1)
+REPORT_PERIOD = timedelta(seconds=1)
+PAUSE_AFTER_FAILURE = timedelta(milliseconds=500)
+
+
+class Node:
+    """One entry VM's daemon.
+
+    Parameters
+    ----------
+    settings : Settings
+        What the process was told.
+    clock : Clock
+        Time.
+    log_control : LogControl
+        The level that is logged.
+    curve : CurveKeys or None
+        Keys for the links between entry VMs.
+    callers_context : ssl.SSLContext or None
+        For TLS towards callers.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        log_control: LogControl,
+        curve: CurveKeys | None = None,
+        callers_context: ssl.SSLContext | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.log_control = log_control
+        self.name = settings.vm.name
+        # Grows with every start, because the wall clock does.
+        self.incarnation = time.time_ns() // 1000
+        self.process = str(self.incarnation)
+        self.metrics = Metrics(settings.limits.metric_labels)
+        self.stopping = False
+        self.retry_budgets: dict[str, RetryBudget] = {}
+        self.gate_loads: dict[str, GateLoad] = {}
+        self.vm_history = VMHistory()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.build_links(curve)
+        self.build_state()
+        self.build_gates()
+        self.build_edge(callers_context)
+        self.subscribe()
+
+    def build_links(self, curve: CurveKeys | None) -> None:
+        """Make the links to the other entry VMs."""
+        peers = self.settings.peers
+        address = f"{peers.address}:{peers.port}"
+        limits = PeerLimits(queue_messages=self.settings.limits.peer_queue)
+        self.peers = Peers(self.name, address, self.clock, curve, limits)
+        vm = self.settings.vm
+        me = EntryVM(vm.name, vm.zone, vm.region, address)
+        timing = MembershipTiming(heartbeat=self.settings.timing.heartbeat)
+        self.membership = Membership(me, self.incarnation, self.clock.elapsed(), timing)
+        # A seed's name is not known before it has answered; its address serves until then.
+        self.membership.add_contacts({seed: seed for seed in peers.seeds if seed != address})
+        self.fleet = Fleet(self.membership, self.clock)
+
+    def build_state(self) -> None:
+        """Make the copy of the platform's state, and the way to change it."""
+        platform = self.settings.platform
+        self.keys = StateKeys(platform.prefix)
+        rate = float(platform.calls_per_second)
+        endpoints = [f"http://{endpoint}" for endpoint in platform.endpoints]
+        self.store = EtcdStore(endpoints, self.clock, platform.timeout, rate)
+        self.relay = StateRelay(
+            self.store,
+            VMListReader(platform.vm_list_url, platform.timeout),
+            self.peers,
+            self.membership,
+            StateCache(),
+            self.clock,
+            self.keys.root,
+            RelayTiming(vm_list=platform.poll),
+        )
+        self.writer = PlatformWriter(self.store, self.relay, self.clock)
+        self.book = AssignmentBook(self.keys.assignments, self.writer)
+        self.state = NodeState(self.keys, self.book)
+        self.relay.on_change.append(self.on_change)
+        self.relay.on_event.append(self.on_member_event)
+        self.relay.on_vm_list.append(self.vm_history.on_list)
+
+    def build_gates(self) -> None:
+        """Make what holds gates and moves units."""
+        timing = self.settings.timing
+        limits = self.settings.limits
+        session_timing = SessionTiming(
+            timing.session_ttl, timing.renew, timing.call_timeout, timing.drift
+        )
+        self.gatekeeper = Gatekeeper(
+            self.name,
+            self.process,
+            self.configuration,
+            self.book,
+            self.clock,
+            session_timing,
+            GateLimits(limits.queue_requests, limits.window_entries, limits.window_bytes),
+        )
+        self.windows = WindowTransfers(self.gatekeeper, self.peers.send)
+        self.mover = Mover(self.book, self.peers.send)
+        self.rebalancer = Rebalancer(
+            self.name,
+            self.book,
+            self.mover,
+            CostPlanner(),
+            self.fleet,
+            self.configuration,
+            self.clock,
+        )
+        self.recovery = Recovery(
+            self.gatekeeper,
+            self.book,
+            self.fleet,
+            self.evidence,
+            self.windows,
+            self.rebalancer.view,
+            self.configuration,
+            self.clock,
+        )
+        self.takeover = Takeover(
+            self.gatekeeper,
+            self.book,
+            self.fleet,
+            self.evidence,
+            self.configuration,
+            self.clock,
+            timing.call_timeout,
+        )
+        self.releases = Releases(
+            self.gatekeeper, self.book, self.windows, self.peers.send, self.clock
+        )
+        self.handover = Handover(self)
+        self.gatekeeper.on_progress = self.recovery.on_progress
+        self.gatekeeper.on_request = self.count_request
+
+    def build_edge(self, callers_context: ssl.SSLContext | None) -> None:
+        """Make the way in for requests, from callers and from other entry VMs."""
+        limits = self.settings.limits
+        self.routing_view = NodeRoutingView(self)
+        self.forwarder = Forwarder(self.peers, self.gatekeeper, self.clock)
+        self.router = Router(
+            self.name,
+            self.settings.vm.zone,
+            self.routing_view,
+            self.gatekeeper,
+            self.forwarder.handle,
+            self.retry_budget,
+            self.clock,
+        )
+        self.frontend = Frontend(
+            MeasuredHandler(self.router, self.metrics, self.clock),
+            lambda: self.state.matcher,
+            self.clock,
+            FrontendLimits(
+                header_bytes=limits.header_bytes,
+                max_connections=limits.max_connections,
+                headers_timeout=limits.headers_timeout,
+                body_timeout=limits.body_timeout,
+                keepalive_timeout=limits.keepalive_timeout,
+            ),
+            callers_context,
+        )
+        self.operators = OperatorsView(self)
+
+    def subscribe(self) -> None:
+        """Direct messages of other entry VMs to who answers them."""
+        self.peers.subscribe(ReleaseUnits, self.releases.on_release)
+        self.peers.subscribe(UnitsReleased, self.mover.on_released)
+        self.peers.subscribe(ReleaseRefused, self.mover.on_refused)
+        self.peers.subscribe(WindowTransfer, self.windows.on_transfer)
+        self.peers.subscribe(WindowTransferAck, self.windows.on_ack)
+        self.peers.subscribe(LoadReport, self.rebalancer.on_report)
+        self.peers.subscribe(GateHandover, self.handover.on_handover)
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force here."""
+        return self.state.configuration
+
+    def evidence(self) -> Evidence:
+        """Return what is known here about who is over."""
+        return Evidence(self.vm_history, self.configuration().gone, self.fleet.processes)
+
+    def retry_budget(self, service: str) -> RetryBudget:
+        """Return the budget for retries of `service`."""
+        return self.retry_budgets.setdefault(service, RetryBudget())
+
+    def on_change(self, keys: list[str]) -> None:
+        """Put changed values of the platform in force."""
+        for key in keys:
+            value = self.relay.cache.get(key)
+            if value is not None:
+                self.state.take(key, value.revision, value.data)
+        self.membership.set_config_version(self.configuration().version)
+        self.gatekeeper.follow()
+        self.routing_view.changes.notify()
+
+    def on_member_event(self, event: MemberEvent) -> None:
+        """Take notice of what happened to an entry VM."""
+        LOG.info("member", change=event.kind.value, member=event.name)
+        if event.kind in (EventKind.LOST, EventKind.RESTARTED, EventKind.GONE):
+            self.forwarder.member_lost(event.name)
+        self.routing_view.changes.notify()
+
+    def count_request(self, gate: Gate, request: Request, unit: int) -> None:
+        """Count a request for the planner."""
+        now = self.clock.elapsed()
+        load = self.gate_loads.get(gate.server.name)
+        if load is None:
+            load = self.gate_loads[gate.server.name] = GateLoad(now)
+        load.count(now, request.key, unit)
+
+    def report_loads(self) -> None:
+        """Send each gate's load to the planner of its service."""
+        now = self.clock.elapsed()
+        gates = self.gatekeeper.gates
+        for server in list(self.gate_loads):
+            if server not in gates:
+                del self.gate_loads[server]
+        for server, gate in gates.items():
+            load = self.gate_loads.setdefault(server, GateLoad(now))
+            planner = self.fleet.planner_of(gate.service.name)
+            if planner:
+                self.peers.send(planner, load.report(now, gate))
+
+    async def start(self) -> None:
+        """Begin to serve.
+
+        Raises
+        ------
+        OSError
+            An address is in use.
+        """
+        self.peers.start()
+        self.relay.start()
+        callers = self.settings.callers
+        port = await self.frontend.start(callers.address, callers.port, callers.reuse_port)
+        timing = self.settings.timing
+        self.every(TAKEOVER_PERIOD, self.takeover.look)
+        self.every(GONE_PERIOD, self.recovery.look_for_gone)
+        self.every(TAKE_BACK_PERIOD, self.releases.take_back)
+        self.every(REPORT_PERIOD, as_coroutine(self.report_loads))
+        self.every(LEAVING_PERIOD, as_coroutine(self.plan_if_urgent))
+        self.every(timing.plan, as_coroutine(self.rebalancer.look))
+        LOG.info("serving", vm=self.name, port=port)
+
+    def plan_if_urgent(self) -> None:
+        """Plan out of turn when a server is leaving or a service has no assignment."""
+        if self.rebalancer.is_urgent():
+            self.rebalancer.look()
+
+    def every(self, period: timedelta, action: Callable[[], Coroutine]) -> None:
+        """Run `action` again and again, `period` after its last end."""
+        self.tasks.append(asyncio.create_task(self.repeat(period, action)))
+
+    async def repeat(self, period: timedelta, action: Callable[[], Coroutine]) -> None:
+        """Run `action` for ever; a failure is logged and does not end the daemon."""
+        while True:
+            try:
+                await action()
+            except Exception as error:
+                LOG.error("periodic work failed", action=str(action), reason=repr(error))
+                await self.clock.sleep(PAUSE_AFTER_FAILURE)
+            await self.clock.sleep(period)
+
+    async def stop(self) -> None:
+        """Stop gracefully: no request in flight is cut off, every gate is handed over."""
+        self.stopping = True
+        self.frontend.stop_accepting()
+        timeout = self.settings.timing.drain
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.frontend.drain(timeout))
+            group.create_task(self.handover.all(timeout))
+        await self.close()
+
+    async def close(self) -> None:
+        """Stop at once."""
+        self.stopping = True
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.frontend.close()
+        await self.forwarder.close()
+        await self.gatekeeper.close()
+        await self.relay.stop()
+        await self.store.close()
+        self.peers.stop()
+
+    def dump(self) -> list[DumpSection]:
+        """Return the state of this process as titled (name, value) lists."""
+        sections = [
+            DumpSection("settings", self.settings.entries()),
+            DumpSection("frontend", self.frontend.state()),
+            DumpSection("peers", self.peers.state()),
+            DumpSection("relay", self.relay.state()),
+            DumpSection("platform", self.store.state()),
+            DumpSection("forwarding", self.forwarder.state()),
+            DumpSection("members", self.member_entries()),
+            DumpSection("assignments", self.assignment_entries()),
+        ]
+        for gate in self.gatekeeper.gates.values():
+            entries = [*gate.debug(), *gate.admission.state(), *gate.pool.state()]
+            sections.append(DumpSection(f"gate of {gate.server.name}", entries))
+        for service, orders in self.gatekeeper.orders.items():
+            entries = [
+                ("entries", len(orders.window.entries)),
+                ("stored bytes", orders.window.bytes),
+                ("units with unknown past", len(orders.window.lost)),
+                ("under way", len(orders.tasks)),
+            ]
+            sections.append(DumpSection(f"idempotency window of {service}", entries))
+        return sections
+
+    def member_entries(self) -> list[tuple[str, object]]:
+        """Return the members for the dump."""
+        entries: list[tuple[str, object]] = []
+        for view in self.fleet.known():
+            state = "alive" if view.alive else "lost"
+            if not view.reachable:
+                state = "in a zone that is cut off"
+            text = f"{state}, {view.zone}, {view.peer_address}, version {view.config_version}"
+            entries.append((view.name, text))
+        return entries
+
+    def assignment_entries(self) -> list[tuple[str, object]]:
+        """Return the assignments for the dump."""
+        entries: list[tuple[str, object]] = [
+            ("configuration version", self.configuration().version)
+        ]
+        for service, assignment in sorted(self.book.assignments.items()):
+            entries.append((f"{service} revision", assignment.revision))
+            entries.append((f"{service} hot keys", dict(assignment.hot_keys)))
+            for server, record in sorted(assignment.gates.items()):
+                units = len(assignment.units_of(server))
+                text = f"{units} units, gate {record.member} epoch {record.epoch}"
+                entries.append((f"{service} {server}", text))
+        return entries
+
+
+def as_coroutine(action: Callable[[], None]) -> Callable[[], Coroutine]:
+    """Return `action` in a form that can be awaited."""
+
+    async def run() -> None:
+        action()
+
+    return run
--- a/fireflylock/peers.py
+++ b/fireflylock/peers.py
@@ -10,9 +10,12 @@
 
 from fireflylock.clock import Clock
 from fireflylock.exceptions import ProtocolError
+from fireflylock.log import logger
 from fireflylock.messages import REQUEST_MESSAGES, PeerMessage, decode, encode
 from fireflylock.peer_keys import CurveKeys, KeyChecker
 
+LOG = logger("peers")
+
 # Messages taken from the socket before other work of the loop has its turn.
 RECEIVE_BATCH = 200
 HANDSHAKE_MS = 2_000
@@ -326,6 +329,13 @@
             raise ProtocolError("a sender's name is not valid") from error
 
     def _dispatch(self, sender: str, message: PeerMessage) -> None:
-        """Call the subscribers of `message`."""
+        """Call the subscribers of `message`.
+
+        A subscriber that fails must not keep the messages behind this one from being taken:
+        the descriptor would not tell of them again.
+        """
         for callback in self.subscribers.get(type(message), ()):
-            callback(sender, message)
+            try:
+                callback(sender, message)
+            except Exception:
+                LOG.exception("a message was not handled", message=type(message).__name__)
--- /dev/null
+++ b/fireflylock/platform_writer.py
@@ -0,0 +1,48 @@
+"""Writes to the platform whose outcome is found out, and which are passed on at once."""
+
+from collections.abc import Callable
+
+from fireflylock.assignments import StateWriter
+from fireflylock.clock import Clock
+from fireflylock.platform import Store, Value, write_with_change_id
+from fireflylock.relay import StateRelay
+
+
+class PlatformWriter(StateWriter):
+    """Writes values and spreads them to the other entry VMs.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's key-value service.
+    relay : StateRelay
+        This VM's copy of the state, and the way to the others.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(self, store: Store, relay: StateRelay, clock: Clock) -> None:
+        self.store = store
+        self.relay = relay
+        self.clock = clock
+
+    async def write(
+        self,
+        key: str,
+        data: bytes,
+        expected_revision: int,
+        is_mine: Callable[[Value], bool],
+        also: dict[str, bytes] | None = None,
+    ) -> int:
+        """Write by compare-and-swap and return the new revision."""
+        revision = await write_with_change_id(
+            self.store, self.clock, key, data, expected_revision, is_mine, also
+        )
+        self.relay.note_written({key: data, **(also or {})}, revision)
+        return revision
+
+    async def refresh(self, key: str) -> None:
+        """Read `key` afresh and put what was read in force here."""
+        value = await self.store.get(key)
+        if value is not None:
+            self.relay.note_read(value)
--- /dev/null
+++ b/fireflylock/rebalancer.py
@@ -0,0 +1,182 @@
+"""The rebalancer: plans and carries out the moves of the services this entry VM plans for."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+
+from fireflylock.assignment import Assignment
+from fireflylock.assignment_changes import initial
+from fireflylock.assignments import AssignmentBook
+from fireflylock.clock import Clock, Instant
+from fireflylock.exceptions import PlatformError
+from fireflylock.fleet import Fleet
+from fireflylock.load_reports import PlanningState, ServiceReports, load_view
+from fireflylock.loadview import LoadView, PlaceHotKey, Plan
+from fireflylock.log import logger
+from fireflylock.messages import LoadReport
+from fireflylock.model import Configuration, ServerState, Service
+from fireflylock.mover import Batch, Mover
+from fireflylock.placement import Planner
+from fireflylock.placement import initial as initial_owners
+
+HOUR = timedelta(hours=1)
+
+LOG = logger("rebalancer")
+
+
+class Rebalancer:
+    """Plans for the services that this entry VM is elected for.
+
+    Two planners at once do no harm: each write is a compare-and-swap.
+
+    Parameters
+    ----------
+    me : str
+        This entry VM.
+    book : AssignmentBook
+        Assignments in force, and how they are changed.
+    mover : Mover
+        Carries out moves.
+    planner : Planner
+        Decides about moves.
+    fleet : Fleet
+        The other entry VMs.
+    configuration : callable
+        Returns the configuration in force.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        book: AssignmentBook,
+        mover: Mover,
+        planner: Planner,
+        fleet: Fleet,
+        configuration: Callable[[], Configuration],
+        clock: Clock,
+    ) -> None:
+        self.me = me
+        self.book = book
+        self.mover = mover
+        self.planner = planner
+        self.fleet = fleet
+        self.configuration = configuration
+        self.clock = clock
+        self.reports: dict[str, ServiceReports] = {}
+        self.moved_at: dict[str, deque[tuple[Instant, float]]] = {}
+        self.moves: dict[str, int] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+
+    def on_report(self, sender: str, message: LoadReport) -> None:
+        """Take one gate's report."""
+        if message.service not in self.configuration().services:
+            return
+        reports = self.reports.setdefault(message.service, ServiceReports())
+        reports.take(self.clock.elapsed(), message)
+
+    def look(self) -> None:
+        """Begin to plan for every service of ours that is not being planned for."""
+        for service in self.configuration().services.values():
+            if service.name in self.tasks or self.fleet.planner_of(service.name) != self.me:
+                continue
+            task = asyncio.create_task(self.plan(service))
+            self.tasks[service.name] = task
+            task.add_done_callback(lambda _task, name=service.name: self.tasks.pop(name, None))
+
+    async def plan(self, service: Service) -> None:
+        """Plan once for `service` and carry the plan out."""
+        assignment = self.book.get(service.name)
+        if assignment is None:
+            await self.create(service)
+            return
+        if not service.keyed:
+            return
+        view = self.view(service.name, assignment)
+        plan = self.planner.plan(view, self.clock.elapsed())
+        batch = batch_of(plan)
+        if not batch.moves and not batch.place and not batch.give_back:
+            return
+        moved = await self.mover.carry_out(service.name, batch)
+        keys = plan.keys_moved(view, by_choice_only=True)
+        self.moved_at.setdefault(service.name, deque()).append((self.clock.elapsed(), keys))
+        self.moves[service.name] = self.moves.get(service.name, 0) + moved
+        LOG.info("moves", service=service.name, wanted=len(plan.moves), moved=moved)
+
+    async def create(self, service: Service) -> None:
+        """Record the first assignment of a service."""
+        servers = self.configuration().servers_of(service.name)
+        owners = initial_owners(service, servers) if service.keyed else {}
+        if service.keyed and not owners:
+            return
+
+        def change(present: Assignment | None, change_id: str) -> Assignment | None:
+            if present is not None:
+                return None
+            return initial(service.name, service.hash_slots, owners, change_id)
+
+        try:
+            # A daemon that has just started may not have read what is stored already.
+            await self.book.writer.refresh(self.book.key(service.name))
+            await self.book.update(service.name, change)
+        except PlatformError as error:
+            LOG.info("assignment_not_created", service=service.name, reason=str(error))
+
+    def view(self, service_name: str, assignment: Assignment) -> LoadView:
+        """Return what is known of a service's load."""
+        configuration = self.configuration()
+        state = PlanningState(
+            moving=frozenset(self.mover.moving.get(service_name, ())),
+            keys_moved_last_hour=self.keys_moved(service_name),
+            time_of_day=self.time_of_day(),
+        )
+        return load_view(
+            self.clock.elapsed(),
+            configuration,
+            configuration.services[service_name],
+            assignment,
+            self.reports.setdefault(service_name, ServiceReports()),
+            state,
+        )
+
+    def keys_moved(self, service: str) -> float:
+        """Return how many keys moved by choice within the last hour."""
+        moved = self.moved_at.setdefault(service, deque())
+        while moved and self.clock.elapsed() - moved[0][0] > HOUR:
+            moved.popleft()
+        return sum(keys for _, keys in moved)
+
+    def time_of_day(self) -> timedelta:
+        """Return the time since local midnight."""
+        local = self.clock.now().astimezone()
+        midnight = local.replace(hour=0, minute=0, second=0, microsecond=0)
+        return local - midnight
+
+    def is_urgent(self) -> bool:
+        """Return whether a service of ours cannot wait for its next plan."""
+        configuration = self.configuration()
+        mine = [name for name in configuration.services if self.fleet.planner_of(name) == self.me]
+        for name in mine:
+            if self.book.get(name) is None:
+                return True
+        for server in configuration.servers.values():
+            if server.state is ServerState.IN or server.service not in mine:
+                continue
+            if self.book.get(server.service).units_of(server.name):
+                return True
+        return False
+
+
+def batch_of(plan: Plan) -> Batch:
+    """Return a plan as one batch for the mover."""
+    moves = {move.unit: move.target for move in plan.moves}
+    place = {}
+    give_back = []
+    for change in plan.hot:
+        if isinstance(change, PlaceHotKey):
+            place[change.key] = change.target
+            continue
+        give_back.append(change.key)
+    return Batch(moves, place, tuple(give_back))
--- /dev/null
+++ b/fireflylock/recovery.py
@@ -0,0 +1,170 @@
+"""Recovery: the units of backend servers that are lost get new owners."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from fireflylock.assignment import Assignment
+from fireflylock.assignment_changes import with_moves
+from fireflylock.assignments import AssignmentBook
+from fireflylock.clock import Clock
+from fireflylock.exceptions import InvariantError, PlatformError
+from fireflylock.fleet import Fleet
+from fireflylock.gate import Gate
+from fireflylock.gatekeeper import Gatekeeper
+from fireflylock.loadview import LoadView
+from fireflylock.log import logger
+from fireflylock.model import Configuration
+from fireflylock.mover import gate_of
+from fireflylock.ownership import Evidence
+from fireflylock.placement import spread_lost
+from fireflylock.proofs import OwnerProof
+from fireflylock.session import SessionState
+from fireflylock.windows import Handoff, WindowTransfers
+
+RETRY_PAUSE = timedelta(milliseconds=200)
+
+LOG = logger("recovery")
+
+
+class Recovery:
+    """Gives the units of lost backend servers to others.
+
+    Parameters
+    ----------
+    gatekeeper : Gatekeeper
+        The gates of this entry VM.
+    book : AssignmentBook
+        Assignments in force, and how they are changed.
+    fleet : Fleet
+        The other entry VMs.
+    evidence : callable
+        Returns what is known about who is over.
+    windows : WindowTransfers
+        Hands idempotency keys on.
+    view : callable
+        ``view(service, assignment)`` returns the `LoadView` to choose new owners by.
+    configuration : callable
+        Returns the configuration in force.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        gatekeeper: Gatekeeper,
+        book: AssignmentBook,
+        fleet: Fleet,
+        evidence: Callable[[], Evidence],
+        windows: WindowTransfers,
+        view: Callable[[str, Assignment], LoadView],
+        configuration: Callable[[], Configuration],
+        clock: Clock,
+    ) -> None:
+        self.gatekeeper = gatekeeper
+        self.book = book
+        self.fleet = fleet
+        self.evidence = evidence
+        self.windows = windows
+        self.view = view
+        self.configuration = configuration
+        self.clock = clock
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.recovered = 0
+
+    def on_progress(self, gate: Gate) -> None:
+        """Look at a gate after each step of its session."""
+        if gate.closing or not gate.session.over(self.clock.elapsed()):
+            return
+        if gate.server.name in self.tasks or not gate.session.wanted:
+            return
+        if not gate.service.keyed or gate.session.state is SessionState.RESTARTED:
+            return
+        task = asyncio.create_task(self.recover(gate))
+        self.tasks[gate.server.name] = task
+        task.add_done_callback(lambda _task: self.tasks.pop(gate.server.name, None))
+
+    async def recover(self, gate: Gate) -> None:
+        """Move the units of a server whose session is over."""
+        server = gate.server.name
+        service = gate.service.name
+        session = gate.session
+        assignment = self.book.get(service)
+        if assignment is None or not self.new_owners(assignment, server):
+            return
+        gate.give_up()
+        # Whether the platform can be reached is found out before the session ends for good:
+        # without it nobody else can get the units, and the server may come back.
+        await self.book.writer.refresh(self.book.key(service))
+        if gate.session is not session or not session.over(self.clock.elapsed()):
+            return
+        proof = session.seal(self.clock.elapsed())
+        LOG.warning("server_lost", server=server, service=service)
+        while gate.session is session and not gate.closing:
+            if await self.reassign(service, server, proof, hand_on=True):
+                return
+            await self.clock.sleep(RETRY_PAUSE)
+
+    async def reassign(
+        self, service: str, server: str, proof: OwnerProof, hand_on: bool = False
+    ) -> bool:
+        """Record new owners for the units of `server`; True when nothing is left to do."""
+        assignment = self.book.get(service)
+        if assignment is None:
+            return True
+        owners = self.new_owners(assignment, server)
+        if hand_on:
+            await self.hand_on(service, assignment, owners)
+
+        def change(present: Assignment | None, change_id: str) -> Assignment | None:
+            if present is None:
+                return None
+            moves = {
+                unit: target
+                for unit, target in owners.items()
+                if present.units[unit].server == server
+                and present.units[unit].epoch == assignment.units[unit].epoch
+            }
+            return with_moves(present, moves, [proof], change_id) if moves else None
+
+        try:
+            written = await self.book.update(service, change)
+        except PlatformError as error:
+            LOG.info("recovery_not_recorded", server=server, reason=str(error))
+            return False
+        except InvariantError as error:
+            LOG.info("recovery_outdated", server=server, reason=str(error))
+            return True
+        if written is not None:
+            self.recovered += len(owners)
+            LOG.warning("units_recovered", server=server, units=len(owners))
+        return True
+
+    def new_owners(self, assignment: Assignment, server: str) -> dict[int, str]:
+        """Return a new owner for each unit of `server`; empty when nobody can take them."""
+        view = self.view(assignment.service, assignment)
+        return spread_lost(view, [server], self.clock.elapsed())
+
+    async def hand_on(self, service: str, assignment: Assignment, owners: dict[int, str]) -> None:
+        """Send the idempotency keys of the units to the gates of their new owners."""
+        handoffs: dict[str, Handoff] = {}
+        for unit, target in owners.items():
+            member = gate_of(assignment, target)
+            if not member:
+                continue
+            handoff = handoffs.setdefault(member, Handoff(service, member))
+            handoff.sources.add(unit)
+            handoff.units[unit] = assignment.units[unit].epoch + 1
+        await asyncio.gather(*(self.windows.transfer(handoff) for handoff in handoffs.values()))
+
+    async def look_for_gone(self) -> None:
+        """Move the units of servers that are gone for good, whoever their gate is."""
+        configuration = self.configuration()
+        evidence = self.evidence()
+        for server in configuration.servers.values():
+            proof = evidence.gone(server.name, server.vm)
+            assignment = self.book.get(server.service)
+            if proof is None or assignment is None or not assignment.units_of(server.name):
+                continue
+            if self.fleet.planner_of(server.service) == self.gatekeeper.me:
+                await self.reassign(server.service, server.name, proof)
--- a/fireflylock/relay.py
+++ b/fireflylock/relay.py
@@ -43,6 +43,8 @@
         How long a starting VM waits for others that may hold the state already.
     poll : timedelta
         Between two readings by the zone's watcher; also bounds how old its news can be.
+    vm_list : timedelta
+        Between two readings of the list of VMs by the zone's watcher.
     pull : timedelta
         Between two looks at the neighbours' revisions.
     stale_after : timedelta
@@ -53,6 +55,7 @@
 
     join_patience: timedelta = timedelta(milliseconds=500)
     poll: timedelta = timedelta(seconds=1)
+    vm_list: timedelta = timedelta(seconds=2)
     pull: timedelta = timedelta(milliseconds=200)
     stale_after: timedelta = timedelta(seconds=5)
     retry: timedelta = timedelta(milliseconds=500)
@@ -110,7 +113,9 @@
         self.rng = rng or random.Random()
         self.runner = MemberRunner(peers, membership, clock)
         self.spreader = Spreader(peers, membership)
-        self.vm_lists = VMListRelay(vm_lists, self.runner, self.spreader, clock, self.rng)
+        self.vm_lists = VMListRelay(
+            vm_lists, self.runner, self.spreader, clock, self.rng, timing.vm_list
+        )
         self.on_change: list[Callable[[list[str]], None]] = []
         self.failed_readings = 0
         # Nothing under the prefix changed between the cache's revision and this one.
@@ -175,6 +180,10 @@
         # Other writers may have come in between, so only a direct successor closes the gap.
         self._take(kept, revision - 1, revision, spread=True)
 
+    def note_read(self, value: Value) -> None:
+        """Take one value that was read from the platform on its own."""
+        self._take([value], value.revision, self.cache.revision, spread=False)
+
     def state(self) -> list[tuple[str, object]]:
         """Return what a dump shows, as plain names and values."""
         return [
--- /dev/null
+++ b/fireflylock/releases.py
@@ -0,0 +1,162 @@
+"""Releases: a gate gives units of its server up, so that others may own them."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from fireflylock.assignment import Assignment, hash_slot
+from fireflylock.assignment_changes import with_regrants
+from fireflylock.assignments import AssignmentBook
+from fireflylock.clock import Clock
+from fireflylock.exceptions import InvariantError, PlatformError
+from fireflylock.gate import Gate
+from fireflylock.gatekeeper import Gatekeeper
+from fireflylock.log import logger
+from fireflylock.messages import PeerMessage, ReleaseRefused, ReleaseUnits, UnitsReleased
+from fireflylock.proofs import SameGate
+from fireflylock.windows import Handoff, WindowTransfers
+
+# Longest wait for the requests in flight of the units that are given up.
+RELEASE_TIMEOUT = timedelta(seconds=10)
+POLL = timedelta(milliseconds=5)
+
+LOG = logger("releases")
+
+
+class Releases:
+    """Answers the planners' requests for release.
+
+    Parameters
+    ----------
+    gatekeeper : Gatekeeper
+        The gates of this entry VM.
+    book : AssignmentBook
+        Assignments in force, and how they are changed.
+    windows : WindowTransfers
+        Hands idempotency keys on.
+    send : callable
+        ``send(member, message)`` to another entry VM, or to this one.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        gatekeeper: Gatekeeper,
+        book: AssignmentBook,
+        windows: WindowTransfers,
+        send: Callable[[str, PeerMessage], bool],
+        clock: Clock,
+    ) -> None:
+        self.gatekeeper = gatekeeper
+        self.book = book
+        self.windows = windows
+        self.send = send
+        self.clock = clock
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def on_release(self, sender: str, message: ReleaseUnits) -> None:
+        """Begin to release the units that a planner asked for."""
+        gate = self.gatekeeper.gates.get(message.server)
+        if gate is None or gate.session.gate_epoch[0] != message.gate_epoch:
+            self.refuse(sender, message, "not the gate under this epoch")
+            return
+        task = asyncio.create_task(self.release(sender, message, gate))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def refuse(self, sender: str, message: ReleaseUnits, reason: str) -> None:
+        """Tell a planner that its release did not happen."""
+        self.send(
+            sender, ReleaseRefused(message.service, message.server, message.change_id, reason)
+        )
+
+    async def release(self, sender: str, message: ReleaseUnits, gate: Gate) -> None:
+        """Give units up and report them; `take_back` takes them when nobody else does."""
+        session = gate.session
+        gate.release(message.units)
+        released = await self.wait(gate, message.units)
+        if gate.session is not session:
+            self.refuse(sender, message, "the gate epoch changed")
+            return
+        if released:
+            await self.hand_on(message, released)
+            self.send(
+                sender,
+                UnitsReleased(
+                    message.service,
+                    message.server,
+                    message.gate_epoch,
+                    released,
+                    message.change_id,
+                ),
+            )
+            return
+        self.refuse(sender, message, "requests of these units did not end in time")
+
+    async def wait(self, gate: Gate, units: dict[int, int]) -> dict[int, int]:
+        """Return the units of which nothing runs any more, at the latest after the timeout."""
+        give_up_at = self.clock.elapsed() + RELEASE_TIMEOUT
+        while True:
+            released = gate.released()
+            done = {unit: epoch for unit, epoch in units.items() if released.get(unit) == epoch}
+            if len(done) == len(units) or self.clock.elapsed() >= give_up_at:
+                return done
+            await self.clock.sleep(POLL)
+
+    async def hand_on(self, message: ReleaseUnits, released: dict[int, int]) -> None:
+        """Send the idempotency keys of released units to the gates that come next."""
+        handoffs: dict[str, Handoff] = {}
+
+        def handoff_to(member: str) -> Handoff:
+            return handoffs.setdefault(member, Handoff(message.service, member))
+
+        for unit, epoch in released.items():
+            member = message.receivers.get(unit, "")
+            if not member:
+                continue
+            handoff_to(member).sources.add(unit)
+            handoff_to(member).units[unit] = epoch + 1
+        assignment = self.book.get(message.service)
+        for key, member in message.hot_receivers.items():
+            slot = hash_slot(message.service, key, assignment.hash_slots)
+            if slot not in released:
+                continue
+            handoff_to(member).sources.add(slot)
+            handoff_to(member).hot_keys[key] = released[slot] + 1
+        for handoff in handoffs.values():
+            await self.windows.transfer(handoff)
+
+    async def take_back(self) -> None:
+        """Record the old owner with a new epoch for units that were given up for nothing."""
+        for gate in list(self.gatekeeper.gates.values()):
+            assignment = self.book.get(gate.service.name)
+            if assignment is None or gate.closing:
+                continue
+            due = self.due(gate, assignment)
+            if due:
+                await self.record_again(gate, due)
+
+    def due(self, gate: Gate, assignment: Assignment) -> dict[int, int]:
+        """Return the units of `gate` that need a new epoch to be served here again."""
+        if not gate.open:
+            return {}
+        units = assignment.units_of(gate.server.name)
+        return gate.session.needs_regrant(self.clock.elapsed(), units)
+
+    async def record_again(self, gate: Gate, due: dict[int, int]) -> None:
+        """Write new epochs for the units of `due` that still stand in the assignment."""
+        server = gate.server.name
+        proof = SameGate(self.gatekeeper.me, self.gatekeeper.process)
+
+        def change(present: Assignment | None, change_id: str) -> Assignment | None:
+            if present is None:
+                return None
+            units = present.units_of(server)
+            still = [unit for unit, epoch in due.items() if units.get(unit) == epoch]
+            return with_regrants(present, server, still, proof, change_id) if still else None
+
+        try:
+            await self.book.update(gate.service.name, change)
+        except (InvariantError, PlatformError) as error:
+            LOG.warning("units_not_taken_back", server=server, reason=str(error))
--- a/fireflylock/session.py
+++ b/fireflylock/session.py
@@ -89,6 +89,9 @@
         As of the last call with an instant.
     """
 
+    # Only sessions with servers that check grants can be ended for good.
+    sealed = False
+
     def __init__(
         self, server: str, gate_epoch: GateEpoch, timing: SessionTiming, now: Instant
     ) -> None:
--- /dev/null
+++ b/fireflylock/takeover.py
@@ -0,0 +1,202 @@
+"""Takeover: this entry VM records itself as the gate of servers that have none."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from fireflylock.assignment import Assignment, GateRecord
+from fireflylock.assignment_changes import with_gate
+from fireflylock.assignments import AssignmentBook
+from fireflylock.backend import ServerPool
+from fireflylock.clock import Clock, Instant
+from fireflylock.control_calls import ControlReply, Hello, decode_reply, encode_call
+from fireflylock.exceptions import InvariantError, PlatformError, ProtocolError
+from fireflylock.fleet import Fleet
+from fireflylock.gate_election import decide_gate
+from fireflylock.gatekeeper import Gatekeeper
+from fireflylock.log import logger
+from fireflylock.model import BackendServer, Configuration, ServerState, Service
+from fireflylock.ownership import Evidence, takeover_proof
+from fireflylock.proofs import GateProof, HandedOver
+from fireflylock.session import SessionState
+
+# Pause before a server that gave no proof is asked again.
+ASK_AGAIN = timedelta(milliseconds=100)
+
+LOG = logger("takeover")
+
+
+@dataclass(frozen=True)
+class Successor:
+    """A gate record that can be written.
+
+    Attributes
+    ----------
+    server : BackendServer
+        Whose gate.
+    record : GateRecord
+        The next gate.
+    proof : GateProof or None
+        Why the present one is over; None when there is none.
+    """
+
+    server: BackendServer
+    record: GateRecord
+    proof: GateProof | None
+
+
+class Takeover:
+    """Looks for backend servers whose gate this entry VM should become.
+
+    Parameters
+    ----------
+    gatekeeper : Gatekeeper
+        The gates of this entry VM.
+    book : AssignmentBook
+        Assignments in force, and how they are changed.
+    fleet : Fleet
+        The other entry VMs.
+    evidence : callable
+        Returns what is known about who is over.
+    configuration : callable
+        Returns the configuration in force.
+    clock : Clock
+        Time.
+    call_timeout : timedelta
+        Longest wait for a server's answer.
+    """
+
+    def __init__(
+        self,
+        gatekeeper: Gatekeeper,
+        book: AssignmentBook,
+        fleet: Fleet,
+        evidence: Callable[[], Evidence],
+        configuration: Callable[[], Configuration],
+        clock: Clock,
+        call_timeout: timedelta,
+    ) -> None:
+        self.gatekeeper = gatekeeper
+        self.book = book
+        self.fleet = fleet
+        self.evidence = evidence
+        self.configuration = configuration
+        self.clock = clock
+        self.call_timeout = call_timeout
+        self.asked_at: dict[str, Instant] = {}
+        self.handed_over: dict[str, HandedOver] = {}
+        self.taken = 0
+
+    async def look(self) -> None:
+        """Take over what this entry VM should take over now, service by service."""
+        configuration = self.configuration()
+        for service in configuration.services.values():
+            assignment = self.book.get(service.name)
+            if assignment is None:
+                continue
+            wanted = [
+                server
+                for server in configuration.servers_of(service.name)
+                if self.is_wanted(service, server, assignment)
+            ]
+            if wanted:
+                await self.take(service, wanted, assignment)
+
+    def is_wanted(self, service: Service, server: BackendServer, assignment: Assignment) -> bool:
+        """Return whether this entry VM should try to record itself as the server's gate."""
+        if server.state is ServerState.OUT:
+            return False
+        now = self.clock.elapsed()
+        if now - self.asked_at.get(server.name, -ASK_AGAIN) < ASK_AGAIN:
+            return False
+        record = assignment.gates.get(server.name)
+        if record is not None and record.member == self.gatekeeper.me:
+            return record.process != self.gatekeeper.process or self.must_renew(server)
+        handed_over = self.handed_over.get(server.name)
+        if (
+            handed_over is not None
+            and record is not None
+            and handed_over.gate_epoch == record.epoch
+        ):
+            return True
+        if record is not None and self.fleet.is_live(record.member):
+            return False
+        candidates = self.fleet.candidates(self.configuration())
+        others = [found for found in candidates if record is None or found.name != record.member]
+        return decide_gate(server, None, others).gate == self.gatekeeper.me
+
+    def must_renew(self, server: BackendServer) -> bool:
+        """Return whether our own session with the server needs a new gate epoch."""
+        gate = self.gatekeeper.gates.get(server.name)
+        if gate is None:
+            return False
+        return gate.session.sealed or gate.session.state is SessionState.RESTARTED
+
+    async def take(
+        self, service: Service, servers: list[BackendServer], assignment: Assignment
+    ) -> None:
+        """Collect the proofs for `servers` and record this entry VM as their gate."""
+        now = self.clock.elapsed()
+        for server in servers:
+            self.asked_at[server.name] = now
+        found = await asyncio.gather(
+            *(self.candidate(service, server, assignment) for server in servers)
+        )
+        candidates = [candidate for candidate in found if candidate is not None]
+        if not candidates:
+            return
+
+        def change(present: Assignment | None, change_id: str) -> Assignment | None:
+            result = present
+            for found in candidates:
+                try:
+                    result = with_gate(
+                        result, found.server.name, found.record, found.proof, change_id
+                    )
+                except InvariantError:
+                    continue
+            return None if result is present else result
+
+        try:
+            written = await self.book.update(service.name, change)
+        except PlatformError as error:
+            LOG.info("takeover_not_recorded", service=service.name, reason=str(error))
+            return
+        if written is not None:
+            self.taken += len(candidates)
+            LOG.info("gates_taken", servers=[found.server.name for found in candidates])
+
+    async def candidate(
+        self, service: Service, server: BackendServer, assignment: Assignment
+    ) -> Successor | None:
+        """Return the record and proof with which the server can be taken over, or None."""
+        reply = None
+        if service.checks_grants:
+            reply = await self.hello(server)
+            if reply is None:
+                return None
+        successor = GateRecord(
+            self.gatekeeper.me,
+            0,
+            process=self.gatekeeper.process,
+            server_incarnation="" if reply is None else reply.incarnation,
+        )
+        present = assignment.gates.get(server.name)
+        if present is None or not present.member:
+            return Successor(server, successor, None)
+        handed_over = self.handed_over.get(server.name)
+        proof = takeover_proof(server, present, successor, self.evidence(), reply, handed_over)
+        return None if proof is None else Successor(server, successor, proof)
+
+    async def hello(self, server: BackendServer) -> ControlReply | None:
+        """Ask a server who its gate is; None when it does not answer."""
+        gate = self.gatekeeper.gates.get(server.name)
+        pool = ServerPool(server, 1, self.clock) if gate is None else gate.pool
+        try:
+            return decode_reply(await pool.control(encode_call(Hello()), self.call_timeout))
+        except (OSError, TimeoutError, ProtocolError):
+            return None
+        finally:
+            if gate is None:
+                pool.close()
--- a/fireflylock/vm_list_relay.py
+++ b/fireflylock/vm_list_relay.py
@@ -28,6 +28,8 @@
         Membership, the way through the zone, and the source of time.
     rng : random.Random
         Source of jitter.
+    read_every : timedelta
+        Between two readings.
 
     Attributes
     ----------
@@ -42,6 +44,7 @@
         spreader: Spreader,
         clock: Clock,
         rng: random.Random,
+        read_every: timedelta = READ_EVERY,
     ) -> None:
         self.reader = reader
         self.runner = runner
@@ -49,6 +52,7 @@
         self.spreader = spreader
         self.clock = clock
         self.rng = rng
+        self.read_every = read_every
         self.on_vm_list: list[Callable[[VMList], None]] = []
         self.spread_at: Instant | None = None
         runner.peers.subscribe(VMListNews, self._on_news)
@@ -58,7 +62,7 @@
         while self.reader is not None:
             if self.spreader.is_watcher() or not self.membership.joined:
                 await self._read()
-            await self.clock.sleep(READ_EVERY * self.rng.uniform(0.8, 1.2))
+            await self.clock.sleep(self.read_every * self.rng.uniform(0.8, 1.2))
 
     async def _read(self) -> None:
         try:
--- /dev/null
+++ b/fireflylock/windows.py
@@ -0,0 +1,134 @@
+"""Transfers of idempotency keys between the gates that serve a unit one after the other."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from fireflylock.assignment import hash_slot
+from fireflylock.exceptions import ProtocolError
+from fireflylock.gatekeeper import Gatekeeper
+from fireflylock.messages import PeerMessage, WindowTransfer, WindowTransferAck
+from fireflylock.model import Service
+
+# Without an acknowledgement the next gate treats unknown keys as "may have run".
+ACK_TIMEOUT = timedelta(milliseconds=500)
+# Entries per message, so that one message stays far below the transport's limit.
+BATCH_BYTES = 512 * 1024
+
+
+@dataclass
+class Handoff:
+    """What the next gate is told.
+
+    Attributes
+    ----------
+    service, member : str
+        Whose keys, and the entry VM that holds the next gate.
+    sources : set of int
+        Units whose entries are sent.
+    units : dict of int to int
+        Units that the next gate then knows completely, and the epochs that begin.
+    hot_keys : dict of str to int
+        The same for keys that leave their hash slots, with the slots' epochs that begin.
+    """
+
+    service: str
+    member: str
+    sources: set[int] = field(default_factory=set)
+    units: dict[int, int] = field(default_factory=dict)
+    hot_keys: dict[str, int] = field(default_factory=dict)
+
+
+class WindowTransfers:
+    """Sends and receives idempotency keys.
+
+    Parameters
+    ----------
+    gatekeeper : Gatekeeper
+        The gates of this entry VM.
+    send : callable
+        ``send(member, message)`` to another entry VM.
+    """
+
+    def __init__(self, gatekeeper: Gatekeeper, send: Callable[[str, PeerMessage], bool]) -> None:
+        self.gatekeeper = gatekeeper
+        self.send = send
+        self.numbers = itertools.count(1)
+        self.waiting: dict[int, asyncio.Future[None]] = {}
+
+    async def transfer(self, handoff: Handoff) -> bool:
+        """Send idempotency keys to the next gate.
+
+        Returns
+        -------
+        bool
+            Whether the next gate has them all.
+        """
+        service = self.gatekeeper.configuration().services.get(handoff.service)
+        if service is None:
+            return False
+        self.leave_out_lost(service, handoff)
+        batches = split(self.gatekeeper.export_window(service, handoff.sources))
+        for batch in batches[:-1]:
+            if not await self.send_batch(Handoff(handoff.service, handoff.member), batch):
+                return False
+        return await self.send_batch(handoff, batches[-1])
+
+    def leave_out_lost(self, service: Service, handoff: Handoff) -> None:
+        """Claim completeness only for units whose earlier keys are all known here."""
+        window = self.gatekeeper.orders_of(service).window
+        window.expire(self.gatekeeper.clock.elapsed())
+        for unit in set(handoff.units) & set(window.lost):
+            del handoff.units[unit]
+        for key in list(handoff.hot_keys):
+            if hash_slot(service.name, key, service.hash_slots) in window.lost:
+                del handoff.hot_keys[key]
+
+    async def send_batch(self, handoff: Handoff, entries: list[bytes]) -> bool:
+        """Send one batch and wait for its acknowledgement."""
+        number = next(self.numbers)
+        message = WindowTransfer(handoff.service, number, handoff.units, handoff.hot_keys, entries)
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[number] = future
+        try:
+            if not self.send(handoff.member, message):
+                return False
+            async with asyncio.timeout(ACK_TIMEOUT.total_seconds()):
+                await future
+        except TimeoutError:
+            return False
+        finally:
+            del self.waiting[number]
+        return True
+
+    def on_transfer(self, sender: str, message: WindowTransfer) -> None:
+        """Take idempotency keys of an earlier gate."""
+        service = self.gatekeeper.configuration().services.get(message.service)
+        if service is None:
+            return
+        try:
+            self.gatekeeper.take_window(service, message.units, message.hot_keys, message.entries)
+        except ProtocolError:
+            return
+        self.send(sender, WindowTransferAck(message.number))
+
+    def on_ack(self, sender: str, message: WindowTransferAck) -> None:
+        """Take the acknowledgement of a batch."""
+        future = self.waiting.get(message.number)
+        if future is not None and not future.done():
+            future.set_result(None)
+
+
+def split(entries: list[bytes]) -> list[list[bytes]]:
+    """Return entries in batches of bounded size; at least one batch, which may be empty."""
+    batches: list[list[bytes]] = [[]]
+    size = 0
+    for entry in entries:
+        if batches[-1] and size + len(entry) > BATCH_BYTES:
+            batches.append([])
+            size = 0
+        batches[-1].append(entry)
+        size += len(entry)
+    return batches
