Explore every order of events of the hand-over protocol within small budgets of faults

The shipping sessions, standby, proofs and assignment changes are driven together with the stand-in's fence: calls that take their time, arrive late or lose their answer, crashes of gate and standby, restarts of the server, platform answers lost, old versions heard, two takeovers.

--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,108 @@
+"""Every order of events of the hand-over protocol, within small budgets of faults."""
+
+from dataclasses import dataclass
+
+import pytest
+
+from tests.handover_model import Budget, World, explore
+
+LIMIT = 60_000
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """One exploration.
+
+    Attributes
+    ----------
+    members, standby : str
+        Entry VMs and the recorded standby.
+    budget : Budget
+        Faults that may happen.
+    must_reach : tuple of str
+        Steps without which the exploration would prove nothing.
+    """
+
+    members: str
+    standby: str
+    budget: Budget
+    must_reach: tuple[str, ...]
+
+
+SCENARIOS = {
+    "release": Scenario(
+        "A",
+        "",
+        Budget(ticks=3, releases=1, slow=1, requests=1),
+        ("planner_moves", "takes_back", "stray_arrives", "request_starts"),
+    ),
+    "release, gate lost": Scenario(
+        "AC",
+        "",
+        Budget(ticks=3, releases=1, gate_writes=1),
+        ("planner_moves", "takes_back", "takes_over"),
+    ),
+    "release, server restarted": Scenario(
+        "A",
+        "",
+        Budget(ticks=3, releases=1, restarts=1, gate_writes=1),
+        ("planner_moves", "records_again", "server_restarts"),
+    ),
+    "server lost, returns, unit comes back": Scenario(
+        "A",
+        "",
+        Budget(ticks=6, slow=1, gate_writes=1, returns=1),
+        ("moves_lost_unit", "records_again", "stray_arrives", "unit_returns"),
+    ),
+    "gate and server lost": Scenario(
+        "AC",
+        "",
+        Budget(ticks=4, slow=1, gate_writes=1),
+        ("moves_lost_unit", "takes_over", "stray_arrives"),
+    ),
+    "gate lost twice, old version heard": Scenario(
+        "AC",
+        "",
+        Budget(ticks=6, gate_writes=2, old_versions=1),
+        ("moves_lost_unit", "takes_over", "hears_old_version"),
+    ),
+    "standby without a write": Scenario(
+        "AB",
+        "B",
+        Budget(ticks=4, slow=1),
+        ("moves_lost_unit", "claims_without_write", "asks_promise"),
+    ),
+    "standby records its claim": Scenario(
+        "AB",
+        "B",
+        Budget(ticks=4, gate_writes=1),
+        ("claims_without_write", "records_claim", "moves_lost_unit"),
+    ),
+    "standby or gate crashes": Scenario(
+        "AB",
+        "B",
+        Budget(ticks=5, crashes=1),
+        ("moves_lost_unit", "claims_without_write", "crashes"),
+    ),
+    "server restarts, gate lost": Scenario(
+        "AC",
+        "",
+        Budget(ticks=4, restarts=1, gate_writes=1),
+        ("takes_over", "records_again", "server_restarts", "moves_lost_unit"),
+    ),
+    "platform's answer lost": Scenario(
+        "AC",
+        "",
+        Budget(ticks=4, gate_writes=2, lost_writes=1),
+        ("loses_answer", "adopts_record", "moves_lost_unit"),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", list(SCENARIOS))
+def test_no_order_of_events_gives_a_unit_two_owners(name):
+    scenario = SCENARIOS[name]
+    found = explore(World(scenario.members, scenario.standby, scenario.budget), LIMIT)
+    assert not found.violation, "\n".join((found.violation, *found.trace))
+    assert found.complete
+    assert set(scenario.must_reach) <= found.reached
