Planner leaves servers without a session alone; a stop does not wait for the platform

Ruled out: the recovery's own choice, which excludes the server. Change: gates report load only while their session is open, and the planner moves nothing to a server whose gate has not reported for 2.5 s.

Cause: a stopping daemon repeated the record of its handover for as long as the platform was away (30 s). The successor is told and records itself; the stop goes on at once.

--- a/fireflylock/board.py
+++ b/fireflylock/board.py
@@ -190,7 +190,13 @@
 def usable_servers(view: LoadView, now: Instant) -> list[ServerView]:
     """Return the servers that may own keys and can do work, sorted by name."""
     servers = [view.servers[name] for name in sorted(view.servers)]
-    return [s for s in servers if s.state is ServerState.IN and s.effective_capacity(now) > 0.0]
+    return [
+        server
+        for server in servers
+        if server.state is ServerState.IN
+        and server.reachable
+        and server.effective_capacity(now) > 0.0
+    ]
 
 
 def believed_load(view: LoadView, key: str, measured: float) -> float:
--- a/fireflylock/handover.py
+++ b/fireflylock/handover.py
@@ -20,8 +20,6 @@
 
 LOG = logger("handover")
 
-RETRY_PAUSE = timedelta(milliseconds=200)
-
 
 class Handover:
     """Hands gates over.
@@ -51,10 +49,7 @@
             return
         await gate.drain()
         await self.send_window(gate, successor.member)
-        while gate.server.name in self.node.gatekeeper.gates:
-            if await self.record(gate, successor):
-                return
-            await self.node.clock.sleep(RETRY_PAUSE)
+        await self.record(gate, successor)
 
     def successor(self, gate: Gate) -> GateRecord | None:
         """Return the record of the next gate, or None when there is nobody."""
@@ -78,8 +73,8 @@
         units = assignment.units_of(gate.server.name)
         await self.node.windows.transfer(Handoff(gate.service.name, member, set(units), units))
 
-    async def record(self, gate: Gate, successor: GateRecord) -> bool:
-        """Write the next gate; True when nothing is left to do."""
+    async def record(self, gate: Gate, successor: GateRecord) -> None:
+        """Write the next gate; without the platform, tell it so that it can do so later."""
         server = gate.server.name
         epoch = gate.session.gate_epoch[0]
 
@@ -96,10 +91,8 @@
             # The next gate can record itself when the platform answers it.
             message = GateHandover(gate.service.name, server, epoch, [], True)
             self.node.peers.send(successor.member, message)
-            return False
         except InvariantError as error:
             LOG.info("handover outdated", server=server, reason=str(error))
-        return True
 
     def on_handover(self, sender: str, message: GateHandover) -> None:
         """Take notice that a gate was given to this entry VM."""
--- a/fireflylock/load_reports.py
+++ b/fireflylock/load_reports.py
@@ -17,6 +17,8 @@
 REPORT_GAIN = 0.4
 # A report that is older says nothing about the present.
 REPORT_LIFETIME = timedelta(seconds=30)
+# Gates report only while they have a session with their server.
+SESSION_LOST_AFTER = timedelta(milliseconds=2500)
 SECOND = timedelta(seconds=1)
 
 
@@ -82,9 +84,16 @@
 
 
 class ServiceReports:
-    """What a planner knows of one service's load."""
+    """What a planner knows of one service's load.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    now : timedelta
+        When it begins to listen.
+    """
+
+    def __init__(self, now: Instant) -> None:
+        self.started_at = now
         self.servers: dict[str, ServerReports] = {}
 
     def take(self, now: Instant, message: LoadReport) -> None:
@@ -101,6 +110,12 @@
         known.refused += message.refused
         known.received_at = now
 
+    def is_reachable(self, now: Instant, server: str) -> bool:
+        """Return whether the server's gate reported lately, or may not have had the time."""
+        known = self.servers.get(server)
+        heard_at = self.started_at if known is None else known.received_at
+        return now - heard_at <= SESSION_LOST_AFTER
+
     def fresh(self, now: Instant) -> dict[str, ServerReports]:
         """Return the servers whose last report still counts."""
         return {
@@ -172,6 +187,7 @@
             float(service.concurrency_limit),
             server.state,
             state.cold_since.get(server.name),
+            reports.is_reachable(now, server.name),
         )
         for server in configuration.servers_of(service.name)
     }
--- a/fireflylock/loadview.py
+++ b/fireflylock/loadview.py
@@ -32,6 +32,8 @@
         Whether it may own keys.
     cold_since : timedelta or None
         When it started cold; None when it is warm.
+    reachable : bool
+        Whether its gate has a session with it; nothing is moved to a server without one.
     """
 
     name: str
@@ -39,6 +41,7 @@
     capacity: float
     state: ServerState = ServerState.IN
     cold_since: Instant | None = None
+    reachable: bool = True
 
     def effective_capacity(self, now: Instant) -> float:
         """Return the work per second that it can do now."""
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -286,6 +286,8 @@
             if server not in gates:
                 del self.gate_loads[server]
         for server, gate in gates.items():
+            if not gate.open:
+                continue
             load = self.gate_loads.setdefault(server, GateLoad(now))
             planner = self.fleet.planner_of(gate.service.name)
             if planner:
--- a/fireflylock/rebalancer.py
+++ b/fireflylock/rebalancer.py
@@ -74,8 +74,14 @@
         """Take one gate's report."""
         if message.service not in self.configuration().services:
             return
-        reports = self.reports.setdefault(message.service, ServiceReports())
-        reports.take(self.clock.elapsed(), message)
+        self.reports_of(message.service).take(self.clock.elapsed(), message)
+
+    def reports_of(self, service: str) -> ServiceReports:
+        """Return what gates have reported of `service`."""
+        reports = self.reports.get(service)
+        if reports is None:
+            reports = self.reports[service] = ServiceReports(self.clock.elapsed())
+        return reports
 
     def look(self) -> None:
         """Begin to plan for every service of ours that is not being planned for."""
@@ -137,7 +143,7 @@
             configuration,
             configuration.services[service_name],
             assignment,
-            self.reports.setdefault(service_name, ServiceReports()),
+            self.reports_of(service_name),
             state,
         )
 
