--- a/fireflylock/caller_exchange.py
+++ b/fireflylock/caller_exchange.py
@@ -11,6 +11,7 @@
 from fireflylock.exchange import Headers, Request, Response
 from fireflylock.http1 import REQUEST_ID_HEADER, error_response
 from fireflylock.request_metrics import ANSWERED, CALLER_GONE, CUT, NO_SERVICE, NOT_RUN, UNKNOWN
+from fireflylock.request_parser import RequestHead
 
 if TYPE_CHECKING:
     from fireflylock.caller import CallerBody, CallerConnection
@@ -29,7 +30,7 @@
     ----------
     connection : CallerConnection
         Where the request came from.
-    head : h11.Request
+    head : RequestHead
         The parsed head.
     body : CallerBody
         The request's body, which may still be coming in.
@@ -47,7 +48,7 @@
     """
 
     def __init__(
-        self, connection: "CallerConnection", head: h11.Request, body: "CallerBody"
+        self, connection: "CallerConnection", head: RequestHead, body: "CallerBody"
     ) -> None:
         self.connection = connection
         self.frontend = connection.frontend
--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -11,24 +11,14 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-import h11
-
 from fireflylock.caller import CallerBody, CallerConnection, Phase
 from fireflylock.clock import Clock, Instant
 from fireflylock.exceptions import ErrorKind, RequestError
 from fireflylock.exchange import Handler, Headers, Request
-from fireflylock.http1 import (
-    DEADLINE_HEADER,
-    IDEMPOTENCY_HEADER,
-    REQUEST_ID_HEADER,
-    bad_request,
-    body_length,
-    end_to_end_headers,
-    header,
-    is_chunked,
-)
+from fireflylock.http1 import IDEMPOTENCY_HEADER, REQUEST_ID_HEADER, bad_request, header
 from fireflylock.matcher import ServiceMatcher
 from fireflylock.request_metrics import RequestMetrics
+from fireflylock.request_parser import RequestHead
 
 __all__ = ["Frontend", "FrontendLimits", "ServiceMatcher"]
 
@@ -205,14 +195,14 @@
         if self.metrics is not None:
             self.metrics.failed(service, kind)
 
-    def request_id(self, head: h11.Request) -> str:
+    def request_id(self, head: RequestHead) -> str:
         """Return the caller's request id if it is sane, else a new one."""
         given = header(head.headers, REQUEST_ID_HEADER)
         if given is not None and REQUEST_ID.fullmatch(given):
             return given.decode()
         return uuid.uuid4().hex
 
-    def request(self, head: h11.Request, request_id: str, body: CallerBody) -> Request:
+    def request(self, head: RequestHead, request_id: str, body: CallerBody) -> Request:
         """Return the request that a parsed head stands for.
 
         Raises
@@ -224,20 +214,21 @@
         matcher = self.matcher()
         if matcher is None:
             raise RequestError(ErrorKind.NO_CONFIGURATION)
-        headers = end_to_end_headers(head.headers)
+        headers = head.headers
         method = head.method.decode("ascii").upper()
         service, key, customer = matcher.match(method, head.target, headers)
+        time_left = requested_time(head.deadline_ms, service.request_timeout)
         return Request(
             request_id=request_id,
             service=service.name,
             key=key,
             customer=customer,
             method=method,
-            target=bytes(head.target),
+            target=head.target,
             headers=[pair for pair in headers if pair[0] != REQUEST_ID_HEADER],
             body=body,
-            body_length=request_body_length(head),
-            deadline=self.clock.elapsed() + requested_time(head, service.request_timeout),
+            body_length=head.length,
+            deadline=self.clock.elapsed() + time_left,
             idempotent=method in service.idempotent_methods,
             idempotency_key=idempotency_key(headers),
         )
@@ -312,17 +303,9 @@
         ]
 
 
-def request_body_length(head: h11.Request) -> int | None:
-    """Return the announced length of a request's body; None when chunked."""
-    if is_chunked(head):
-        return None
-    return body_length(head) or 0
-
-
-def requested_time(head: h11.Request, default: timedelta) -> timedelta:
+def requested_time(given: bytes, default: timedelta) -> timedelta:
     """Return how long the caller wants to wait at most."""
-    given = header(head.headers, DEADLINE_HEADER)
-    if given is None:
+    if not given:
         return default
     if not given.isdigit() or len(given) > 9 or int(given) == 0:
         raise bad_request("Fireflylock-Deadline-Ms is not a number of milliseconds.")
--- a/fireflylock/http1.py
+++ b/fireflylock/http1.py
@@ -2,7 +2,7 @@
 
 import math
 import re
-from collections.abc import Iterable
+from dataclasses import dataclass
 
 import h11
 import msgspec
@@ -75,55 +75,65 @@
     return ""
 
 
-def framing_problem(message: h11.Request | h11.Response) -> str:
-    """Return why the end of a message's body is ambiguous, or ""."""
-    has_length = False
-    has_encoding = False
-    for name, _ in message.headers:
-        if name == b"content-length":
-            has_length = True
-            continue
-        if name == b"transfer-encoding":
-            has_encoding = True
-    if has_length and has_encoding:
-        return "Both Content-Length and Transfer-Encoding are given."
-    if has_encoding and message.http_version != b"1.1":
-        return "Transfer-Encoding needs HTTP/1.1."
-    return ""
-
-
-def body_length(message: h11.Request | h11.Response) -> int | None:
-    """Return the Content-Length in bytes, or None when there is none."""
-    for name, value in message.headers:
-        if name == b"content-length":
-            return int(value)
-    return None
+@dataclass(slots=True)
+class Framing:
+    """What a message's headers say about it, read in one pass.
 
+    Attributes
+    ----------
+    headers : list of (bytes, bytes)
+        The headers that go on to the other side, names in lower case.
+    length : int or None
+        Content-Length in bytes.
+    chunked : bool
+        Whether the body comes in chunks.
+    deadline_ms : bytes
+        The caller's ``Fireflylock-Deadline-Ms``, or empty.
+    refused : bytes or None
+        The reason of a server's typed refusal.
+    problem : str
+        Why the end of the body is ambiguous, or "".
+    """
 
-def is_chunked(message: h11.Request | h11.Response) -> bool:
-    """Return whether the body comes in chunks."""
-    return any(name == b"transfer-encoding" for name, _ in message.headers)
+    headers: Headers
+    length: int | None = None
+    chunked: bool = False
+    deadline_ms: bytes = b""
+    refused: bytes | None = None
+    problem: str = ""
 
 
-def end_to_end_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Return the headers that go on to the other side, names in lower case."""
+def read_framing(message: h11.Request | h11.Response) -> Framing:
+    """Return what the headers of a parsed message say."""
     kept = []
+    framing = Framing(kept)
     named = b""
-    for name, value in headers:
-        if name in CONNECTION_HEADERS:
-            if name == b"connection":
-                named += b"," + value.lower()
-            continue
-        if name.startswith(SYSTEM_PREFIX):
-            continue
-        kept.append((name, value))
-    if not named or named in (b",keep-alive", b",close"):
-        return kept
-    dropped = {part.strip() for part in named.split(b",")}
-    return [(name, value) for name, value in kept if name not in dropped]
-
-
-def header(headers: Iterable[tuple[bytes, bytes]], wanted: bytes) -> bytes | None:
+    # Iterating over h11's headers is slow, so all that is needed is read in one pass.
+    for name, value in message.headers:
+        if name not in CONNECTION_HEADERS:
+            if not name.startswith(SYSTEM_PREFIX):
+                kept.append((name, value))
+            elif name == DEADLINE_HEADER:
+                framing.deadline_ms = bytes(value)
+            elif name == REFUSED_HEADER:
+                framing.refused = bytes(value)
+        elif name == b"content-length":
+            framing.length = int(value)
+        elif name == b"transfer-encoding":
+            framing.chunked = True
+        elif name == b"connection":
+            named += b"," + value.lower()
+    if named not in (b"", b",keep-alive", b",close"):
+        dropped = {part.strip() for part in named.split(b",")}
+        framing.headers = [pair for pair in kept if pair[0] not in dropped]
+    if framing.chunked and framing.length is not None:
+        framing.problem = "Both Content-Length and Transfer-Encoding are given."
+    elif framing.chunked and message.http_version != b"1.1":
+        framing.problem = "Transfer-Encoding needs HTTP/1.1."
+    return framing
+
+
+def header(headers: Headers, wanted: bytes) -> bytes | None:
     """Return the first value of a header, or None."""
     for name, value in headers:
         if name == wanted:
--- a/fireflylock/request_parser.py
+++ b/fireflylock/request_parser.py
@@ -1,19 +1,44 @@
 """Turns a caller's bytes into requests; refuses whatever could be read in two ways."""
 
+from dataclasses import dataclass
+
 import h11
 
 from fireflylock.exceptions import ErrorKind, RequestError
+from fireflylock.exchange import Headers
 from fireflylock.http1 import (
     HEAD_END,
+    Framing,
     bad_request,
-    body_length,
-    framing_problem,
     head_problem,
-    is_chunked,
     partial_head_problem,
+    read_framing,
 )
 
 
+@dataclass(slots=True)
+class RequestHead:
+    """The parsed head of one request.
+
+    Attributes
+    ----------
+    method, target, version : bytes
+        The request line.
+    headers : list of (bytes, bytes)
+        Headers that go on to the handler.
+    length : int or None
+        Length of the body in bytes; None when chunked.
+    deadline_ms : bytes
+        The caller's ``Fireflylock-Deadline-Ms``, or empty.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    length: int | None
+    deadline_ms: bytes
+
+
 class RequestParser:
     """Parses the requests of one connection, without doing any I/O.
 
@@ -44,7 +69,7 @@
         """Take in bytes from the caller."""
         self.pending += data
 
-    def next_head(self) -> h11.Request | None:
+    def next_head(self) -> RequestHead | None:
         """Return the next request's head, or None when it is not complete.
 
         Raises
@@ -74,7 +99,7 @@
             raise RequestError(ErrorKind.HEADERS_TOO_LARGE)
         refuse_if(partial_head_problem(self.pending))
 
-    def parse_head(self, head: bytes) -> h11.Request:
+    def parse_head(self, head: bytes) -> RequestHead:
         """Return the request whose head is `head`."""
         self.http = h11.Connection(h11.SERVER, self.header_bytes)
         try:
@@ -83,15 +108,16 @@
         except h11.RemoteProtocolError as error:
             raise bad_request(reason_of(error)) from None
         refuse_if(request_problem(request))
-        length = body_length(request)
-        if length is not None and self.max_body is not None and length > self.max_body:
+        framing = read_framing(request)
+        refuse_if(framing.problem)
+        if self.max_body is not None and (framing.length or 0) > self.max_body:
             raise RequestError(ErrorKind.BODY_TOO_LARGE)
         self.in_body = True
-        self.chunked = is_chunked(request)
+        self.chunked = framing.chunked
         self.body_bytes = 0
         self.tail = b""
         self.had_trailers = False
-        return request
+        return request_head(request, framing)
 
     def read_body(self) -> list[bytes]:
         """Return the body bytes that have come in; `in_body` turns False at the end.
@@ -149,7 +175,18 @@
         return "CONNECT is not offered."
     if not event.target.startswith(b"/") and event.target != b"*":
         return "The request target is not a path."
-    return framing_problem(event)
+    return ""
+
+
+def request_head(request: h11.Request, framing: Framing) -> RequestHead:
+    """Return the head that goes on to the front end."""
+    return RequestHead(
+        method=bytes(request.method),
+        target=bytes(request.target),
+        headers=framing.headers,
+        length=None if framing.chunked else framing.length or 0,
+        deadline_ms=framing.deadline_ms,
+    )
 
 
 def refuse_if(problem: str) -> None:
--- a/fireflylock/server_exchange.py
+++ b/fireflylock/server_exchange.py
@@ -7,15 +7,7 @@
 
 from fireflylock.exceptions import BodyCutShortError, ErrorKind, RequestError
 from fireflylock.exchange import Headers, Request, Response
-from fireflylock.http1 import (
-    BODY_BUFFER_BYTES,
-    REFUSED_HEADER,
-    body_length,
-    end_to_end_headers,
-    framing_problem,
-    header,
-    is_chunked,
-)
+from fireflylock.http1 import BODY_BUFFER_BYTES, header, read_framing
 from fireflylock.server_connection import ServerConnection
 from fireflylock.streams import StreamBody
 
@@ -177,17 +169,15 @@
 
     def begin_answer(self, head: h11.Response) -> None:
         """Note the head of the answer."""
-        problem = framing_problem(head)
-        if problem:
-            raise h11.RemoteProtocolError(problem)
-        length = None if is_chunked(head) else body_length(head)
-        headers = end_to_end_headers(head.headers)
-        self.response = Response(head.status_code, headers, self.body, length)
-        reason = header(head.headers, REFUSED_HEADER)
-        if head.status_code == REFUSED_STATUS and reason is not None:
-            self.refusal = RequestError(
-                ErrorKind.SERVER_REFUSED, reason.decode("latin-1"), retry_after(headers)
-            )
+        framing = read_framing(head)
+        if framing.problem:
+            raise h11.RemoteProtocolError(framing.problem)
+        length = None if framing.chunked else framing.length
+        self.response = Response(head.status_code, framing.headers, self.body, length)
+        if head.status_code == REFUSED_STATUS and framing.refused is not None:
+            reason = framing.refused.decode("latin-1")
+            when = retry_after(framing.headers)
+            self.refusal = RequestError(ErrorKind.SERVER_REFUSED, reason, when)
 
     def deliver(self) -> None:
         """Hand the answer, or the typed refusal, to whoever waits for it."""
