Pool: take a free connection without arming a timeout

Cause: asyncio.timeout was entered for every request although nothing is awaited when a connection is free.

--- a/fireflylock/backend.py
+++ b/fireflylock/backend.py
@@ -102,6 +102,9 @@
 
     async def acquire(self, request: Request) -> ServerConnection:
         """Return an open connection that is free, waiting for one within the deadline."""
+        # The usual case needs no timeout, because nothing is awaited.
+        if not self.waiters and (connection := self.take_idle()) is not None:
+            return connection
         remaining = (request.deadline - self.clock.elapsed()).total_seconds()
         try:
             async with asyncio.timeout(max(0.0, remaining)):
