Metrics of links and of the event loop; requests are counted where they end

The front end already counts how requests end, so the handler around it is dropped. The demo says when the longest unavailable time of a key began, and stops asking when an order is to be looked up.

--- a/demo/report.py
+++ b/demo/report.py
@@ -25,11 +25,14 @@
         Which key.
     seconds : float
         From the start of the first refused or lost try to the next answer.
+    since : float
+        When it began, in seconds since the first try of all.
     """
 
     service: str
     key: str
     seconds: float
+    since: float
 
 
 def attempts_of(calls: list[Call]) -> list[Attempt]:
@@ -47,25 +50,27 @@
         if attempt.outcome != NO_CONNECTION:
             by_key[attempt.service, attempt.key].append(attempt)
     longest: dict[str, Gap] = {}
+    first = min((attempt.started for attempt in attempts), default=0.0)
     for (service, key), tries in by_key.items():
-        gap = Gap(service, key, longest_gap(tries))
+        seconds, since = longest_gap(tries)
+        gap = Gap(service, key, seconds, since - first)
         if service not in longest or gap.seconds > longest[service].seconds:
             longest[service] = gap
     return longest
 
 
-def longest_gap(tries: list[Attempt]) -> float:
-    """Return the longest time in seconds in which no try of one key was answered."""
-    longest = 0.0
+def longest_gap(tries: list[Attempt]) -> tuple[float, float]:
+    """Return the longest time in which no try of one key was answered, and its start."""
+    longest = (0.0, 0.0)
     failing_since = None
     for attempt in sorted(tries, key=lambda attempt: attempt.ended):
         if attempt.outcome != ANSWERED:
             if failing_since is None:
                 failing_since = attempt.started
-            longest = max(longest, attempt.ended - failing_since)
+            longest = max(longest, (attempt.ended - failing_since, failing_since))
             continue
         if failing_since is not None and attempt.started >= failing_since:
-            longest = max(longest, attempt.ended - failing_since)
+            longest = max(longest, (attempt.ended - failing_since, failing_since))
             failing_since = None
     return longest
 
@@ -104,11 +109,13 @@
         if attempt.kind:
             kinds[attempt.kind] += 1
     orders = {call.attempts[0].order for call in traffic.calls if call.attempts} - {""}
-    without = sum(not call.answered for call in traffic.calls)
+    look_up = sum(call.settled and not call.answered for call in traffic.calls)
+    without = sum(not call.settled for call in traffic.calls)
     rows: list[tuple[str, object]] = [
         ("calls", len(traffic.calls)),
-        ("calls without any answer after all tries", without),
-        ("orders among the calls", len(orders)),
+        ("  without any answer after all tries", without),
+        ("  orders among them", len(orders)),
+        ("  orders to look up: they may have run before a loss", look_up),
         ("requests sent (tries and probes)", len(attempts)),
         ("  answered", outcomes[ANSWERED]),
         ("  refused, not run", outcomes[NOT_RUN]),
@@ -126,7 +133,9 @@
         ("most owners of a key at a moment (max 1)", findings.most_owners),
     ]
     for service, gap in sorted(longest_gaps(attempts).items()):
-        rows.append((f"longest unavailable time of a {service} key, s", f"{gap.seconds:.2f}"))
+        since = f" from second {gap.since:.1f} on" if gap.seconds else ""
+        name = f"longest unavailable time of a {service} key, s"
+        rows.append((name, f"{gap.seconds:.2f}{since}"))
     rows += [
         ("times a key moved to another backend server", findings.key_moves),
         ("hash slots and hot keys that changed owner", units_moved),
--- a/demo/traffic.py
+++ b/demo/traffic.py
@@ -21,6 +21,8 @@
 PROBED_KEYS = 6
 PROBE_SECONDS = 0.1
 LAST_ANSWERS_SECONDS = 20.0
+# The order may have run before a loss; it was not run again.
+LOOK_UP = "idempotency-unknown"
 
 
 @dataclass
@@ -44,6 +46,11 @@
         """Whether any try was answered."""
         return any(attempt.outcome == ANSWERED for attempt in self.attempts)
 
+    @property
+    def settled(self) -> bool:
+        """Whether asking again is of no use: the caller has to look the order up."""
+        return self.answered or any(attempt.kind == LOOK_UP for attempt in self.attempts)
+
 
 def new_order_id(randomness: random.Random) -> str:
     """Return a UUIDv7, whose leading bits are the time of issue in milliseconds."""
@@ -126,7 +133,7 @@
         order = new_order_id(self.randomness) if is_order else ""
         if is_order and self.randomness.random() < IMPATIENT_SHARE:
             await self.ask_twice(call, service, f"key-{rank}", order)
-        while not call.answered and len(call.attempts) < MAX_ATTEMPTS:
+        while not call.settled and len(call.attempts) < MAX_ATTEMPTS:
             if call.attempts:
                 await asyncio.sleep(RETRY_SECONDS)
             await self.attempt(call, service, f"key-{rank}", order)
--- a/fireflylock/api.py
+++ b/fireflylock/api.py
@@ -37,7 +37,6 @@
 from fireflylock.log import logger
 from fireflylock.metrics import Metrics
 from fireflylock.model import Configuration
-from fireflylock.nodemetrics import NodeReadings
 from fireflylock.nodeview import ServiceLoad
 from fireflylock.summaries import in_force, service_detail, service_summaries, status
 
@@ -149,7 +148,6 @@
         self.authority = authority
         self.metrics = metrics
         self.operations = self._operations()
-        NodeReadings(self.node).add_to(metrics)
 
     def _operations(self) -> list[Operation]:
         """Return the table of operations."""
--- a/fireflylock/daemon.py
+++ b/fireflylock/daemon.py
@@ -15,7 +15,9 @@
 from fireflylock.config import Settings
 from fireflylock.exceptions import FireflylockError, SettingsError
 from fireflylock.keys import peer_keys
+from fireflylock.link_metrics import LinkReadings
 from fireflylock.log import LogControl, configure, logger
+from fireflylock.loop_lag import measure_loop_lag
 from fireflylock.node import Node
 from fireflylock.nodemetrics import NodeReadings
 from fireflylock.tls import ServerTLS, server_tls
@@ -99,6 +101,8 @@
     callers_context = None if parts.callers_tls is None else parts.callers_tls.context
     node = Node(settings, clock, control, parts.curve, callers_context)
     NodeReadings(node.operators).add_to(node.metrics)
+    links = LinkReadings(node.frontend, node.peers, node.store, node.membership, clock)
+    links.add_to(node.metrics)
     limits = settings.limits
     api = Api(Administration(node.operators, clock), parts.authority, node.metrics)
     admin = AdminServer(
@@ -107,10 +111,12 @@
     context = None if parts.admin_tls is None else parts.admin_tls.context
     await node.start()
     port = await admin.start(settings.admin.address, settings.admin.port, context)
+    loop_lag = asyncio.create_task(measure_loop_lag(clock, node.metrics))
     LOG.info("admin API", address=settings.admin.address, port=port)
     try:
         await wait_for_stop(node, parts)
     finally:
+        loop_lag.cancel()
         await admin.close()
 
 
--- a/fireflylock/metrics.py
+++ b/fireflylock/metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
@@ -134,7 +134,7 @@
         self.registry.register(self.state)
         self.requests = Counter(
             f"{PREFIX}requests",
-            "Callers' requests by result: answered, refused (not run) or unknown.",
+            "Callers' requests by result: answered, not-run, unknown, cut or caller-gone.",
             ("service", "result"),
             registry=self.registry,
         )
@@ -151,12 +151,6 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS,
         )
-        self.in_flight = Gauge(
-            f"{PREFIX}requests_in_flight",
-            "Callers' requests being served.",
-            ("service",),
-            registry=self.registry,
-        )
         self.loop_lag = Histogram(
             f"{PREFIX}loop_lag_seconds",
             "How late the event loop woke up.",
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -20,7 +20,6 @@
 from fireflylock.handover import Handover
 from fireflylock.load_reports import GateLoad
 from fireflylock.log import LogControl, logger
-from fireflylock.measured import MeasuredHandler
 from fireflylock.membership import EventKind, MemberEvent, Membership, MembershipTiming
 from fireflylock.messages import (
     GateHandover,
@@ -45,6 +44,7 @@
 from fireflylock.recovery import Recovery
 from fireflylock.relay import RelayTiming, StateRelay
 from fireflylock.releases import Releases
+from fireflylock.request_metrics import RequestMetrics
 from fireflylock.retry import RetryBudget
 from fireflylock.router import Router
 from fireflylock.routing_view import NodeRoutingView
@@ -217,7 +217,7 @@
             self.clock,
         )
         self.frontend = Frontend(
-            MeasuredHandler(self.router, self.metrics, self.clock),
+            self.router,
             lambda: self.state.matcher,
             self.clock,
             FrontendLimits(
@@ -228,6 +228,7 @@
                 keepalive_timeout=limits.keepalive_timeout,
             ),
             callers_context,
+            RequestMetrics(self.metrics),
         )
         self.operators = OperatorsView(self)
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,6 +9,7 @@
 from fireflylock.cmdline import parser
 from fireflylock.config import Settings
 from fireflylock.exceptions import ErrorKind
+from fireflylock.link_metrics import LinkReadings
 from fireflylock.metrics import Metrics
 from fireflylock.model import Configuration
 from fireflylock.nodemetrics import NodeReadings
@@ -22,10 +23,14 @@
 
 def metric_names() -> set[str]:
     metrics = Metrics()
-    NodeReadings(FakeNode(Configuration())).add_to(metrics)
+    metrics.state.collect = lambda: ()
     names = set()
     for family in metrics.registry.collect():
         names.add(family.name + ("_total" if family.type == "counter" else ""))
+    NodeReadings(FakeNode(Configuration())).add_to(metrics)
+    LinkReadings(None, None, None, None, None).add_to(metrics)
+    for reading in metrics.state.readings:
+        names.add(f"fireflylock_{reading.name}" + ("_total" if reading.counts else ""))
     return names
 
 
