A mark of a hand-over names owner and gate epoch, not the unit's epoch alone

Cause: a gate that had been handed the idempotency keys of unit u for epoch e+1 trusted that mark for good. When the planner's write was lost, the old owner took u back with that very epoch and ran further orders; a later takeover by the first gate then treated unknown keys as new, so that a repeated order could run twice. Ruled out: consuming marks at first use, which leaves the mark of a move that never happened in place. Change: marks carry (epoch, owner, gate epoch), and a unit counts as continued only from the turn that was held here before.

--- a/fireflylock/coverage.py
+++ b/fireflylock/coverage.py
@@ -3,7 +3,30 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from fireflylock.assignment import Assignment, hash_slot
+import msgspec
+
+from fireflylock.assignment import NO_SERVER, Assignment, hash_slot
+
+
+class Mark(msgspec.Struct, frozen=True, array_like=True):
+    """For which turn of a unit the earlier gate handed everything over.
+
+    The epoch alone does not name the turn: when the change that would have begun it is not
+    recorded, the old owner gets the unit back with that very epoch.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the unit (of a hot key: of its hash slot) that begins.
+    server : str
+        The owner that begins, or `NO_SERVER` for a hot unit that ends.
+    gate_epoch : int
+        Recorded gate epoch of that owner, or 0 for a hot unit that ends.
+    """
+
+    epoch: int
+    server: str
+    gate_epoch: int
 
 
 @dataclass
@@ -12,37 +35,88 @@
 
     Attributes
     ----------
-    units : dict of int to int
-        Units whose keys were handed over completely, and the epoch that began then.
-    hot_keys : dict of str to int
-        Keys that left their hash slots and were handed over, and the slots' epoch that
-        began then.
+    units : dict of int to Mark
+        Units whose keys were handed over completely.
+    hot_keys : dict of str to Mark
+        Keys that left their hash slots and were handed over.
+    held : dict of int to Mark
+        Units that were held here at the last look, and their turn.
+    gates : dict of str to int
+        Gate epochs of the backend servers whose gate was here at the last look.
     assignment : Assignment or None
         The assignment that was last looked at.
     """
 
-    units: dict[int, int] = field(default_factory=dict)
-    hot_keys: dict[str, int] = field(default_factory=dict)
+    units: dict[int, Mark] = field(default_factory=dict)
+    hot_keys: dict[str, Mark] = field(default_factory=dict)
+    held: dict[int, Mark] = field(default_factory=dict)
+    gates: dict[str, int] = field(default_factory=dict)
     assignment: Assignment | None = None
 
-    def knows(self, assignment: Assignment, unit: int, epoch: int) -> bool:
+    def advance(self, assignment: Assignment, servers: Iterable[str]) -> list[int]:
+        """Look at the next assignment.
+
+        Parameters
+        ----------
+        assignment : Assignment
+            The one in force now.
+        servers : iterable of str
+            Backend servers whose gate is here.
+
+        Returns
+        -------
+        list of int
+            Held units whose earlier idempotency keys may not be known here.
+        """
+        gates = {server: assignment.gates[server].epoch for server in servers}
+        held = {
+            unit: Mark(ownership.epoch, ownership.server, gates[ownership.server])
+            for unit, ownership in assignment.units.items()
+            if ownership.server in gates
+        }
+        lost = []
+        for unit, mark in held.items():
+            if self.is_continued(unit, mark) or self.knows(assignment, unit):
+                continue
+            lost.append(unit)
+        lost += self.unknown_returns(assignment, held)
+        self.held, self.gates, self.assignment = held, gates, assignment
+        return lost
+
+    def is_continued(self, unit: int, mark: Mark) -> bool:
+        """Return whether this entry VM alone served the unit since the last look."""
+        before = self.held.get(unit)
+        if before is None:
+            return False
+        if (before.server, before.epoch) == (mark.server, mark.epoch):
+            return mark.gate_epoch in (before.gate_epoch, before.gate_epoch + 1)
+        moved_once = mark.epoch == before.epoch + 1
+        return moved_once and self.gates.get(mark.server) == mark.gate_epoch
+
+    def knows(self, assignment: Assignment, unit: int) -> bool:
         """Return whether no earlier idempotency key of a newly held unit can be unknown."""
-        if self.units.get(unit) == epoch:
+        ownership = assignment.units[unit]
+        record = assignment.gates.get(ownership.server)
+        if record is None:
+            return False
+        if self.units.get(unit) == Mark(ownership.epoch, ownership.server, record.epoch):
             return True
         if unit >= assignment.hash_slots:
             return self.knows_hot_unit(assignment, unit)
-        server = assignment.units[unit].server
-        record = assignment.gates.get(server)
-        return epoch == 1 and record is not None and record.epoch == 1
+        return ownership.epoch == 1 and record.epoch == 1
 
     def knows_hot_unit(self, assignment: Assignment, unit: int) -> bool:
         """Return whether the key of a hot unit was handed over when it left its slot."""
+        server = assignment.units[unit].server
+        record = assignment.gates[server]
         for key, place in assignment.hot_keys.items():
             if place != unit:
                 continue
             slot = hash_slot(assignment.service, key, assignment.hash_slots)
             ownership = assignment.units.get(slot)
-            return ownership is not None and self.hot_keys.get(key) == ownership.epoch
+            if ownership is None:
+                return False
+            return self.hot_keys.get(key) == Mark(ownership.epoch, server, record.epoch)
         return True
 
     def unknown_returns(self, assignment: Assignment, held: Iterable[int]) -> list[int]:
@@ -55,7 +129,8 @@
                 continue
             slot = hash_slot(assignment.service, key, assignment.hash_slots)
             ownership = assignment.units.get(unit)
-            known = ownership is not None and self.units.get(unit) == ownership.epoch
-            if slot in held and not known:
+            if ownership is None or slot not in held:
+                continue
+            if self.units.get(unit) != Mark(ownership.epoch, NO_SERVER, 0):
                 found.append(slot)
         return found
--- a/fireflylock/gatekeeper.py
+++ b/fireflylock/gatekeeper.py
@@ -10,7 +10,7 @@
 from fireflylock.assignments import AssignmentBook
 from fireflylock.backend import ServerPool
 from fireflylock.clock import Clock
-from fireflylock.coverage import Coverage
+from fireflylock.coverage import Coverage, Mark
 from fireflylock.exceptions import ErrorKind, RequestError
 from fireflylock.exchange import Handler, Request, Response
 from fireflylock.fenced_session import FencedSession
@@ -96,7 +96,6 @@
         self.loops: dict[str, asyncio.Task[None]] = {}
         self.closing: set[asyncio.Task[None]] = set()
         self.orders: dict[str, Orders] = {}
-        self.held: dict[str, dict[int, int]] = {}
         self.coverage: dict[str, Coverage] = {}
         self.on_progress: Callable[[Gate], None] = lambda _gate: None
         self.on_request: Callable[[Gate, Request, int], None] = lambda _gate, _request, _unit: None
@@ -175,8 +174,7 @@
         by_server: dict[str, dict[int, int]] = {}
         for unit, ownership in assignment.units.items():
             by_server.setdefault(ownership.server, {})[unit] = ownership.epoch
-        held: dict[int, int] = {}
-        fresh: list[Gate] = []
+        servers = []
         for server, record in assignment.gates.items():
             known = configuration.servers.get(server)
             if known is None or not self.is_mine(configuration, server):
@@ -184,38 +182,29 @@
             gate = self.gates.get(server)
             if gate is None:
                 gate = self.open(known, service, record)
-                fresh.append(gate)
             elif gate.session.gate_epoch != (record.epoch, 0):
                 gate.replace_session(self.new_session(known, service, record))
             units = by_server.get(server, {})
             if not service.keyed:
                 units = {WHOLE_SERVICE: record.epoch}
-            held.update(units)
+            servers.append(server)
             gate.set_grants(units, assignment.revision)
-        self.cover(service, assignment, held)
+        self.cover(service, assignment, servers)
 
-    def cover(self, service: Service, assignment: Assignment, held: dict[int, int]) -> None:
+    def cover(self, service: Service, assignment: Assignment, servers: list[str]) -> None:
         """Find out for which units earlier idempotency keys may not be known here."""
-        before = self.held.get(service.name, {})
-        self.held[service.name] = held
         if not service.keyed:
             return
         coverage = self.coverage.setdefault(service.name, Coverage())
-        lost = [
-            unit
-            for unit, epoch in held.items()
-            if unit not in before and not coverage.knows(assignment, unit, epoch)
-        ]
-        lost += coverage.unknown_returns(assignment, held)
-        coverage.assignment = assignment
+        lost = coverage.advance(assignment, servers)
         window = self.orders_of(service).window
         window.taken_over(self.clock.elapsed(), self.clock.now(), lost)
 
     def take_window(
         self,
         service: Service,
-        units: dict[int, int],
-        hot_keys: dict[str, int],
+        units: dict[int, Mark],
+        hot_keys: dict[str, Mark],
         entries: list[bytes],
     ) -> None:
         """Take over idempotency keys; see `WindowTransfer` for the arguments."""
--- a/fireflylock/handover.py
+++ b/fireflylock/handover.py
@@ -6,6 +6,7 @@
 
 from fireflylock.assignment import Assignment, GateRecord
 from fireflylock.assignment_changes import with_gate
+from fireflylock.coverage import Mark
 from fireflylock.exceptions import InvariantError, PlatformError
 from fireflylock.fleet import process_of
 from fireflylock.gate import Gate
@@ -70,8 +71,11 @@
         assignment = self.node.book.get(gate.service.name)
         if assignment is None or not gate.service.keyed:
             return
-        units = assignment.units_of(gate.server.name)
-        await self.node.windows.transfer(Handoff(gate.service.name, member, set(units), units))
+        server = gate.server.name
+        next_gate_epoch = gate.session.gate_epoch[0] + 1
+        units = assignment.units_of(server)
+        marks = {unit: Mark(epoch, server, next_gate_epoch) for unit, epoch in units.items()}
+        await self.node.windows.transfer(Handoff(gate.service.name, member, set(units), marks))
 
     async def record(self, gate: Gate, successor: GateRecord) -> None:
         """Write the next gate; without the platform, tell it so that it can do so later."""
--- a/fireflylock/messages.py
+++ b/fireflylock/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from fireflylock.coverage import Mark
 from fireflylock.exceptions import ProtocolError
 
 
@@ -377,10 +378,12 @@
         Unit to epoch.
     change_id : str
         Id of the change that needs the release.
-    receivers : dict of int to str
-        Entry VM that holds the gate of each unit's next owner.
-    hot_receivers : dict of str to str
-        Entry VM that holds the next gate of each key that leaves its hash slot.
+    targets : dict of int to str
+        The next owner of each unit; of a hot unit that ends, the owner of its hash slot.
+    hot_targets : dict of str to str
+        The next owner of each key that leaves its hash slot.
+    ending : list of int
+        Hot units that end; their key returns to its hash slot.
     """
 
     service: str
@@ -388,8 +391,9 @@
     gate_epoch: int
     units: dict[int, int]
     change_id: str
-    receivers: dict[int, str] = {}
-    hot_receivers: dict[str, str] = {}
+    targets: dict[int, str] = {}
+    hot_targets: dict[str, str] = {}
+    ending: list[int] = []
 
 
 class UnitsReleased(Message, frozen=True, tag=41):
@@ -568,19 +572,19 @@
         Whose keys.
     number : int
         Acknowledged by `WindowTransferAck`; unique per sender.
-    units : dict of int to int
-        Units whose keys are complete with this message, and the epochs that begin.
-    hot_keys : dict of str to int
+    units : dict of int to Mark
+        Units whose keys are complete with this message, and the turns that begin.
+    hot_keys : dict of str to Mark
         Keys that leave their hash slots and are complete with this message, and the
-        epochs of their hash slots that begin.
+        turns that begin.
     entries : list of bytes
         Encoded entries.
     """
 
     service: str
     number: int
-    units: dict[int, int]
-    hot_keys: dict[str, int]
+    units: dict[int, Mark]
+    hot_keys: dict[str, Mark]
     entries: list[bytes]
 
 
--- a/fireflylock/mover.py
+++ b/fireflylock/mover.py
@@ -102,42 +102,38 @@
             by_server.setdefault(ownership.server, {})[unit] = ownership.epoch
         questions = []
         for server, units in by_server.items():
-            receivers = {unit: gate_of(assignment, wanted[unit]) for unit in units}
-            hot_receivers = {}
-            for key, target in batch.place.items():
-                if assignment.unit_of(key) in units:
-                    hot_receivers[key] = gate_of(assignment, target)
-            questions.append(self.ask(assignment, server, units, receivers, hot_receivers))
+            question = ReleaseUnits(
+                assignment.service,
+                server,
+                assignment.gates[server].epoch if server in assignment.gates else 0,
+                units,
+                uuid.uuid4().hex,
+                {unit: wanted[unit] for unit in units},
+                {key: to for key, to in batch.place.items() if assignment.unit_of(key) in units},
+                [
+                    assignment.hot_keys[key]
+                    for key in batch.give_back
+                    if key in assignment.hot_keys
+                ],
+            )
+            questions.append(self.ask(gate_of(assignment, server), question))
         answers = await asyncio.gather(*questions)
         return [proof for proof in answers if proof is not None]
 
-    async def ask(
-        self,
-        assignment: Assignment,
-        server: str,
-        units: dict[int, int],
-        receivers: dict[int, str],
-        hot_receivers: dict[str, str],
-    ) -> Released | None:
-        """Ask one gate for release."""
-        record = assignment.gates.get(server)
-        if record is None or not record.member:
-            return None
-        change_id = uuid.uuid4().hex
-        question = ReleaseUnits(
-            assignment.service, server, record.epoch, units, change_id, receivers, hot_receivers
-        )
+    async def ask(self, member: str, question: ReleaseUnits) -> Released | None:
+        """Ask the gate on `member` for release."""
+        place = (question.server, question.change_id)
         future = asyncio.get_running_loop().create_future()
-        self.waiting[server, change_id] = future
+        self.waiting[place] = future
         try:
-            if not self.send(record.member, question):
+            if not member or not self.send(member, question):
                 return None
             async with asyncio.timeout(ANSWER_TIMEOUT.total_seconds()):
                 return await future
         except TimeoutError:
             return None
         finally:
-            del self.waiting[server, change_id]
+            del self.waiting[place]
 
     def on_released(self, sender: str, message: UnitsReleased) -> None:
         """Take the answer of a gate that released units."""
--- a/fireflylock/recovery.py
+++ b/fireflylock/recovery.py
@@ -15,12 +15,11 @@
 from fireflylock.loadview import LoadView
 from fireflylock.log import logger
 from fireflylock.model import Configuration
-from fireflylock.mover import gate_of
 from fireflylock.ownership import Evidence
 from fireflylock.placement import spread_lost
 from fireflylock.proofs import OwnerProof
 from fireflylock.session import SessionState
-from fireflylock.windows import Handoff, WindowTransfers
+from fireflylock.windows import Handoffs, WindowTransfers
 
 RETRY_PAUSE = timedelta(milliseconds=200)
 
@@ -147,15 +146,11 @@
 
     async def hand_on(self, service: str, assignment: Assignment, owners: dict[int, str]) -> None:
         """Send the idempotency keys of the units to the gates of their new owners."""
-        handoffs: dict[str, Handoff] = {}
+        handoffs = Handoffs(assignment)
         for unit, target in owners.items():
-            member = gate_of(assignment, target)
-            if not member:
-                continue
-            handoff = handoffs.setdefault(member, Handoff(service, member))
-            handoff.sources.add(unit)
-            handoff.units[unit] = assignment.units[unit].epoch + 1
-        await asyncio.gather(*(self.windows.transfer(handoff) for handoff in handoffs.values()))
+            handoffs.add_unit(unit, target, assignment.units[unit].epoch + 1)
+        transfers = [self.windows.transfer(found) for found in handoffs.by_member.values()]
+        await asyncio.gather(*transfers)
 
     async def look_for_gone(self) -> None:
         """Move the units of servers that are gone for good, whoever their gate is."""
--- a/fireflylock/releases.py
+++ b/fireflylock/releases.py
@@ -14,7 +14,7 @@
 from fireflylock.log import logger
 from fireflylock.messages import PeerMessage, ReleaseRefused, ReleaseUnits, UnitsReleased
 from fireflylock.proofs import SameGate
-from fireflylock.windows import Handoff, WindowTransfers
+from fireflylock.windows import Handoffs, WindowTransfers
 
 # Longest wait for the requests in flight of the units that are given up.
 RELEASE_TIMEOUT = timedelta(seconds=10)
@@ -106,25 +106,16 @@
 
     async def hand_on(self, message: ReleaseUnits, released: dict[int, int]) -> None:
         """Send the idempotency keys of released units to the gates that come next."""
-        handoffs: dict[str, Handoff] = {}
-
-        def handoff_to(member: str) -> Handoff:
-            return handoffs.setdefault(member, Handoff(message.service, member))
-
-        for unit, epoch in released.items():
-            member = message.receivers.get(unit, "")
-            if not member:
-                continue
-            handoff_to(member).sources.add(unit)
-            handoff_to(member).units[unit] = epoch + 1
         assignment = self.book.get(message.service)
-        for key, member in message.hot_receivers.items():
+        handoffs = Handoffs(assignment)
+        for unit, epoch in released.items():
+            target = message.targets.get(unit, "")
+            handoffs.add_unit(unit, target, epoch + 1, ends=unit in message.ending)
+        for key, target in message.hot_targets.items():
             slot = hash_slot(message.service, key, assignment.hash_slots)
-            if slot not in released:
-                continue
-            handoff_to(member).sources.add(slot)
-            handoff_to(member).hot_keys[key] = released[slot] + 1
-        for handoff in handoffs.values():
+            if slot in released:
+                handoffs.add_hot_key(key, slot, target, released[slot] + 1)
+        for handoff in handoffs.by_member.values():
             await self.windows.transfer(handoff)
 
     async def take_back(self) -> None:
--- a/fireflylock/windows.py
+++ b/fireflylock/windows.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from fireflylock.assignment import hash_slot
+from fireflylock.assignment import NO_SERVER, Assignment, GateRecord, hash_slot
+from fireflylock.coverage import Mark
 from fireflylock.exceptions import ProtocolError
 from fireflylock.gatekeeper import Gatekeeper
 from fireflylock.messages import PeerMessage, WindowTransfer, WindowTransferAck
@@ -28,17 +29,58 @@
         Whose keys, and the entry VM that holds the next gate.
     sources : set of int
         Units whose entries are sent.
-    units : dict of int to int
-        Units that the next gate then knows completely, and the epochs that begin.
-    hot_keys : dict of str to int
-        The same for keys that leave their hash slots, with the slots' epochs that begin.
+    units : dict of int to Mark
+        Units that the next gate then knows completely, and the turns that begin.
+    hot_keys : dict of str to Mark
+        The same for keys that leave their hash slots.
     """
 
     service: str
     member: str
     sources: set[int] = field(default_factory=set)
-    units: dict[int, int] = field(default_factory=dict)
-    hot_keys: dict[str, int] = field(default_factory=dict)
+    units: dict[int, Mark] = field(default_factory=dict)
+    hot_keys: dict[str, Mark] = field(default_factory=dict)
+
+
+class Handoffs:
+    """What the next gates of several units are told, by member.
+
+    Parameters
+    ----------
+    assignment : Assignment
+        Names the gates.
+    """
+
+    def __init__(self, assignment: Assignment) -> None:
+        self.assignment = assignment
+        self.by_member: dict[str, Handoff] = {}
+
+    def to(self, record: GateRecord) -> Handoff:
+        """Return what the gate of `record` is told."""
+        handoff = Handoff(self.assignment.service, record.member)
+        return self.by_member.setdefault(record.member, handoff)
+
+    def add_unit(self, unit: int, target: str, epoch: int, ends: bool = False) -> None:
+        """Tell the gate of `target` about a unit whose turn `epoch` begins.
+
+        A hot unit that `ends` begins no turn; `target` is then the owner of the hash slot.
+        """
+        record = self.assignment.gates.get(target)
+        if record is None or not record.member:
+            return
+        handoff = self.to(record)
+        handoff.sources.add(unit)
+        mark = Mark(epoch, NO_SERVER, 0) if ends else Mark(epoch, target, record.epoch)
+        handoff.units[unit] = mark
+
+    def add_hot_key(self, key: str, slot: int, target: str, epoch: int) -> None:
+        """Tell the gate of `target` about a key that leaves its slot, which begins `epoch`."""
+        record = self.assignment.gates.get(target)
+        if record is None or not record.member:
+            return
+        handoff = self.to(record)
+        handoff.sources.add(slot)
+        handoff.hot_keys[key] = Mark(epoch, target, record.epoch)
 
 
 class WindowTransfers:
