--- a/fireflylock/board.py
+++ b/fireflylock/board.py
@@ -156,7 +156,7 @@
         if target in self.load:
             self.load[target] += load
         self.unit_loads[slot] = self.unit_loads.get(slot, 0.0) + load
-        self.touched.add(unit)
+        self.touched |= {unit, slot}
         self.free_hot_units += 1
 
     def _place(self, item: Item, target: str, reason: MoveReason) -> None:
@@ -211,6 +211,15 @@
             continue
         measured = view.hot_rates.get(key, loads[unit])
         loads[unit] = believed_load(view, key, measured)
+    # A key that has just become hot shows before the decayed load of its slot does.
+    hot_in_slot: dict[int, float] = {}
+    for key, rate in view.hot_rates.items():
+        if key not in view.placed:
+            slot = view.home_slots[key]
+            hot_in_slot[slot] = hot_in_slot.get(slot, 0.0) + rate
+    for slot, rate in hot_in_slot.items():
+        if slot in loads:
+            loads[slot] = max(loads[slot], rate)
     for key in view.expected:
         if key in view.placed:
             continue
--- a/fireflylock/hotkeys.py
+++ b/fireflylock/hotkeys.py
@@ -1,12 +1,19 @@
 """Hot keys: finds the keys that carry most of the load, in bounded memory."""
 
+from collections import deque
 from datetime import timedelta
 
 from datasketches import frequent_items_error_type, frequent_strings_sketch
 
 from fireflylock.clock import Instant
 
-DEFAULT_PERIOD = timedelta(seconds=20)
+DEFAULT_PERIOD = timedelta(seconds=5)
+
+# Periods that a rate is taken over, and the latest ones that show a sudden change.
+PERIODS = 3
+RECENT_PERIODS = 2
+# A key whose recent rate differs by more than this share has changed suddenly.
+SUDDEN_CHANGE = 0.4
 
 # The sketch counts whole numbers, so weights are counted in thousandths.
 WEIGHT_SCALE = 1000
@@ -16,10 +23,10 @@
 
 
 class HotKeys:
-    """Counts keys over the current and the previous period.
+    """Counts keys over the last few periods, one sketch for each.
 
-    Two sketches take turns, so that a key which cooled down is forgotten after at most two
-    periods and a new hot key stands out within a fraction of one.
+    A key that cooled down is forgotten after the last period.  A key that changed suddenly
+    is judged by the latest periods alone, so that it stands out within seconds.
 
     Parameters
     ----------
@@ -39,28 +46,23 @@
     ) -> None:
         self.period = period
         self.log2_keys = log2_keys
-        self.current = frequent_strings_sketch(log2_keys)
-        self.current_since = now
-        self.previous = frequent_strings_sketch(log2_keys)
-        self.previous_since = now
+        # The latest sketch comes last, each with the instant at which it was begun.
+        self.sketches = deque([(now, frequent_strings_sketch(log2_keys))], maxlen=PERIODS)
 
     def add(self, now: Instant, key: str, weight: float = 1.0) -> None:
         """Count `weight` for `key`; weights below a thousandth count as nothing."""
         self.rotate(now)
-        self.current.update(key, int(weight * WEIGHT_SCALE))
+        self.sketches[-1][1].update(key, int(weight * WEIGHT_SCALE))
 
     def rotate(self, now: Instant) -> None:
-        """Start a new sketch when the current period is over."""
-        if now - self.current_since < self.period:
-            return
-        if now - self.current_since >= 2 * self.period:
-            # Nothing was counted for a whole period, so the last one is out of date too.
-            self.current = frequent_strings_sketch(self.log2_keys)
-            self.current_since = now - self.period
-        self.previous = self.current
-        self.previous_since = self.current_since
-        self.current = frequent_strings_sketch(self.log2_keys)
-        self.current_since = now
+        """Begin a new sketch when the current period is over."""
+        while now - self.sketches[-1][0] >= self.period:
+            begin = self.sketches[-1][0] + self.period
+            if now - begin >= PERIODS * self.period:
+                # Nothing was counted for so long that the old sketches are all out of date.
+                begin = now
+                self.sketches.clear()
+            self.sketches.append((begin, frequent_strings_sketch(self.log2_keys)))
 
     def top(self, now: Instant, count: int) -> list[tuple[str, float]]:
         """Return the hottest keys with their rates.
@@ -78,11 +80,21 @@
             Keys and weights per second, the hottest first, equal ones by name.
         """
         self.rotate(now)
-        weights: dict[str, float] = {}
-        for sketch in (self.previous, self.current):
+        rates = self._rates(now, PERIODS)
+        recent = self._rates(now, RECENT_PERIODS)
+        for key in rates:
+            latest = recent.get(key, 0.0)
+            if abs(latest - rates[key]) > SUDDEN_CHANGE * max(latest, rates[key]):
+                rates[key] = latest
+        ranked = sorted(rates.items(), key=lambda item: (-item[1], item[0]))
+        return ranked[:count]
+
+    def _rates(self, now: Instant, periods: int) -> dict[str, float]:
+        chosen = list(self.sketches)[-periods:]
+        span = max((now - chosen[0][0]).total_seconds(), 1.0)
+        rates: dict[str, float] = {}
+        for _, sketch in chosen:
             for row in sketch.get_frequent_items(frequent_items_error_type.NO_FALSE_POSITIVES):
-                key, _, lower_bound = row[0], row[1], row[2]
-                weights[key] = weights.get(key, 0.0) + lower_bound / WEIGHT_SCALE
-        span = max((now - self.previous_since).total_seconds(), 1.0)
-        ranked = sorted(weights.items(), key=lambda item: (-item[1], item[0]))
-        return [(key, weight / span) for key, weight in ranked[:count]]
+                key, lower_bound = row[0], row[2]
+                rates[key] = rates.get(key, 0.0) + lower_bound / WEIGHT_SCALE / span
+        return rates
--- a/fireflylock/load_reports.py
+++ b/fireflylock/load_reports.py
@@ -160,7 +160,7 @@
     moving : frozenset of int
         Units whose move is under way.
     keys_moved_last_hour : float
-        Keys that moved by choice.
+        Keys that moved by choice with their hash slots.
     time_of_day : timedelta
         Since local midnight.
     """
--- a/fireflylock/loads.py
+++ b/fireflylock/loads.py
@@ -31,16 +31,16 @@
     """
 
     def __init__(self, now: Instant, units: int, mean_age: timedelta = DEFAULT_MEAN_AGE) -> None:
-        self.weights = [0.0] * units
+        self.weights = np.zeros(units)
         self.mean_age = mean_age.total_seconds()
         self.started = now
         self.origin = now
 
     def add(self, now: Instant, unit: int, weight: float = 1.0) -> None:
         """Count `weight` for `unit`."""
-        if unit >= len(self.weights):
-            self.weights.extend([0.0] * (unit + 1 - len(self.weights)))
-        self.weights[unit] += weight * self._growth(now)
+        self._make_room(unit)
+        growth = self._growth(now)
+        self.weights[unit] += weight * growth
 
     def add_report(self, now: Instant, rates: dict[int, float], period: timedelta) -> None:
         """Count what a gate reported.
@@ -54,8 +54,14 @@
         period : timedelta
             What the report covers.
         """
-        for unit, rate in rates.items():
-            self.add(now, unit, rate * period.total_seconds())
+        if not rates:
+            return
+        units = np.fromiter(rates.keys(), dtype=np.int64, count=len(rates))
+        weights = np.fromiter(rates.values(), dtype=float, count=len(rates))
+        self._make_room(int(units.max()))
+        # The weight came in all over the period, on average in its middle.
+        growth = self._growth(now - period / 2)
+        self.weights[units] += weights * (period.total_seconds() * growth)
 
     def forget(self, unit: int) -> None:
         """Drop what was counted for `unit`, because it now stands for another key."""
@@ -64,7 +70,8 @@
 
     def shift(self, now: Instant, source: int, target: int, rate: float) -> None:
         """Count `rate` for `target` instead of `source`, because a key changed its unit."""
-        weight = min(rate * self._seen(now), self.weights[source] / self._growth(now))
+        growth = self._growth(now)
+        weight = min(rate * self._seen(now), float(self.weights[source]) / growth)
         self.add(now, source, -weight)
         self.add(now, target, weight)
 
@@ -73,7 +80,13 @@
         seen = self._seen(now)
         if seen <= 0.0:
             return np.zeros(len(self.weights))
-        return np.array(self.weights) / (self._growth(now) * seen)
+        growth = self._growth(now)
+        return self.weights / (growth * seen)
+
+    def _make_room(self, unit: int) -> None:
+        missing = unit + 1 - len(self.weights)
+        if missing > 0:
+            self.weights = np.concatenate([self.weights, np.zeros(missing)])
 
     def _seen(self, now: Instant) -> float:
         # The mean over a short history would be too low if it was taken over the mean age.
@@ -84,7 +97,7 @@
         exponent = (now - self.origin).total_seconds() / self.mean_age
         if exponent > MAX_EXPONENT:
             decay = math.exp(-exponent)
-            self.weights = [weight * decay for weight in self.weights]
+            self.weights *= decay
             self.origin = now
             exponent = 0.0
         return math.exp(exponent)
--- a/fireflylock/loadview.py
+++ b/fireflylock/loadview.py
@@ -10,8 +10,10 @@
 # Keys in use per hash slot when nothing is known; only its ratio to one hot key matters.
 DEFAULT_KEYS_PER_SLOT = 100.0
 
-# A sheet's hot keys are placed this long before their peak starts.
-PEAK_LEAD = timedelta(minutes=2)
+# A sheet's hot keys are placed this long before their peak starts; this long afterwards
+# only what is measured counts.
+PEAK_LEAD = timedelta(seconds=30)
+PEAK_BELIEF = timedelta(seconds=30)
 
 # A server that comes up cold does this share of its work and reaches all of it by the end.
 COLD_CAPACITY_SHARE = 0.25
@@ -79,7 +81,8 @@
     keys_per_slot : float
         Keys in use in a hash slot, on average.
     keys_moved_last_hour : float
-        Keys that moved by choice (see `MoveReason.by_choice`) within the last hour.
+        Keys that moved by choice with their hash slots within the last hour; see
+        `Plan.slot_keys_by_choice`.
     moving : frozenset of int
         Units whose move is under way; they are left alone.
     """
@@ -188,16 +191,21 @@
     moves: list[Move] = field(default_factory=list)
     hot: list[PlaceHotKey | ReturnHotKey] = field(default_factory=list)
 
-    def keys_moved(self, view: LoadView, by_choice_only: bool = False) -> float:
+    def keys_moved(self, view: LoadView) -> float:
         """Return how many keys in use change their owner by this plan."""
-        keys = 0.0
-        for move in self.moves:
-            if by_choice_only and not move.reason.by_choice:
-                continue
-            keys += view.keys_per_slot if move.unit < view.service.hash_slots else 1.0
-        for change in self.hot:
-            keys += 1.0 if change.source != change.target else 0.0
-        return keys
+        slots = sum(1 for move in self.moves if move.unit < view.service.hash_slots)
+        single = len(self.moves) - slots
+        single += sum(1 for change in self.hot if change.source != change.target)
+        return slots * view.keys_per_slot + single
+
+    def slot_keys_by_choice(self, view: LoadView) -> float:
+        """Return how many keys change their owner with a hash slot that could have stayed."""
+        chosen = [
+            move
+            for move in self.moves
+            if move.reason.by_choice and move.unit < view.service.hash_slots
+        ]
+        return len(chosen) * view.keys_per_slot
 
 
 def expected_hot_keys(
@@ -208,7 +216,8 @@
     for peak in peaks:
         if peak.service != service:
             continue
-        if not peak.start - PEAK_LEAD <= time_of_day < peak.end:
+        believed_until = min(peak.end, peak.start + PEAK_BELIEF)
+        if not peak.start - PEAK_LEAD <= time_of_day < believed_until:
             continue
         for key, rate in peak.hot_keys.items():
             expected[key] = max(rate, expected.get(key, 0.0))
--- a/fireflylock/placement.py
+++ b/fireflylock/placement.py
@@ -1,6 +1,7 @@
 """Placement: which backend server owns which unit."""
 
 import heapq
+import math
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from datetime import timedelta
@@ -33,19 +34,21 @@
 
 
 # Hot keys move for the price of one key each, hash slots for the price of all their keys.
-HOT_KEY_BAND = Band(trigger=1.06, settle=1.03, fill_trigger=0.85, fill_settle=0.95)
-SLOT_BAND = Band(trigger=1.10, settle=1.07, fill_trigger=0.70, fill_settle=0.80)
+HOT_KEY_BAND = Band(trigger=1.08, settle=1.04, fill_trigger=0.80, fill_settle=0.90)
+SLOT_BAND = Band(trigger=1.12, settle=1.09, fill_trigger=0.40, fill_settle=0.60)
 
 # Smallest load of a hot key as a share of a server's fair share.
-HOT_SHARE = 0.02
+HOT_SHARE = 0.03
 # Loads from this share on get the home that costs the fewest keys to make room in.
-LARGE_SHARE = 0.5
+LARGE_SHARE = 0.2
 # A placed key below this share is cool and goes back to its hash slot.
 COOL_SHARE = 0.01
 # Share of the hot units above which cool keys are returned although that moves them.
-CROWDED = 0.5
-# A move that evens out less than this share of a server's fair share is not worth a write.
-SMALLEST_RELIEF = 0.005
+CROWDED = 0.75
+# Moves that even out less than these shares of a server's fair share are lost in the noise
+# of the measurement, for hot keys and for hash slots, whose load is steadier.
+SMALLEST_KEY_RELIEF = 0.015
+SMALLEST_SLOT_RELIEF = 0.004
 
 # How long the load of a hot key and of a hash slot is expected to stay as it is.
 HOT_KEY_HORIZON = timedelta(minutes=3)
@@ -55,8 +58,8 @@
 
 # Share of the keys in use that may move by choice in an hour, for a service that weighs
 # unavailable time only, and for one that weighs churn only.
-CHURN_BUDGET_AVAILABILITY = 0.20
-CHURN_BUDGET_CHURN = 0.05
+CHURN_BUDGET_AVAILABILITY = 1.0
+CHURN_BUDGET_CHURN = 0.50
 
 # Moves by choice in one batch.
 BATCH = 64
@@ -131,41 +134,64 @@
                 board.give_back(key, unit)
 
     def contain_large_loads(self, board: Board) -> None:
-        """Find the cheapest home for each load that needs most of a server.
+        """Find the cheapest home for each large load whose server is too full.
 
-        Clearing a server of hash slots is dear, so one that holds few of them already is
-        preferred; what else must leave it is moved by `balance`.
+        Clearing a server of hash slots is dear, so one that can make room with few keys is
+        preferred; what must leave it is moved by `balance`.
         """
-        for source in sorted(board.capacity):
-            for item in list(board.items(source)):
-                if item.keys > 1.0 or item.load < LARGE_SHARE * board.fair(source):
-                    continue
-                stay = self.keys_to_clear(board, source, item)
-                homes = [name for name in sorted(board.capacity) if name != source]
-                best = min(
-                    homes,
-                    key=lambda name: self.keys_to_clear(board, name, item),
-                    default=source,
-                )
-                if 1.0 + self.keys_to_clear(board, best, item) < stay / 2:
-                    board.move(item, best, MoveReason.CONTAIN)
+        for source in sorted(board.capacity, key=board.relative, reverse=True):
+            if board.relative(source) <= HOT_KEY_BAND.trigger:
+                return
+            large = [item for item in board.items(source) if self.is_large(board, source, item)]
+            # The smaller ones leave first, so that the largest one ends up alone.
+            for item in sorted(large, key=lambda item: item.load):
+                if board.relative(source) <= HOT_KEY_BAND.trigger:
+                    break
+                self.contain(board, source, item)
+
+    def contain(self, board: Board, source: str, item: Item) -> None:
+        """Move a large load when another server can make room with far fewer keys."""
+        if item.key and board.free_hot_units <= 0:
+            return
+        stay = self.keys_to_clear(board, source, item)
+        homes = [name for name in sorted(board.capacity) if name != source]
+        costs = {name: self.keys_to_clear(board, name, item) for name in homes}
+        zone = board.view.caller_zones.get(item.unit, "")
+        best = min(
+            homes,
+            key=lambda name: (costs[name], board.view.servers[name].zone != zone, name),
+            default=source,
+        )
+        if best != source and 1.0 + costs[best] < stay / 2:
+            board.move(item, best, MoveReason.CONTAIN)
 
     def keys_to_clear(self, board: Board, server: str, large: Item) -> float:
-        """Return how many keys must leave `server` to make room for a large load."""
-        room = SLOT_BAND.settle * board.fair(server) - large.load
-        units = [item for item in board.items(server) if not item.key and item.unit != large.unit]
-        excess = sum(item.load for item in units) - max(room, 0.0)
+        """Return how many keys must leave `server` to make room for a large load.
+
+        Other large loads can't be cleared away; infinity when they leave no room.
+        """
+        room = max(SLOT_BAND.trigger * board.fair(server) - large.load, 0.0)
+        others = [item for item in board.items(server) if item.unit != large.unit]
+        excess = sum(item.load for item in others if not item.key) - room
         keys = 0.0
-        for item in sorted(units, key=lambda item: (item.keys, -item.load)):
-            if excess <= 0.0:
-                break
-            excess -= item.load
+        taken: dict[int, float] = {}
+        for item in sorted(others, key=lambda item: (item.keys, -item.load)):
+            if excess <= SMALLEST_KEY_RELIEF * board.fair(server):
+                return keys
+            if self.is_large(board, server, item):
+                continue
+            excess -= item.load - taken.get(item.unit, 0.0)
+            taken[item.unit] = taken.get(item.unit, 0.0) + item.load
             keys += item.keys
-        return keys
+        return keys if excess <= SMALLEST_KEY_RELIEF * board.fair(server) else math.inf
+
+    def is_large(self, board: Board, server: str, item: Item) -> bool:
+        """Return whether `item` is a key that needs a large share of `server`."""
+        return item.keys <= 1.0 and item.load >= LARGE_SHARE * board.fair(server)
 
     def balance(self, board: Board, band: Band, most_keys: float) -> None:
         """Move items of at most `most_keys` keys from the fullest to the emptiest servers."""
-        budget = self.budget(board.view) - board.plan.keys_moved(board.view, by_choice_only=True)
+        budget = self.budget(board.view) - board.plan.slot_keys_by_choice(board.view)
         stuck: set[str] = set()
         overloaded = self.highest(board) > band.trigger
         filling = self.lowest(board) < band.fill_trigger
@@ -177,11 +203,13 @@
             too_empty = filling and self.lowest(board) < band.fill_settle
             if not too_full and not too_empty:
                 return
-            item, target = self.best_move(board, source, min(most_keys, budget))
+            # Single keys are never held back: they are what relieves a server most cheaply.
+            affordable = max(min(most_keys, budget), 1.0)
+            item, target = self.best_move(board, source, affordable)
             if item is None:
                 stuck.add(source)
                 continue
-            budget -= item.keys
+            budget -= item.keys if item.keys > 1.0 else 0.0
             board.move(item, target, MoveReason.OVERLOAD if too_full else MoveReason.FILL)
 
     def best_move(self, board: Board, source: str, most_keys: float) -> tuple[Item | None, str]:
@@ -190,11 +218,12 @@
         for item in board.items(source):
             if item.keys > most_keys:
                 continue
-            if item.keys <= 1.0 and item.load >= LARGE_SHARE * board.fair(source):
+            if self.is_large(board, source, item):
                 continue
             target = board.emptiest(board.view.caller_zones.get(item.unit, ""))
             relief = self.relief(board, source, target, item.load)
-            if relief < SMALLEST_RELIEF or not self.pays(board, item, relief):
+            smallest = SMALLEST_SLOT_RELIEF if item.keys > 1.0 else SMALLEST_KEY_RELIEF
+            if relief < smallest or not self.pays(board, item, relief):
                 continue
             score = relief / item.keys
             if score > best_score:
--- a/fireflylock/rebalancer.py
+++ b/fireflylock/rebalancer.py
@@ -106,7 +106,7 @@
         if not batch.moves and not batch.place and not batch.give_back:
             return
         moved = await self.mover.carry_out(service.name, batch)
-        keys = plan.keys_moved(view, by_choice_only=True)
+        keys = plan.slot_keys_by_choice(view)
         self.moved_at.setdefault(service.name, deque()).append((self.clock.elapsed(), keys))
         self.moves[service.name] = self.moves.get(service.name, 0) + moved
         LOG.info("moves", service=service.name, wanted=len(plan.moves), moved=moved)
