Fix: callers' requests failed because the metrics stood in the TLS context's place

Cause: the front end's arguments were given by position, and the metrics had come in before the TLS context.

--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -227,8 +227,8 @@
                 body_timeout=limits.body_timeout,
                 keepalive_timeout=limits.keepalive_timeout,
             ),
-            callers_context,
-            RequestMetrics(self.metrics),
+            metrics=RequestMetrics(self.metrics),
+            ssl_context=callers_context,
         )
         self.operators = OperatorsView(self)
 
