Complete bodies go out in one write; the front end's TLS context and metrics are keyword-only

The daemon had passed its TLS context where the front end takes its metrics; with names that can't happen again. Each result of a request is counted in a test.

Bodies say when nothing is left to read, also through the gate's and the router's wrappers, so that a short request or answer needs one write instead of two and no task of its own.

--- a/fireflylock/caller_exchange.py
+++ b/fireflylock/caller_exchange.py
@@ -140,7 +140,7 @@
         ready = response.body.take_ready()
         if ready:
             data += send(h11.Data(data=ready))
-        if ready and len(ready) == response.body_length:
+        if response.body.at_end():
             transport.write(data + send(h11.EndOfMessage()))
             return
         transport.write(data)
--- a/fireflylock/exchange.py
+++ b/fireflylock/exchange.py
@@ -25,6 +25,10 @@
         """Return what can be had without waiting; may be ``b""`` before the end too."""
         return b""
 
+    def at_end(self) -> bool:
+        """Return whether it is certain, without waiting, that nothing is left to read."""
+        return False
+
     async def close(self) -> None:  # noqa: B027 - nothing to release is a valid default.
         """Release what the body holds; safe at any time and more than once."""
 
@@ -44,6 +48,10 @@
         data, self.data = self.data, b""
         return data
 
+    def at_end(self) -> bool:
+        """Return whether the bytes were taken."""
+        return not self.data
+
 
 async def read_all(body: Body, limit: int) -> bytes | None:
     """Return the whole body, or None when it is longer than `limit` bytes."""
--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -106,10 +106,10 @@
         Source of time.
     limits : FrontendLimits
         Bounds on what callers may take up.
-    metrics : RequestMetrics or None
-        Counts how requests end.
     ssl_context : ssl.SSLContext or None
         For TLS towards callers.
+    metrics : RequestMetrics or None
+        Counts how requests end.
     """
 
     def __init__(
@@ -118,8 +118,9 @@
         matcher: Callable[[], ServiceMatcher | None],
         clock: Clock,
         limits: FrontendLimits | None = None,
-        metrics: RequestMetrics | None = None,
+        *,
         ssl_context: ssl.SSLContext | None = None,
+        metrics: RequestMetrics | None = None,
     ) -> None:
         self.handler = handler
         self.matcher = matcher
--- a/fireflylock/gate.py
+++ b/fireflylock/gate.py
@@ -44,12 +44,24 @@
             self.finish(True)
         return chunk
 
+    def take_ready(self) -> bytes:
+        """Return what has come in so far."""
+        data = self.body.take_ready()
+        if self.body.at_end():
+            self.finish(True)
+        return data
+
+    def at_end(self) -> bool:
+        """Return whether the last byte was taken."""
+        return self.body.at_end()
+
     async def close(self) -> None:
         """Release the server's body; what was not read is abandoned."""
+        complete = self.body.at_end()
         try:
             await self.body.close()
         finally:
-            self.finish(False)
+            self.finish(complete)
 
     def finish(self, complete: bool) -> None:
         """Call back, once."""
--- a/fireflylock/router.py
+++ b/fireflylock/router.py
@@ -66,6 +66,16 @@
         self.touched = True
         return await self.body.read()
 
+    def take_ready(self) -> bytes:
+        """Return what has come in so far."""
+        data = self.body.take_ready()
+        self.touched = self.touched or bool(data)
+        return data
+
+    def at_end(self) -> bool:
+        """Return whether the last byte was taken."""
+        return self.body.at_end()
+
     async def close(self) -> None:
         """Release the caller's body."""
         await self.body.close()
--- a/fireflylock/server_exchange.py
+++ b/fireflylock/server_exchange.py
@@ -108,7 +108,7 @@
         ready = request.body.take_ready()
         if ready:
             data += self.http.send(h11.Data(data=ready))
-        if len(ready) == request.body_length:
+        if request.body.at_end():
             return data + self.http.send(h11.EndOfMessage()), True
         return data, False
 
--- a/fireflylock/streams.py
+++ b/fireflylock/streams.py
@@ -63,6 +63,10 @@
         self.buffer_changed()
         return data
 
+    def at_end(self) -> bool:
+        """Return whether the last byte was taken."""
+        return self.complete and not self.chunks
+
     def append(self, data: bytes) -> None:
         """Take in bytes from the connection."""
         self.chunks.append(data)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -325,28 +325,50 @@
     assert old.endswith(b"\r\n\r\nhello")
 
 
-async def test_metrics_count_how_requests_end():
-    async def by_key(request):
-        if request.key == "full":
-            raise RequestError(ErrorKind.QUEUE_FULL)
-        if request.key == "lost":
-            raise RequestError(ErrorKind.OUTCOME_UNKNOWN)
-        return await echo(request)
+@pytest.mark.parametrize(
+    ("outcome", "result", "kind"),
+    [
+        (BytesBody(b"x"), "answered", ""),
+        (CutBody(), "cut", ""),
+        (RequestError(ErrorKind.QUEUE_FULL), "not-run", "queue-full"),
+        (RequestError(ErrorKind.OUTCOME_UNKNOWN), "unknown", "outcome-unknown"),
+        (ZeroDivisionError(), "unknown", "internal"),
+    ],
+)
+async def test_each_request_is_counted_once(outcome, result, kind):
+    async def scripted(request):
+        if isinstance(outcome, Exception):
+            raise outcome
+        return Response(200, body=outcome)
 
     metrics = Metrics()
-    async with running_frontend(ScriptedHandler(by_key)) as (frontend, port):
+    async with running_frontend(ScriptedHandler(scripted)) as (frontend, port):
         frontend.metrics = RequestMetrics(metrics)
-        for key in (b"k1", b"full", b"lost", b""):
-            await talk(
-                port, b"GET / HTTP/1.1\r\nHost: mesa\r\nX-Key: " + key + b"\r\n" + CLOSE + b"\r\n"
-            )
+        await talk(port, b"GET / HTTP/1.1\r\n" + HEAD + CLOSE + b"\r\n")
+    value = metrics.registry.get_sample_value
+    assert value("fireflylock_requests_total", {"service": "mesa", "result": result}) == 1
+    assert value("fireflylock_request_seconds_count", {"service": "mesa"}) == 1
+    if kind:
+        assert value("fireflylock_errors_total", {"service": "mesa", "kind": kind}) == 1
 
-    def value(result, service="mesa"):
-        labels = {"service": service, "result": result}
-        return metrics.registry.get_sample_value("fireflylock_requests_total", labels)
 
-    assert value("answered") == value("not-run") == value("unknown") == 1
-    assert value("not-run", "") == 1
+async def test_requests_of_no_service_and_of_callers_that_left_are_counted():
+    async def never(request):
+        await asyncio.Event().wait()
+
+    metrics = Metrics()
+    handler = ScriptedHandler(never)
+    async with running_frontend(handler) as (frontend, port):
+        frontend.metrics = RequestMetrics(metrics)
+        await talk(port, b"GET / HTTP/1.1\r\nHost: mesa\r\n" + CLOSE + b"\r\n")
+        _, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"GET / HTTP/1.1\r\n" + HEAD + b"\r\n")
+        await handler.called.wait()
+        writer.close()
+        await handler.cancelled.wait()
+    value = metrics.registry.get_sample_value
+    assert value("fireflylock_requests_total", {"service": "", "result": "not-run"}) == 1
+    assert value("fireflylock_requests_total", {"service": "mesa", "result": "caller-gone"}) == 1
 
 
 async def test_an_answer_that_is_kept_is_not_changed_by_being_written():
