--- a/fireflylock/config.py
+++ b/fireflylock/config.py
@@ -15,6 +15,7 @@
     IPNumber,
     Name,
     Port,
+    Seeds,
     Size,
     Url,
     count,
@@ -93,13 +94,19 @@
     port: Port = option(0, "TCP port to accept on; 0 takes any.", "a whole number up to 65535")
     key_file: str = option("", "This VM's CURVE key pair, from `fireflylock keys new`.", _FILE)
     known_keys: str = option("", "File with the public keys of all entry VMs.", _FILE)
-    seeds: Endpoints = option((), "Daemons to ask when the VM list is away.", "a list of ip:port")
+    seeds: Seeds = option(
+        (),
+        "Daemons to ask when the VM list is away; with keys, the name says whose key to expect.",
+        "a list of ip:port or NAME@ip:port; with key_file, of NAME@ip:port",
+    )
 
     @model_validator(mode="after")
     def check_keys(self) -> "PeersSection":
         """Refuse half of the keys."""
         if bool(self.key_file) != bool(self.known_keys):
             raise ValueError("key_file and known_keys belong together; allowed: both or none")
+        if self.key_file and not all("@" in seed for seed in self.seeds):
+            raise ValueError("with key_file each seed needs a name; allowed: NAME@ip:port")
         return self
 
 
--- a/fireflylock/config_fields.py
+++ b/fireflylock/config_fields.py
@@ -74,10 +74,30 @@
     return parse_size(value) if isinstance(value, str) else value
 
 
+def _seed(value: str) -> str:
+    """Return `value` when it is ``ip:port``, alone or after a VM's name and ``@``."""
+    name, at, endpoint = value.rpartition("@")
+    if at:
+        _name(name)
+    split_endpoint(endpoint)
+    return value
+
+
+def seed_contacts(seeds: tuple[str, ...]) -> dict[str, str]:
+    """Return the addresses of the seeds by the VM's name, or by the address without a name."""
+    contacts = {}
+    for seed in seeds:
+        name, _, endpoint = seed.rpartition("@")
+        contacts[name or endpoint] = endpoint
+    return contacts
+
+
 Name = Annotated[str, AfterValidator(_name)]
 IPNumber = Annotated[str, AfterValidator(_ip_number)]
 Endpoint = Annotated[str, AfterValidator(_endpoint)]
 Endpoints = Annotated[tuple[Endpoint, ...], BeforeValidator(_words)]
+Seed = Annotated[str, AfterValidator(_seed)]
+Seeds = Annotated[tuple[Seed, ...], BeforeValidator(_words)]
 Url = Annotated[str, AfterValidator(_url)]
 Port = Annotated[int, Field(ge=0, le=65535)]
 Duration = Annotated[timedelta, BeforeValidator(_duration)]
--- a/fireflylock/etcd.py
+++ b/fireflylock/etcd.py
@@ -47,9 +47,9 @@
         Source of time.
     timeout : timedelta
         Bound of one call.
-    rate : float or None
-        Calls per second of this VM, reads and writes each; None takes its share of what the
-        fleet may ask.
+    rate : float
+        Most calls per second of this VM, reads and writes each; its share of what the fleet
+        may ask can be less.
     rng : random.Random or None
         Source of the jitter.
     """
@@ -59,14 +59,13 @@
         endpoints: list[str],
         clock: Clock,
         timeout: timedelta = CALL_TIMEOUT,
-        rate: float | None = None,
+        rate: float = VM_CALLS_PER_SECOND,
         rng: random.Random | None = None,
     ) -> None:
         self.clients = [HTTPClient(endpoint) for endpoint in endpoints]
         self.clock = clock
         self.timeout = timeout
-        self.has_share = rate is None
-        rate = rate or VM_CALLS_PER_SECOND
+        self.rate = rate
         self.reads = TokenBucket(rate, max(rate, VM_CALLS_BURST))
         self.writes = TokenBucket(rate, max(rate, VM_CALLS_BURST))
         self.rng = rng or random.Random()
@@ -157,9 +156,9 @@
 
     def set_fleet_size(self, members: int) -> None:
         """Take this VM's share of what the fleet may ask."""
-        if self.has_share:
-            self.reads.set_rate(FLEET_READS_PER_SECOND / max(1, members))
-            self.writes.set_rate(FLEET_WRITES_PER_SECOND / max(1, members))
+        members = max(1, members)
+        self.reads.set_rate(min(self.rate, FLEET_READS_PER_SECOND / members))
+        self.writes.set_rate(min(self.rate, FLEET_WRITES_PER_SECOND / members))
 
     async def close(self) -> None:
         """Close every connection."""
@@ -205,7 +204,8 @@
         """Wait until this VM may make one more call."""
         wait = bucket.wait(self.clock.elapsed())
         if wait > timedelta(0):
-            await self.clock.sleep(wait)
+            # Jitter parts VMs that began at the same moment.
+            await self.clock.sleep(wait * self.rng.uniform(0.5, 1.5))
 
     def _note_failure(self, kind: str) -> None:
         """Count a failed call and turn to the next endpoint."""
--- a/fireflylock/member_runner.py
+++ b/fireflylock/member_runner.py
@@ -5,7 +5,7 @@
 
 from fireflylock.clock import Clock
 from fireflylock.exceptions import ProtocolError
-from fireflylock.member_events import EventKind, MemberEvent, Send
+from fireflylock.member_events import MemberEvent, Send
 from fireflylock.membership import Membership
 from fireflylock.messages import (
     Heartbeat,
@@ -48,11 +48,15 @@
         """Tick until cancelled."""
         while True:
             self._send(self.membership.tick(self.clock.elapsed()))
-            self._follow_changes()
+            self._tell_events()
+            # Once a tick and not with each message: many members may come at once.
+            if self.connected_places != self.membership.table.places:
+                self.connect_all()
             await self.clock.sleep(self.membership.timing.tick)
 
     def connect_all(self) -> None:
         """Keep connections with exactly the members and contacts there are."""
+        self.connected_places = self.membership.table.places
         addresses = self.membership.addresses()
         for name in list(self.peers.links):
             if name not in addresses:
@@ -64,19 +68,13 @@
 
     def _on_message(self, sender: str, message: object) -> None:
         self._send(self.membership.on_message(self.clock.elapsed(), sender, message))
-        self._follow_changes()
+        self._tell_events()
 
     def _send(self, sends: list[Send]) -> None:
         for send in sends:
             self.peers.send(send.to, send.message)
 
-    def _follow_changes(self) -> None:
-        """Adapt the connections, and tell what happened."""
-        events = self.membership.take_events()
-        gone = any(event.kind is EventKind.GONE for event in events)
-        if gone or self.connected_places != self.membership.table.places:
-            self.connected_places = self.membership.table.places
-            self.connect_all()
-        for event in events:
+    def _tell_events(self) -> None:
+        for event in self.membership.take_events():
             for callback in self.on_event:
                 callback(event)
--- a/fireflylock/membership.py
+++ b/fireflylock/membership.py
@@ -91,7 +91,7 @@
         self.lost_at: dict[str, Instant] = {}
         self.answered: dict[str, Instant] = {}
         self.last_tick = now
-        self.next_heartbeat = now
+        self.next_look = now
         self.next_join = now
         self.next_repair = now
         self.views: dict[str, MemberView] = {}
@@ -147,9 +147,11 @@
 
         Lost members that are still remembered are among them: they may come back.
         """
-        found = dict(self.contacts)
-        for row in self.table.rows.values():
-            found[row.name] = row.address
+        found = {row.name: row.address for row in self.table.rows.values()}
+        known = set(found.values())
+        for name, address in self.contacts.items():
+            if address not in known:
+                found.setdefault(name, address)
         found.pop(self.me.name, None)
         return found
 
@@ -170,7 +172,11 @@
         self.own = self.table.rows[self.me.name]
 
     def add_contacts(self, contacts: dict[str, str]) -> None:
-        """Add members to ask for the table: addresses by name."""
+        """Add members to ask for the table: addresses by name, or by any label.
+
+        A contact whose address turns out to belong to a member is called by that member's name
+        from then on.
+        """
         self.contacts.update(contacts)
         self.contacts.pop(self.me.name, None)
 
@@ -217,10 +223,10 @@
         self._notice_own_pause(now)
         self.last_tick = now
         self.neighbours.refresh(now)
-        sends: list[Send] = []
-        if now >= self.next_heartbeat:
-            self.next_heartbeat = now + self.timing.heartbeat
-            sends += self._heartbeats(now)
+        sends = self._heartbeats(now)
+        if now >= self.next_look:
+            self.next_look = now + self.timing.heartbeat
+            self.neighbours.drop_silent_followers(now)
             sends += self._suspect_silent(now)
             sends += self._watch_zones(now)
         sends += self._declare_losses(now)
@@ -234,10 +240,9 @@
     # Heartbeats.
 
     def _heartbeats(self, now: Instant) -> list[Send]:
-        self.neighbours.drop_silent_followers(now)
         age_ms = self.platform.age_ms(now)
         sends = []
-        for name, neighbour in self.neighbours.all():
+        for name, neighbour in self.neighbours.take_due(now):
             heartbeat = Heartbeat(
                 incarnation=self.own.incarnation,
                 refutation=self.own.refutation,
--- a/fireflylock/membership_timing.py
+++ b/fireflylock/membership_timing.py
@@ -14,8 +14,9 @@
         How often `Membership.tick` is called.
     heartbeat, loss_after : timedelta
         Between heartbeats, and the silence after which a neighbour is suspected.
-    zone_loss_after : timedelta
-        The silence after which another zone counts as cut off.
+    link_heartbeat, zone_loss_after : timedelta
+        Between heartbeats to other zones that do not vote on this member's loss, and the
+        silence after which another zone counts as cut off.
     pause_after : timedelta
         Ticks that are further apart mean that this VM was paused.
     join_every, rejoin_every : timedelta
@@ -36,6 +37,7 @@
     tick: timedelta = timedelta(milliseconds=25)
     heartbeat: timedelta = timedelta(milliseconds=100)
     loss_after: timedelta = timedelta(milliseconds=350)
+    link_heartbeat: timedelta = timedelta(milliseconds=250)
     zone_loss_after: timedelta = timedelta(seconds=1)
     pause_after: timedelta = timedelta(milliseconds=300)
     join_every: timedelta = timedelta(milliseconds=200)
--- a/fireflylock/neighbours.py
+++ b/fireflylock/neighbours.py
@@ -1,6 +1,7 @@
 """The members that this one exchanges heartbeats with: in its zone's ring and across zones."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 
 from fireflylock.clock import Instant
 from fireflylock.freshness import MICROSECOND
@@ -27,6 +28,8 @@
         State revision that the other side holds.
     differs_since : timedelta or None
         Since when the tables differ.
+    next_heartbeat : timedelta
+        When this member sends the next heartbeat to it.
     """
 
     heard_at: Instant
@@ -35,6 +38,7 @@
     incarnation: int = -1
     revision: int = 0
     differs_since: Instant | None = None
+    next_heartbeat: Instant = timedelta(0)
 
 
 class Neighbours:
@@ -143,6 +147,25 @@
         """Return everybody who gets heartbeats."""
         return [*self.monitored.items(), *self.followers.items()]
 
+    def take_due(self, now: Instant) -> list[tuple[str, Neighbour]]:
+        """Return who is to get a heartbeat now.
+
+        Members of other zones get fewer, unless this member's zone is so small that they
+        vote on its loss.
+        """
+        small = len(self.table.ring(self.zone)) < SMALL_ZONE
+        due = []
+        for name, neighbour in self.all():
+            if now < neighbour.next_heartbeat:
+                continue
+            row = self.table.rows.get(name)
+            often = small or (row is not None and row.zone == self.zone)
+            period = self.timing.heartbeat if often else self.timing.link_heartbeat
+            # Half a tick early, so that ticks that come a little late do not add up.
+            neighbour.next_heartbeat = now + period - self.timing.tick / 2
+            due.append((name, neighbour))
+        return due
+
     def hear(self, now: Instant, sender: str, message: Heartbeat, own_incarnation: int) -> None:
         """Take what a heartbeat says of its sender."""
         neighbour = self.monitored.get(sender)
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -9,6 +9,7 @@
 from fireflylock.assignments import AssignmentBook
 from fireflylock.clock import Clock
 from fireflylock.config import Settings
+from fireflylock.config_fields import seed_contacts
 from fireflylock.debug import DumpSection
 from fireflylock.etcd import EtcdStore
 from fireflylock.exchange import Request
@@ -122,7 +123,7 @@
         timing = MembershipTiming(heartbeat=self.settings.timing.heartbeat)
         self.membership = Membership(me, self.incarnation, self.clock.elapsed(), timing)
         # A seed's name is not known before it has answered; its address serves until then.
-        self.membership.add_contacts({seed: seed for seed in peers.seeds if seed != address})
+        self.membership.add_contacts(seed_contacts(peers.seeds))
         self.fleet = Fleet(self.membership, self.clock)
 
     def build_state(self) -> None:
--- a/fireflylock/platform.py
+++ b/fireflylock/platform.py
@@ -15,8 +15,9 @@
 
 # What the whole fleet may ask of the platform, per second.
 FLEET_READS_PER_SECOND = 1000.0
-FLEET_WRITES_PER_SECOND = 200.0
-# What one VM may ask at most, and may ask at once, however small the fleet is.
+FLEET_WRITES_PER_SECOND = 150.0
+# What one VM may ask at most, and may ask at once, however small the fleet is; two seconds'
+# worth may be asked at once when that is less.
 VM_CALLS_PER_SECOND = 50.0
 VM_CALLS_BURST = 20.0
 
@@ -74,9 +75,9 @@
     filled_at: Instant = timedelta(0)
 
     def set_rate(self, rate: float) -> None:
-        """Change the rate, and let at most two seconds' worth be used at once."""
-        self.rate = min(rate, VM_CALLS_PER_SECOND)
-        self.burst = min(VM_CALLS_BURST, max(2.0, 2 * self.rate))
+        """Change the rate, and with it what may be used at once."""
+        self.rate = rate
+        self.burst = min(VM_CALLS_BURST, max(1.0, 2 * self.rate))
 
     def wait(self, now: Instant) -> timedelta:
         """Take a token and return how long to wait before it may be used."""
--- a/fireflylock/relay.py
+++ b/fireflylock/relay.py
@@ -182,7 +182,7 @@
 
     def note_read(self, value: Value) -> None:
         """Take one value that was read from the platform on its own."""
-        self._take([value], value.revision, self.cache.revision, spread=False)
+        self._take([value], value.revision, value.revision, spread=False)
 
     def state(self) -> list[tuple[str, object]]:
         """Return what a dump shows, as plain names and values."""
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -5,8 +5,10 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from pydantic import ValidationError
 
-from fireflylock.config import Settings
+from fireflylock.config import PeersSection, Settings
+from fireflylock.config_fields import seed_contacts
 from fireflylock.exceptions import SettingsError
 
 VALID = """\
@@ -93,3 +95,12 @@
     except SettingsError:
         return
     assert isinstance(settings, Settings)
+
+
+def test_seeds_are_addresses_with_or_without_the_name_of_the_vm():
+    seeds = PeersSection(seeds="127.0.0.1:1, a1@127.0.0.2:2").seeds
+    assert seed_contacts(seeds) == {"127.0.0.1:1": "127.0.0.1:1", "a1": "127.0.0.2:2"}
+    with pytest.raises(ValidationError):
+        PeersSection(seeds="a b@127.0.0.1")
+    with pytest.raises(ValidationError, match="each seed needs a name"):
+        PeersSection(seeds="127.0.0.1:1", key_file="k", known_keys="n")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -153,6 +153,9 @@
 def test_a_late_message_of_an_earlier_process_is_not_believed():
     fleet = started_fleet(LARGER)
     watcher = neighbours_of(fleet, "b1")[0]
+    fleet.run(100 * MS)
+    for neighbour in fleet.members["b1"].neighbours.monitored.values():
+        neighbour.next_heartbeat = fleet.clock_of("b1")
     old = next(
         send.message
         for send in fleet.members["b1"]._heartbeats(fleet.clock_of("b1"))
@@ -339,3 +342,18 @@
     lost = type(row)("x", "a", "r", "", 1, 0, False)
     member.on_message(fleet.clock_of("a0"), "b0", MemberRows([lost]))
     assert "x" not in rows
+
+
+def test_a_contact_that_is_known_by_its_address_alone_is_found_out():
+    fleet = Fleet(1)
+    fleet.start("a0", "a", [])
+    label = fleet.vms["a0"].peer_address
+    fleet.vms[label] = fleet.vms["a0"]
+    fleet.members[label] = fleet.members["a0"]
+    fleet.skew[label] = fleet.skew["a0"]
+    member = fleet.start("b0", "b", [])
+    member.add_contacts({label: label})
+    assert member.addresses() == {label: label}
+    fleet.run(SECOND)
+    assert member.addresses() == {"a0": label}
+    assert alive_for(fleet, "b0") == {"a0", "b0"}
