--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -22,6 +22,9 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="length of the traffic")
     parser.add_argument("--rate", type=float, default=120.0, help="calls per second")
     parser.add_argument("--seed", type=int, default=1, help="decides the traffic")
+    parser.add_argument(
+        "--stay", action="store_true", help="start one deployment, without traffic, until Ctrl-C"
+    )
     parser.add_argument("--keep", metavar="FOLDER", help="keep logs and settings here")
     return parser
 
@@ -37,6 +40,8 @@
         if options.only not in (None, plan.name):
             continue
         run = Run(plan, folder / plan.name, options.seconds, options.rate, options.seed)
+        if options.stay:
+            await run.stay()
         findings = await run.run()
         broken += len(findings.broken)
     return broken
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
+from fireflylock.auth import ALL_TEAMS, Principal, Role, new_token
+from fireflylock.keys import write_keys
 from fireflylock.model import Configuration, EntryVM
+from fireflylock.peer_keys import CurveKeys
 from fireflylock.sheet import decode_sheet, read_sheet, write_sheet
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
@@ -79,6 +82,8 @@
         What the sheet states.
     sheet : Path
         The reduced sheet.
+    token : str
+        An operator's token.
     """
 
     def __init__(self, plan: Plan, folder: Path) -> None:
@@ -89,6 +94,7 @@
         self.configuration = self.reduced()
         self.sheet = folder / "sheet.csv"
         self.sheet.write_text(write_sheet(self.configuration), "utf-8")
+        self.token = self.make_secrets()
 
     @property
     def platform(self) -> str:
@@ -116,10 +122,32 @@
     def settings(self, vm: str) -> Path:
         """Write the published settings of `vm` for this run and return the file."""
         text = (EXAMPLES / self.plan.name / f"{vm}.ini").read_text("utf-8")
+        # The published settings hold the secrets' files as comments.
+        text = text.replace("# tokens_file", "tokens_file")
+        text = text.replace("# key_file", "key_file").replace("# known_keys", "known_keys")
+        text = text.replace("/etc/fireflylock", str(self.folder.resolve()))
         path = self.folder / f"{vm}.ini"
         path.write_text(self.on_network(text), "utf-8")
         return path
 
+    def make_secrets(self) -> str:
+        """Make every VM's keys and one token; return the token."""
+        known = []
+        for vm in self.vms():
+            keys = CurveKeys.new()
+            write_keys(self.folder / f"{vm.name}.key", keys)
+            known.append(f"{vm.name} {keys.public}\n")
+        (self.folder / "known.keys").write_text("".join(known), "ascii")
+        token, record = new_token(Principal("demo", Role.OPERATE, ALL_TEAMS))
+        (self.folder / "tokens").write_text(f"{record.line()}\n", "utf-8")
+        self.token_file.write_text(f"{token}\n", "utf-8")
+        return token
+
+    @property
+    def token_file(self) -> Path:
+        """File that holds the token for the operators' tool."""
+        return self.folder / "demo.token"
+
     def execution_log(self, server: str) -> Path:
         """Return the file of a backend server's execution log."""
         return self.folder / f"{server}.jsonl"
--- a/demo/run.py
+++ b/demo/run.py
@@ -75,12 +75,35 @@
             await asyncio.gather(self.traffic.run(self.seconds), self.disturb())
             moved = self.count_moved(before)
         finally:
-            self.processes.stop(first=[vm.name for vm in self.deployment.vms()])
-            self.deployment.close()
+            self.end()
         self.check()
         self.say("\n" + format_report(self.plan.name, self.traffic, self.findings, moved))
         return self.findings
 
+    async def stay(self) -> None:
+        """Start everything and leave it running until interrupted."""
+        try:
+            await self.start()
+            vm = self.deployment.vms()[0]
+            service = self.deployment.configuration.services[min(self.plan.servers)]
+            host = vm.admin_address.rpartition(":")[0]
+            self.say(
+                f"\nCallers:   curl -H 'X-Key: molino' http://{host}:{CALLERS_PORT}"
+                f"{service.path_prefix}/state\n"
+                f"Operators: export FIREFLYLOCK_ADMIN={vm.admin_address} "
+                f"FIREFLYLOCK_TOKEN_FILE={self.deployment.token_file}\n"
+                "           fireflylock status\n"
+                "Ctrl-C ends everything."
+            )
+            await asyncio.Event().wait()
+        finally:
+            self.end()
+
+    def end(self) -> None:
+        """End everything that was started."""
+        self.processes.stop(first=[vm.name for vm in self.deployment.vms()])
+        self.deployment.close()
+
     async def start(self) -> None:
         """Start all processes and apply the sheet."""
         deployment = self.deployment
@@ -150,9 +173,13 @@
         ended = "; ".join(self.processes.ended())
         raise DemoError(f"no owner for every key after {OWNED_SECONDS:g} s. {ended}")
 
+    def client(self, admin_address: str) -> AdminClient:
+        """Return a client of one entry VM's admin API."""
+        return AdminClient(admin_address, self.deployment.token)
+
     def is_ready(self, admin_address: str) -> bool:
         """Return whether an entry VM can serve every key."""
-        status = AdminClient(admin_address).get("status")
+        status = self.client(admin_address).get("status")
         services = status["services"]
         owned = all(not service["units_without_owner"] for service in services)
         return status["ready"] and len(services) == len(self.plan.servers) and owned
@@ -162,7 +189,7 @@
         for vm in self.deployment.vms():
             if vm.name in self.processes.killed:
                 continue
-            services = AdminClient(vm.admin_address).get("services")["services"]
+            services = self.client(vm.admin_address).get("services")["services"]
             return {service["name"]: service["units"] for service in services}
         raise DemoError("no entry VM is left")
 
@@ -213,6 +240,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             *("-m", "fireflylock.cmdline", *arguments, "--admin", vm.admin_address),
+            *("--token-file", str(self.deployment.token_file)),
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )
--- a/fireflylock/client.py
+++ b/fireflylock/client.py
@@ -12,6 +12,8 @@
 from fireflylock.exceptions import FireflylockError
 
 READ_BYTES = 65536
+# Time for each step when other VMs are asked for what they add to an answer.
+OTHERS_SECONDS = 2.0
 
 
 class AdminError(FireflylockError):
@@ -62,6 +64,15 @@
         self.ca_file = ca_file
         self.timeout = timeout
 
+    def others(self, members: list[dict[str, Any]]) -> "list[AdminClient]":
+        """Return clients of the other live entry VMs in the answer's list of members."""
+        found = []
+        for member in members:
+            endpoint = member["admin_address"]
+            if member["alive"] and endpoint and endpoint != self.endpoint:
+                found.append(AdminClient(endpoint, self.token, self.ca_file, OTHERS_SECONDS))
+        return found
+
     def get(self, *path: str, **query: str) -> Any:
         """Return the answer to a GET of ``/v1/`` and the parts of the path.
 
--- a/fireflylock/commands.py
+++ b/fireflylock/commands.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from fireflylock.client import AdminClient, AdminUnreachableError
+from fireflylock.client import AdminClient, AdminError, AdminUnreachableError
 from fireflylock.debug import DumpSection, format_sections
 from fireflylock.exceptions import SheetError
 from fireflylock.sheet import decode_sheet
@@ -86,12 +86,23 @@
         """Print all services, or one with its backend servers."""
         if service:
             answer = self.client.get("services", service)
+            answer["gates"] += self.other_gates(service)
             self.show(answer, _service_text(answer))
             return OK
         answer = self.client.get("services")
         self.show(answer, _services_table(answer["services"]))
         return OK
 
+    def other_gates(self, service: str) -> list[Any]:
+        """Return what the other entry VMs say of the service's gates that they are."""
+        found = []
+        for other in self.client.others(self.client.get("status")["members"]):
+            try:
+                found += other.get("services", service)["gates"]
+            except (AdminError, AdminUnreachableError) as error:
+                self.note(f"Nothing from {other.endpoint}: {error}.")
+        return found
+
     def owner(self, service: str, key: str) -> int:
         """Print who owns a key; fails when nobody does."""
         answer = self.client.get("services", service, "owner", key=key)
--- a/fireflylock/metrics.py
+++ b/fireflylock/metrics.py
@@ -3,10 +3,19 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Histogram,
+    disable_created_metrics,
+    generate_latest,
+)
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+# The time at which each series began doubles the size of a scrape and tells nobody anything.
+disable_created_metrics()
+
 OTHER = "other"
 PREFIX = "fireflylock_"
 LATENCY_BUCKETS = (
--- a/fireflylock/top.py
+++ b/fireflylock/top.py
@@ -10,7 +10,7 @@
 from rich.table import Table
 from rich.text import Text
 
-from fireflylock.client import AdminClient
+from fireflylock.client import AdminClient, AdminError, AdminUnreachableError
 
 HOT_KEYS_SHOWN = 15
 
@@ -52,13 +52,26 @@
             time.sleep(interval)
 
     def collect(self) -> dict[str, Any]:
-        """Return the state of all services as the asked VM knows it."""
+        """Return the state of all services.
+
+        Each service's load is known to the entry VM that plans its moves, so all are asked.
+        """
         status = self.client.get("status")
-        loads = [
-            self.client.get("services", service["name"], "load") for service in status["services"]
-        ]
+        clients = [self.client, *self.client.others(status["members"])]
+        loads = [self.load(clients, service["name"]) for service in status["services"]]
         return {"status": status, "loads": loads}
 
+    def load(self, clients: list[AdminClient], service: str) -> dict[str, Any]:
+        """Return the fullest of the VMs' views of a service, with the moves of all."""
+        views = []
+        for client in clients:
+            try:
+                views.append(client.get("services", service, "load"))
+            except (AdminError, AdminUnreachableError):
+                continue
+        fullest = max(views, key=lambda view: view["rate"])
+        return {**fullest, "moves": sum(view["moves"] for view in views)}
+
     def print_round(self) -> None:
         """Print one round where no terminal can show a live view."""
         found = self.collect()
