--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 
-.PHONY: install test lint format demo bench explore mutants clean
+.PHONY: install test lint format demo bench bounds explore mutants clean
 
 install: $(VENV)/installed
 
@@ -30,6 +30,9 @@
 	$(PYTHON) -m bench load --json
 	$(PYTHON) -m bench recovery --json
 
+bounds: install
+	$(PYTHON) -m bench recovery
+
 explore: install
 	$(PYTHON) -m pytest tests/deep_handover.py --durations=0
 
