--- a/fireflylock/placement.py
+++ b/fireflylock/placement.py
@@ -41,6 +41,8 @@
 HOT_SHARE = 0.03
 # Loads from this share on get the home that costs the fewest keys to make room in.
 LARGE_SHARE = 0.2
+# How many homes are weighed for a large load, those with the fewest units.
+HOMES_WEIGHED = 16
 # A placed key below this share is cool and goes back to its hash slot.
 COOL_SHARE = 0.01
 # Share of the hot units above which cool keys are returned although that moves them.
@@ -154,7 +156,8 @@
         if item.key and board.free_hot_units <= 0:
             return
         stay = self.keys_to_clear(board, source, item)
-        homes = [name for name in sorted(board.capacity) if name != source]
+        others = [name for name in sorted(board.capacity) if name != source]
+        homes = heapq.nsmallest(HOMES_WEIGHED, others, key=lambda name: len(board.units[name]))
         costs = {name: self.keys_to_clear(board, name, item) for name in homes}
         zone = board.view.caller_zones.get(item.unit, "")
         best = min(
@@ -215,12 +218,16 @@
     def best_move(self, board: Board, source: str, most_keys: float) -> tuple[Item | None, str]:
         """Return what should leave `source` and for where; None when nothing pays."""
         best, best_target, best_score = None, "", 0.0
+        targets: dict[str, str] = {}
         for item in board.items(source):
             if item.keys > most_keys:
                 continue
             if self.is_large(board, source, item):
                 continue
-            target = board.emptiest(board.view.caller_zones.get(item.unit, ""))
+            zone = board.view.caller_zones.get(item.unit, "")
+            if zone not in targets:
+                targets[zone] = board.emptiest(zone)
+            target = targets[zone]
             relief = self.relief(board, source, target, item.load)
             smallest = SMALLEST_SLOT_RELIEF if item.keys > 1.0 else SMALLEST_KEY_RELIEF
             if relief < smallest or not self.pays(board, item, relief):
