Planner: hot units kept for large loads

Cause: all 64 hot units were taken by small keys, so a key hotter than its server could get no unit of its own; and a hash slot that holds such a key passed for one that can be cleared away for ten keys, so two large keys met on one server (max/mean 2.08 for a plan). Change: 8 hot units are kept for large loads, lukewarm keys are returned sooner, a slot with a large key counts as large; a load is large from 0.3 of a fair share instead of 0.2.

--- a/fireflylock/placement.py
+++ b/fireflylock/placement.py
@@ -40,13 +40,14 @@
 # Smallest load of a hot key as a share of a server's fair share.
 HOT_SHARE = 0.03
 # Loads from this share on get the home that costs the fewest keys to make room in.
-LARGE_SHARE = 0.2
+LARGE_SHARE = 0.3
 # How many homes are weighed for a large load, those with the fewest units.
 HOMES_WEIGHED = 16
 # A placed key below this share is cool and goes back to its hash slot.
 COOL_SHARE = 0.01
-# Share of the hot units above which cool keys are returned although that moves them.
-CROWDED = 0.75
+# Hot units that are kept free for large loads.  While fewer than twice as many are free,
+# cool keys are returned although that moves them; while fewer are free, lukewarm ones too.
+RESERVED_HOT_UNITS = 8
 # Moves that even out less than these shares of a server's fair share are lost in the noise
 # of the measurement, for hot keys and for hash slots, whose load is steadier.
 SMALLEST_KEY_RELIEF = 0.015
@@ -122,7 +123,8 @@
     def return_cool_keys(self, board: Board) -> None:
         """Give cool keys back to their hash slots: at once where that moves nothing."""
         view = board.view
-        cool = COOL_SHARE * board.mean * min(board.capacity.values())
+        crowded = board.free_hot_units < RESERVED_HOT_UNITS
+        cool = (HOT_SHARE if crowded else COOL_SHARE) * board.mean * min(board.capacity.values())
         rates = {key: board.unit_loads.get(unit, 0.0) for key, unit in view.placed.items()}
         for key in sorted(rates, key=lambda name: (rates[name], name)):
             unit = view.placed[key]
@@ -131,7 +133,7 @@
             home = board.owners.get(view.home_slots[key])
             if home is None:
                 continue
-            crowded = board.free_hot_units < (1.0 - CROWDED) * HOT_UNITS
+            crowded = board.free_hot_units < 2 * RESERVED_HOT_UNITS
             if board.owners[unit] == home or crowded:
                 board.give_back(key, unit)
 
@@ -144,7 +146,11 @@
         for source in sorted(board.capacity, key=board.relative, reverse=True):
             if board.relative(source) <= HOT_KEY_BAND.trigger:
                 return
-            large = [item for item in board.items(source) if self.is_large(board, source, item)]
+            large = [
+                item
+                for item in board.items(source)
+                if item.keys <= 1.0 and self.is_large(board, source, item)
+            ]
             # The smaller ones leave first, so that the largest one ends up alone.
             for item in sorted(large, key=lambda item: item.load):
                 if board.relative(source) <= HOT_KEY_BAND.trigger:
@@ -189,8 +195,11 @@
         return keys if excess <= SMALLEST_KEY_RELIEF * board.fair(server) else math.inf
 
     def is_large(self, board: Board, server: str, item: Item) -> bool:
-        """Return whether `item` is a key that needs a large share of `server`."""
-        return item.keys <= 1.0 and item.load >= LARGE_SHARE * board.fair(server)
+        """Return whether `item` is, or holds, a key that needs a large share of `server`."""
+        load = item.load
+        if item.keys > 1.0:
+            load = max((load for _, load in board.unplaced.get(item.unit, ())), default=0.0)
+        return load >= LARGE_SHARE * board.fair(server)
 
     def balance(self, board: Board, band: Band, most_keys: float) -> None:
         """Move items of at most `most_keys` keys from the fullest to the emptiest servers."""
@@ -220,9 +229,9 @@
         best, best_target, best_score = None, "", 0.0
         targets: dict[str, str] = {}
         for item in board.items(source):
-            if item.keys > most_keys:
+            if item.keys > most_keys or self.is_large(board, source, item):
                 continue
-            if self.is_large(board, source, item):
+            if item.key and board.free_hot_units <= RESERVED_HOT_UNITS:
                 continue
             zone = board.view.caller_zones.get(item.unit, "")
             if zone not in targets:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -17,7 +17,7 @@
     expected_hot_keys,
 )
 from fireflylock.model import BackendServer, ExpectedPeak, ServerState, Service
-from fireflylock.placement import CROWDED, SLOT_BAND, CostPlanner, initial, spread_lost
+from fireflylock.placement import RESERVED_HOT_UNITS, SLOT_BAND, CostPlanner, initial, spread_lost
 
 NOW = timedelta(hours=1)
 SLOTS = 200
@@ -115,7 +115,7 @@
     view = make_view(placed=placed, home_slots=dict.fromkeys(placed, 0))
     view.owners.update(dict.fromkeys(placed.values(), view.owners[1]))
     plan = CostPlanner().plan(view, NOW)
-    assert len(plan.hot) == (1 - CROWDED) * HOT_UNITS
+    assert len(plan.hot) == 2 * RESERVED_HOT_UNITS
 
 
 def test_a_leaving_server_is_emptied_in_one_batch():
