Planner: each server is relieved by its own trigger

Cause: one server above the trigger made the planner bring every server down to the settle level. A key hotter than its server keeps it above the trigger for minutes, so the others were rebalanced at every plan, hysteresis or not.

--- a/fireflylock/placement.py
+++ b/fireflylock/placement.py
@@ -204,22 +204,25 @@
     def balance(self, board: Board, band: Band, most_keys: float) -> None:
         """Move items of at most `most_keys` keys from the fullest to the emptiest servers."""
         budget = self.budget(board.view) - board.plan.slot_keys_by_choice(board.view)
-        stuck: set[str] = set()
-        overloaded = self.highest(board) > band.trigger
+        done: set[str] = set()
+        relieving: set[str] = set()
         filling = self.lowest(board) < band.fill_trigger
-        for _ in range(BATCH):
-            source = board.fullest(stuck)
+        for _ in range(BATCH + len(board.capacity)):
+            source = board.fullest(done)
             if source is None:
                 return
-            too_full = overloaded and board.relative(source) > band.settle
+            if board.relative(source) > band.trigger:
+                relieving.add(source)
+            too_full = source in relieving and board.relative(source) > band.settle
             too_empty = filling and self.lowest(board) < band.fill_settle
             if not too_full and not too_empty:
-                return
+                done.add(source)
+                continue
             # Single keys are never held back: they are what relieves a server most cheaply.
             affordable = max(min(most_keys, budget), 1.0)
             item, target = self.best_move(board, source, affordable)
             if item is None:
-                stuck.add(source)
+                done.add(source)
                 continue
             budget -= item.keys if item.keys > 1.0 else 0.0
             board.move(item, target, MoveReason.OVERLOAD if too_full else MoveReason.FILL)
@@ -275,10 +278,6 @@
         keys_in_use = view.keys_per_slot * view.service.hash_slots
         return share * keys_in_use - view.keys_moved_last_hour
 
-    def highest(self, board: Board) -> float:
-        """Return the highest relative load."""
-        return max(board.relative(name) for name in board.capacity)
-
     def lowest(self, board: Board) -> float:
         """Return the lowest relative load."""
         return min(board.relative(name) for name in board.capacity)
