--- a/bench/load.py
+++ b/bench/load.py
@@ -70,6 +70,8 @@
         Of each window.
     floor : list of float
         What the hottest key makes unavoidable in each window; 1.0 for nothing.
+    step_floor : list of float
+        The highest such bound of any step of the window.
     keys_moved, unavailable : list of float
         Keys moved by choice, and unavailable key-seconds, summed up to each window.
     slots, hot_keys, keys : int, int, float
@@ -83,6 +85,7 @@
     seed: int
     imbalance: list[float] = field(default_factory=list)
     floor: list[float] = field(default_factory=list)
+    step_floor: list[float] = field(default_factory=list)
     keys_moved: list[float] = field(default_factory=list)
     unavailable: list[float] = field(default_factory=list)
     slots: int = 0
@@ -95,6 +98,11 @@
         pairs = zip(self.imbalance, self.floor, strict=True)
         return [value for value, floor in pairs if floor <= MOST_IMBALANCE]
 
+    def settled_windows(self) -> list[float]:
+        """Return the imbalance of the windows without such a bound at any step."""
+        pairs = zip(self.imbalance, self.step_floor, strict=True)
+        return [value for value, floor in pairs if floor <= MOST_IMBALANCE]
+
 
 def play(evening: Evening, policies: tuple[str, ...]) -> list[Run]:
     """Play one evening under several policies that all see the same requests."""
@@ -106,6 +114,7 @@
     names = [key_name(key) for key in range(evening.workload.keys)]
     events = list(evening.events)
     window_counts = np.zeros(evening.workload.keys)
+    step_floor = 1.0
     hot_rates: dict[str, float] = {}
     for number in range(int(evening.length / STEP)):
         now = number * STEP
@@ -122,6 +131,7 @@
         rates = evening.key_rates((now + STEP / 2).total_seconds())
         counts = random.poisson(rates * STEP.total_seconds())
         window_counts += counts
+        step_floor = max(step_floor, hottest_bound(deployments[0], counts, now))
         end = now + STEP
         for key in np.flatnonzero(counts).tolist():
             hot_keys.add(now + STEP / 2, names[key], float(counts[key]))
@@ -132,13 +142,21 @@
             continue
         for run, deployment in zip(runs, deployments, strict=True):
             note_window(run, deployment, window_counts)
+            run.step_floor.append(step_floor)
         window_counts[:] = 0.0
+        step_floor = 1.0
     for run, deployment in zip(runs, deployments, strict=True):
         run.slots, run.hot_keys = deployment.churn.slots, deployment.churn.hot_keys
         run.keys = deployment.churn.keys
     return runs
 
 
+def hottest_bound(deployment: Deployment, counts: np.ndarray, now: timedelta) -> float:
+    """Return the imbalance that the hottest key of `counts` makes unavoidable."""
+    capacities = [server.effective_capacity(now) for server in deployment.servers.values()]
+    return float(counts.max() / max(capacities) / (counts.sum() / sum(capacities)))
+
+
 def note_window(run: Run, deployment: Deployment, counts: np.ndarray) -> None:
     """Add one window to `run`, and play its requests one by one now and then."""
     window, imbalance = deployment.close_window(WINDOW_STEPS)
@@ -273,6 +291,11 @@
             else:
                 figures.add(f"{label}: imbalance, mean", float(np.mean(even)), "max/mean")
                 figures.add(f"{label}: imbalance, p99", worst, "max/mean")
+        settled = [value for each in mine for value in each.settled_windows()]
+        if settled:
+            name = f"{label}: imbalance without such a key at any step"
+            figures.add(f"{name}, mean", float(np.mean(settled)), "max/mean")
+            figures.add(f"{name}, p99", float(np.percentile(settled, 99)), "max/mean")
         figures.add(f"{label}: imbalance, all windows", float(np.mean(every)), "max/mean")
         figures.add(
             f"{label}: imbalance over bound, p99", float(np.percentile(above, 99)), "ratio"
