Admission: the fair queue and the tickets are modules of their own; customers are bounded

A customer is forgotten once more than 1,024 are known. Forgetting raises the others' level to what it had used, so that it gains nothing by it.

--- /dev/null
+++ b/fireflylock/fair_queue.py
@@ -0,0 +1,126 @@
+"""Fair queue: requests that wait for one backend server, in a fair order of customers."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from fireflylock.clock import Instant
+from fireflylock.tickets import Ticket
+
+# Customers that nobody waits for are forgotten beyond this many.
+REMEMBERED_CUSTOMERS = 1024
+
+
+@dataclass
+class CustomerQueue:
+    """One customer's waiting requests.
+
+    Attributes
+    ----------
+    waiting : deque of Ticket
+        In order of arrival.
+    waiting_cost : float
+        Sum of their costs.
+    used : float
+        Server time used, in seconds on the scale that all customers share.
+    returns_at : timedelta
+        By when the requests that were refused so far could have been served.
+    """
+
+    used: float = 0.0
+    waiting: deque[Ticket] = field(default_factory=deque)
+    waiting_cost: float = 0.0
+    returns_at: Instant = timedelta(0)
+
+
+class FairQueue:
+    """Gives the next turn to the customer that used the least server time.
+
+    A customer that comes back from idleness starts level with the others; it can't save up.
+    """
+
+    def __init__(self) -> None:
+        self.customers: dict[str, CustomerQueue] = {}
+        self.tickets: dict[str, Ticket] = {}
+        self.level = 0.0
+
+    def __len__(self) -> int:
+        return len(self.tickets)
+
+    def of(self, customer: str) -> CustomerQueue:
+        """Return the queue of `customer`."""
+        queue = self.customers.get(customer)
+        if queue is not None:
+            if not queue.waiting:
+                queue.used = max(queue.used, self.level)
+            return queue
+        if len(self.customers) >= REMEMBERED_CUSTOMERS:
+            self.forget_idle()
+        queue = CustomerQueue(used=self.level)
+        self.customers[customer] = queue
+        return queue
+
+    def forget_idle(self) -> None:
+        """Forget half of the customers that nobody waits for, those that used least.
+
+        The others' level rises to what they had used, so that being forgotten gains nothing.
+        """
+        idle = [name for name, queue in self.customers.items() if not queue.waiting]
+        idle.sort(key=lambda name: self.customers[name].used)
+        for customer in idle[: len(idle) // 2 + 1]:
+            self.level = max(self.level, self.customers.pop(customer).used)
+
+    def add(self, ticket: Ticket) -> None:
+        """Let `ticket` wait."""
+        queue = self.of(ticket.customer)
+        queue.waiting.append(ticket)
+        queue.waiting_cost += ticket.cost
+        self.tickets[ticket.request_id] = ticket
+
+    def remove(self, ticket: Ticket) -> None:
+        """Take `ticket` out, wherever it stands."""
+        del self.tickets[ticket.request_id]
+        queue = self.customers[ticket.customer]
+        queue.waiting.remove(ticket)
+        queue.waiting_cost = queue.waiting_cost - ticket.cost if queue.waiting else 0.0
+
+    def first(self) -> Ticket:
+        """Return the ticket whose turn it is; the queue must not be empty."""
+        waiting = [queue for queue in self.customers.values() if queue.waiting]
+        return min(waiting, key=lambda queue: queue.used).waiting[0]
+
+    def charge(self, customer: str, seconds: float) -> None:
+        """Note that a request of `customer` starts and is expected to take `seconds`."""
+        queue = self.of(customer)
+        self.level = max(self.level, queue.used)
+        queue.used += seconds
+
+    def correct(self, customer: str, seconds: float) -> None:
+        """Note that a request took `seconds` more than it was charged for."""
+        self.of(customer).used += seconds
+
+    def longest(self) -> CustomerQueue:
+        """Return the queue of the customer that has the most requests waiting."""
+        return max(self.customers.values(), key=lambda queue: len(queue.waiting))
+
+    def waiting_customers(self) -> int:
+        """Return how many customers have requests waiting."""
+        return sum(1 for queue in self.customers.values() if queue.waiting)
+
+    def cost(self) -> float:
+        """Return the sum of the costs of all waiting requests."""
+        return sum(queue.waiting_cost for queue in self.customers.values())
+
+    def cost_ahead(self, ticket: Ticket) -> float:
+        """Return the cost that is served before `ticket` if it is added now.
+
+        Until its turn every other customer gets at most as much as its own customer does.
+        """
+        queue = self.customers.get(ticket.customer)
+        own = queue.waiting_cost if queue else 0.0
+        ahead = own
+        for other in self.customers.values():
+            if other is queue or not other.waiting:
+                continue
+            ahead += min(other.waiting_cost, own + ticket.cost)
+        return ahead
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,6 +9,7 @@
 
 from fireflylock.admission import Admission, Queued, Refused, Started, Ticket
 from fireflylock.exceptions import ErrorKind
+from fireflylock.fair_queue import REMEMBERED_CUSTOMERS
 
 SERVICE_TIME = timedelta(milliseconds=20)
 ZERO = timedelta(0)
@@ -56,8 +57,8 @@
             done = running[choice % len(running)]
             fate[done] = "done"
             started = admission.finish(now, tickets[done])
-        if step == "cancel" and admission.waiting:
-            gone = list(admission.waiting.values())[choice % len(admission.waiting)]
+        if step == "cancel" and admission.queue.tickets:
+            gone = list(admission.queue.tickets.values())[choice % len(admission.queue.tickets)]
             fate[gone.request_id] = "cancelled"
             started = admission.cancel(now, gone)
         if step == "expire":
@@ -75,15 +76,15 @@
             assert each.request_id not in fate
             fate[each.request_id] = "refused"
             assert answer.retry_after > ZERO
-        assert len(admission.waiting) <= 8
+        assert len(admission.queue.tickets) <= 8
         assert set(admission.running) == {n for n, what in fate.items() if what == "running"}
     late = now + timedelta(hours=1)
     for each, _ in admission.expire(late):
         assert each.request_id not in fate
         fate[each.request_id] = "refused"
-    for each in admission.waiting.values():
+    for each in admission.queue.tickets.values():
         assert not admission.running or each.deadline > late
-    undecided = set(tickets) - set(fate) - set(admission.waiting)
+    undecided = set(tickets) - set(fate) - set(admission.queue.tickets)
     assert not undecided
 
 
@@ -125,7 +126,7 @@
     assert answer.kind is ErrorKind.DEADLINE_TOO_SHORT
     expected = admission.expected_wait(ZERO, ticket("x")) - timedelta(milliseconds=90)
     assert answer.retry_after >= expected
-    assert "late" not in admission.waiting
+    assert "late" not in admission.queue.tickets
 
 
 def test_refused_callers_are_told_to_come_back_one_after_the_other():
@@ -147,6 +148,15 @@
     ]
 
 
+def test_any_number_of_customers_takes_bounded_memory():
+    admission = Admission(4, 10, SERVICE_TIME)
+    for number in range(3 * REMEMBERED_CUSTOMERS):
+        one = ticket(number, f"customer-{number}")
+        assert admission.offer(ZERO, one) == Started()
+        admission.finish(ZERO, one)
+    assert len(admission.queue.customers) <= REMEMBERED_CUSTOMERS
+
+
 def test_slow_start_reaches_the_limit_step_by_step():
     admission = Admission(4, 100, SERVICE_TIME)
     admission.begin_slow_start(ZERO, timedelta(seconds=30))
