--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -48,7 +48,7 @@
         self.members: dict[str, Membership] = {}
         self.vms: dict[str, EntryVM] = {}
         self.skew: dict[str, timedelta] = {}
-        self.paused: dict[str, list[tuple[str, PeerMessage]]] = {}
+        self.paused: dict[str, list[tuple[str, PeerMessage]] | None] = {}
         self.loss = 0.0
         self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
         self.delay: Callable[[str, str], timedelta] = lambda sender, receiver: timedelta(0)
@@ -78,13 +78,13 @@
         """End a member without a word."""
         del self.members[name]
 
-    def pause(self, name: str) -> None:
-        """Stop a member; what is sent to it waits."""
-        self.paused[name] = []
+    def pause(self, name: str, keeps_messages: bool = True) -> None:
+        """Stop a member; what is sent to it waits or, when not kept, is lost."""
+        self.paused[name] = [] if keeps_messages else None
 
     def resume(self, name: str) -> None:
         """Let a paused member go on."""
-        for sender, message in self.paused.pop(name):
+        for sender, message in self.paused.pop(name) or []:
             self._deliver(sender, name, message)
 
     def clock_of(self, name: str) -> Instant:
@@ -119,7 +119,8 @@
 
     def _deliver(self, sender: str, receiver: str, message: PeerMessage) -> None:
         if receiver in self.paused:
-            self.paused[receiver].append((sender, message))
+            if self.paused[receiver] is not None:
+                self.paused[receiver].append((sender, message))
             return
         member = self.members.get(receiver)
         if member is None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -6,7 +6,7 @@
 import contextlib
 import io
 import sys
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import timedelta
 from unittest.mock import patch
 
@@ -23,31 +23,8 @@
 from fireflylock.standby import Standby
 from fireflylock.vm_history import VMHistory
 from tests import handover_model, test_assignment, test_ownership, test_retry
-
-
-@dataclass(frozen=True)
-class Mutant:
-    """One deliberate breakage.
-
-    Attributes
-    ----------
-    name : str
-        What is broken.
-    place : object
-        Class or module.
-    attribute : str
-        What of it is replaced.
-    broken : object
-        The replacement.
-    tests : str
-        pytest's node that must fail.
-    """
-
-    name: str
-    place: object
-    attribute: str
-    broken: object
-    tests: str
+from tests.mutant import Mutant
+from tests.mutants_links import LINK_MUTANTS
 
 
 def released_at_once(self, now, running):
@@ -334,6 +311,7 @@
         run_again_after_unknown,
         IDEMPOTENCY,
     ),
+    *LINK_MUTANTS,
 )
 
 
--- /dev/null
+++ b/tests/mutants_links.py
@@ -0,0 +1,187 @@
+"""Mutants of the platform client, the links between daemons, membership and the state relay."""
+
+from fireflylock.exceptions import ErrorKind, PlatformError, RequestError
+from fireflylock.flow import BodySender, ReceivedBody
+from fireflylock.forwarding import Outgoing
+from fireflylock.freshness import MICROSECOND, MILLISECOND, PlatformFreshness
+from fireflylock.membership import Membership
+from fireflylock.neighbours import Neighbours
+from fireflylock.peer_keys import ZAP_VERSION, KeyChecker
+from fireflylock.refutation import Refutation
+from fireflylock.state import StateCache
+from fireflylock.suspicion import Suspicions
+from fireflylock.vm_list import VMListReader, read_vm_list
+from fireflylock.zone_reach import ZoneStatements
+from tests import test_platform
+from tests.mutant import Mutant
+
+ALWAYS = lambda *_: True  # noqa: E731
+NOTHING = lambda *_: None  # noqa: E731
+
+take_heartbeat = Membership._on_heartbeat
+take_vm_list = Membership.on_vm_list
+take_chunk = ReceivedBody.on_chunk
+end_outgoing = Outgoing.fail
+
+
+def apply_in_any_order(self, values, since_revision, revision):
+    for value in values:
+        self.values[value.key] = value
+    self.revision = max(self.revision, revision)
+    return [value.key for value in values]
+
+
+def apply_across_gaps(self, values, since_revision, revision):
+    changed = []
+    for value in values:
+        held = self.values.get(value.key)
+        if held is None or held.revision < value.revision:
+            self.values[value.key] = value
+            changed.append(value.key)
+    self.revision = max(self.revision, revision)
+    return changed
+
+
+def age_since_arrival(self, now, message, own_incarnation):
+    if message.platform_age_ms >= 0:
+        self.note_read(now - message.platform_age_ms * MILLISECOND)
+
+
+def echo_of_any_life(self, now, message, own_incarnation):
+    if message.platform_age_ms >= 0 and message.echo_us >= 0:
+        self.note_read(message.echo_us * MICROSECOND - message.platform_age_ms * MILLISECOND)
+
+
+def believe_any_list(self, now, vm_list):
+    self.vm_list = None
+    take_vm_list(self, now, vm_list)
+
+
+def believe_late_heartbeat(self, now, sender, message):
+    self.neighbours.hear(now, sender, message, self.own.incarnation)
+    return take_heartbeat(self, now, sender, message)
+
+
+def monitored_alone(self):
+    return list(self.monitored.items())
+
+
+def contradict_at_once(self, now):
+    self.due = now
+
+
+async def read_any_list(self):
+    return read_vm_list(await self.client.call("GET", "", self.timeout))
+
+
+def chunk_at_any_offset(self, chunk):
+    self.offset = chunk.offset
+    take_chunk(self, chunk)
+
+
+async def end_instead_of_cut(self):
+    await self.send(self._chunk(b"", last=True))
+
+
+def credit_without_end(self, message):
+    self.credit = 10**12
+    self.credited.set()
+
+
+def lost_is_not_run(self, error):
+    end_outgoing(self, RequestError(ErrorKind.OWNER_UNREACHABLE, error.detail))
+
+
+def any_key(self, question):
+    return [ZAP_VERSION, question[1], b"200", b"", b"a", b""]
+
+
+async def write_without_reading_back(store, clock, key, data, expected, is_mine, also=None):
+    try:
+        return await store.put(key, data, expected, also)
+    except PlatformError:
+        return await store.put(key, data, expected, also)
+
+
+MEMBERSHIP = "tests/test_membership.py::"
+HALF_OPEN = MEMBERSHIP + "test_a_half_open_link_loses_nobody_and_is_seen_from_both_ends"
+AGE = MEMBERSHIP + "test_the_age_of_the_platform_reading_is_never_too_small"
+ECHO = MEMBERSHIP + "test_an_echo_from_before_a_restart_proves_nothing"
+VM_LIST = MEMBERSHIP + "test_the_list_of_vms_is_a_hint_except_for_who_is_gone"
+PAUSED = MEMBERSHIP + "test_a_paused_member_returns_without_blaming_anybody"
+LATE = MEMBERSHIP + "test_a_late_message_of_an_earlier_process_is_not_believed"
+FLAPPING = MEMBERSHIP + "test_a_flapping_member_contradicts_ever_later"
+FAULTS = MEMBERSHIP + "test_after_any_faults_everybody_agrees_again"
+CUT_ZONE = MEMBERSHIP + "test_a_zone_that_is_cut_off_is_unreachable_but_not_lost"
+STATE = "tests/test_state.py"
+FORWARDING = "tests/test_forwarding.py::"
+PLATFORM = "tests/test_platform.py::"
+
+LINK_MUTANTS = (
+    Mutant("apply an older value", StateCache, "apply", apply_in_any_order, STATE),
+    Mutant("claim a gap in the state away", StateCache, "apply", apply_across_gaps, STATE),
+    Mutant(
+        "count a reading's age since arrival", PlatformFreshness, "hear", age_since_arrival, AGE
+    ),
+    Mutant(
+        "believe an echo of an earlier life", PlatformFreshness, "hear", echo_of_any_life, ECHO
+    ),
+    Mutant("lose a member by one vote", Suspicions, "is_lost", ALWAYS, HALF_OPEN),
+    Mutant(
+        "believe an older list in membership", Membership, "on_vm_list", believe_any_list, VM_LIST
+    ),
+    Mutant("hear a late heartbeat", Membership, "_on_heartbeat", believe_late_heartbeat, LATE),
+    Mutant("blame others for an own pause", Neighbours, "forgive", NOTHING, PAUSED),
+    Mutant("fall silent towards followers", Neighbours, "all", monitored_alone, FAULTS),
+    Mutant("flap without a hold-down", Refutation, "schedule", contradict_at_once, FLAPPING),
+    Mutant("never call a zone cut off", ZoneStatements, "is_cut", lambda *_: False, CUT_ZONE),
+    Mutant(
+        "read an older list of VMs",
+        VMListReader,
+        "read",
+        read_any_list,
+        PLATFORM + "test_an_older_list_of_vms_is_never_believed",
+    ),
+    Mutant(
+        "repeat a lost write without reading back",
+        test_platform,
+        "write_with_change_id",
+        write_without_reading_back,
+        PLATFORM + "test_a_write_whose_answer_is_lost_is_found_again",
+    ),
+    Mutant(
+        "take chunks across a gap",
+        ReceivedBody,
+        "on_chunk",
+        chunk_at_any_offset,
+        FORWARDING + "test_a_lost_chunk_cuts_the_body",
+    ),
+    Mutant(
+        "end a body that was cut short",
+        BodySender,
+        "cut",
+        end_instead_of_cut,
+        FORWARDING + "test_a_response_that_is_cut_short_never_looks_whole",
+    ),
+    Mutant(
+        "send beyond the credit",
+        BodySender,
+        "on_credit",
+        credit_without_end,
+        FORWARDING + "test_a_request_and_its_response_arrive_whole",
+    ),
+    Mutant(
+        "call a request not run after its gate was lost",
+        Outgoing,
+        "fail",
+        lost_is_not_run,
+        FORWARDING + "test_a_loss_while_waiting_is_an_unknown_outcome_and_cuts_bodies",
+    ),
+    Mutant(
+        "let any key connect",
+        KeyChecker,
+        "_decide",
+        any_key,
+        "tests/test_peers.py::test_only_known_keys_connect_and_the_key_decides_the_name",
+    ),
+)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -108,9 +108,10 @@
 
 
 @pytest.mark.parametrize("zones", [TODAY, LARGER])
-def test_a_paused_member_returns_without_blaming_anybody(zones):
+@pytest.mark.parametrize("keeps_messages", [True, False])
+def test_a_paused_member_returns_without_blaming_anybody(zones, keeps_messages):
     fleet = started_fleet(zones)
-    fleet.pause("a0")
+    fleet.pause("a0", keeps_messages)
     fleet.run(5 * SECOND)
     assert all("a0" not in alive_for(fleet, name) for name in fleet.members if name != "a0")
     fleet.resume("a0")
