--- a/bench/child_processes.py
+++ b/bench/child_processes.py
@@ -5,8 +5,10 @@
 import sys
 from pathlib import Path
 from types import TracebackType
+from typing import Self
 
 KILOBYTE = 1024
+STOP_SECONDS = 10
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
 # Fields of /proc/PID/stat after the command's closing bracket.
@@ -15,7 +17,7 @@
 
 
 class ChildProcess:
-    """A program of this repository that prints ``ready HOST:PORT`` when it serves.
+    """A program of this repository, ended on leaving the context.
 
     Parameters
     ----------
@@ -23,20 +25,19 @@
         What ``python -m`` runs.
     arguments : str
         Its command line.
+    log : path or None
+        Where its output goes; None when its output is read here.
     """
 
-    def __init__(self, module: str, *arguments: str) -> None:
+    def __init__(self, module: str, *arguments: str, log: Path | None = None) -> None:
+        output = subprocess.PIPE if log is None else log.open("wb")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", module, *arguments], stdout=subprocess.PIPE, text=True
+            [sys.executable, "-m", module, *arguments],
+            stdout=output,
+            stderr=None if log is None else subprocess.STDOUT,
         )
-        words = self.process.stdout.readline().split()
-        if len(words) != 2 or words[0] != "ready":
-            self.process.kill()
-            raise RuntimeError(f"{module} did not get ready")
-        self.host, _, port = words[1].rpartition(":")
-        self.port = int(port)
 
-    def __enter__(self) -> "ChildProcess":
+    def __enter__(self) -> Self:
         return self
 
     def __exit__(
@@ -46,7 +47,11 @@
         trace: TracebackType | None,
     ) -> None:
         self.process.terminate()
-        self.process.wait()
+        try:
+            self.process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
 
     def cpu_seconds(self) -> float:
         """Return the processor time used so far, user and system."""
@@ -67,3 +72,22 @@
             if line.startswith(f"{field}:"):
                 return int(line.split()[1]) * KILOBYTE
         raise RuntimeError(f"no {field} in /proc/{self.process.pid}/status")
+
+
+class ServingProcess(ChildProcess):
+    """A program that prints ``ready HOST:PORT`` when it serves.
+
+    Attributes
+    ----------
+    host, port : str, int
+        Where it serves.
+    """
+
+    def __init__(self, module: str, *arguments: str) -> None:
+        super().__init__(module, *arguments)
+        words = self.process.stdout.readline().split()
+        if len(words) != 2 or words[0] != b"ready":
+            self.process.kill()
+            raise RuntimeError(f"{module} did not get ready")
+        self.host, _, port = words[1].decode().rpartition(":")
+        self.port = int(port)
--- a/bench/path.py
+++ b/bench/path.py
@@ -11,7 +11,7 @@
 
 import h11
 
-from bench.child_processes import ChildProcess
+from bench.child_processes import ServingProcess
 from bench.figures import Figures
 from bench.load_generator import Load, pace, saturate
 
@@ -41,16 +41,16 @@
 RESIDENT_BOUND_MB = 128
 
 
-def standin() -> ChildProcess:
+def standin() -> ServingProcess:
     """Start a backend server that answers at once."""
-    return ChildProcess(
+    return ServingProcess(
         "standins.backend_server",
         *("--name", "s1", "--service", "bench", "--checks-grants", "no"),
         *("--concurrency", "1000", "--connections", "1000"),
     )
 
 
-def add_rate(figures: Figures, name: str, process: ChildProcess, seconds: float) -> Load:
+def add_rate(figures: Figures, name: str, process: ServingProcess, seconds: float) -> Load:
     """Add the highest rate of a process, and what one request costs it."""
     asyncio.run(saturate(process.host, process.port, REQUEST, CONNECTIONS, WARM_UP_SECONDS))
     before = process.cpu_seconds()
@@ -64,7 +64,9 @@
     return load
 
 
-def add_alone(figures: Figures, name: str, process: ChildProcess, direct: ChildProcess) -> None:
+def add_alone(
+    figures: Figures, name: str, process: ServingProcess, direct: ServingProcess
+) -> None:
     """Add the latencies of one caller with one request at a time, against the direct way."""
     loads = []
     for target in (direct, process):
@@ -78,7 +80,7 @@
 
 
 def add_steady(
-    figures: Figures, name: str, process: ChildProcess, highest: float, seconds: float
+    figures: Figures, name: str, process: ServingProcess, highest: float, seconds: float
 ) -> None:
     """Add the latencies under a steady load, from when each request was due."""
     rate = highest * STEADY_SHARE
@@ -119,7 +121,7 @@
     caller.send(h11.EndOfMessage())
 
 
-def add_large(figures: Figures, process: ChildProcess, size: int) -> None:
+def add_large(figures: Figures, process: ServingProcess, size: int) -> None:
     """Add memory, time and processor time of one large body each way."""
     for name, transfer in (("download", download), ("upload", upload)):
         cpu = process.cpu_seconds()
@@ -132,7 +134,7 @@
     figures.at_most("peak resident memory", peak / MEGABYTE, "MB", RESIDENT_BOUND_MB)
 
 
-async def download(process: ChildProcess, size: int) -> float:
+async def download(process: ServingProcess, size: int) -> float:
     """Download `size` bytes without keeping them, and return the seconds it took."""
     start = time.perf_counter()
     reader, writer = await asyncio.open_connection(process.host, process.port)
@@ -148,7 +150,7 @@
     return time.perf_counter() - start
 
 
-async def upload(process: ChildProcess, size: int) -> float:
+async def upload(process: ServingProcess, size: int) -> float:
     """Upload `size` bytes, and return the seconds it took."""
     start = time.perf_counter()
     reader, writer = await asyncio.open_connection(process.host, process.port)
@@ -178,7 +180,7 @@
     profile = ("--profile", options.profile) if options.profile else ()
     with standin() as server:
         address = f"{server.host}:{server.port}"
-        with ChildProcess("bench.edge_process", "--server", address, *profile) as edge:
+        with ServingProcess("bench.edge_process", "--server", address, *profile) as edge:
             add_h11(figures)
             add_rate(figures, "direct", server, options.seconds)
             load = add_rate(figures, "edge", edge, options.seconds)
