Stand-in: a refused request's body no longer counts for the next one

Cause: the path benchmark hung when it talked to a stand-in that refuses. Bodies that were not read because the request was refused stayed in the count of buffered bytes, so that after 256 KB of them the connection stopped reading for good. The count starts afresh with each request now. A test sends four times that much; it hung before. Ruled out: the load generator, which did wait for ever on a connection that had ended, and now fails instead.

Path benchmark: the whole system, with the gate reached directly and through the other VM.

--- a/bench/load_generator.py
+++ b/bench/load_generator.py
@@ -104,6 +104,8 @@
 
     async def send(self, due: float) -> None:
         """Send one request and record its latency since `due`."""
+        if self.transport.is_closing():
+            raise ConnectionError("the connection ended")
         self.answer = asyncio.get_running_loop().create_future()
         self.transport.write(self.request)
         self.load.bytes_out += len(self.request)
--- a/bench/path.py
+++ b/bench/path.py
@@ -8,12 +8,16 @@
 import argparse
 import asyncio
 import time
+from collections.abc import Sequence
 
 import h11
 
-from bench.child_processes import ServingProcess
+from bench.child_processes import ChildProcess, ServingProcess
 from bench.figures import Figures
 from bench.load_generator import Load, pace, saturate
+from bench.small_system import EntryVM, SmallSystem
+
+Target = ServingProcess | EntryVM
 
 REQUEST = (
     b"POST /orders HTTP/1.1\r\nHost: bench\r\nX-Key: order-1234\r\nContent-Length: 64\r\n"
@@ -35,6 +39,7 @@
 # Steady load as a share of the highest rate.
 STEADY_SHARE = 0.5
 
+MICROSECONDS = 1e6
 MEGABYTE = 1024**2
 GIGABYTE = 1024**3
 LARGE_BYTES = 2 * GIGABYTE
@@ -50,37 +55,51 @@
     )
 
 
-def add_rate(figures: Figures, name: str, process: ServingProcess, seconds: float) -> Load:
-    """Add the highest rate of a process, and what one request costs it."""
-    asyncio.run(saturate(process.host, process.port, REQUEST, CONNECTIONS, WARM_UP_SECONDS))
-    before = process.cpu_seconds()
-    load = asyncio.run(saturate(process.host, process.port, REQUEST, CONNECTIONS, seconds))
-    cpu = (process.cpu_seconds() - before) / load.answered
+def add_rate(
+    figures: Figures,
+    name: str,
+    target: Target,
+    seconds: float,
+    processes: Sequence[ChildProcess] = (),
+) -> Load:
+    """Add the highest rate of a path, and what one request costs its processes."""
+    processes = processes or (target,)
+    asyncio.run(saturate(target.host, target.port, REQUEST, CONNECTIONS, WARM_UP_SECONDS))
+    before = total_cpu(processes)
+    load = asyncio.run(saturate(target.host, target.port, REQUEST, CONNECTIONS, seconds))
+    cpu = (total_cpu(processes) - before) / load.answered
     figures.add(f"{name}: requests", load.rate, "1/s")
-    figures.add(f"{name}: processor time a request", cpu * 1e6, "us")
+    figures.add(f"{name}: processor time a request", cpu * MICROSECONDS, "us")
+    figures.add(f"{name}: cores for a VM's share", TARGET_RATE * cpu, "cores")
     figures.add(f"{name}: p99 at the highest rate", load.percentile_ms(99), "ms")
     figures.at_most(f"{name}: requests not answered", load.failed, "requests", 0)
     figures.add(f"{name}: bytes to the caller a request", load.bytes_in / load.answered, "bytes")
     return load
 
 
-def add_alone(
-    figures: Figures, name: str, process: ServingProcess, direct: ServingProcess
-) -> None:
-    """Add the latencies of one caller with one request at a time, against the direct way."""
-    loads = []
-    for target in (direct, process):
-        asyncio.run(saturate(target.host, target.port, REQUEST, 1, WARM_UP_SECONDS))
-        loads.append(asyncio.run(saturate(target.host, target.port, REQUEST, 1, ALONE_SECONDS)))
+def total_cpu(processes: Sequence[ChildProcess]) -> float:
+    """Return the processor time of several processes in seconds."""
+    return sum(process.cpu_seconds() for process in processes)
+
+
+def alone(target: Target) -> Load:
+    """Return what one caller sees who sends one request at a time."""
+    asyncio.run(saturate(target.host, target.port, REQUEST, 1, WARM_UP_SECONDS))
+    return asyncio.run(saturate(target.host, target.port, REQUEST, 1, ALONE_SECONDS))
+
+
+def add_alone(figures: Figures, name: str, target: Target, direct: Load) -> None:
+    """Add the latencies of one caller, against those of the direct way."""
+    load = alone(target)
     for percentile in (50, 99):
-        plain, through = (load.percentile_ms(percentile) for load in loads)
+        plain, through = direct.percentile_ms(percentile), load.percentile_ms(percentile)
         figures.add(f"{name}: p{percentile} of one caller", through, "ms")
         figures.add(f"{name}: p{percentile} added to the direct way", through - plain, "ms")
         figures.add(f"{name}: p{percentile} over the direct way", through / plain, "ratio")
 
 
 def add_steady(
-    figures: Figures, name: str, process: ServingProcess, highest: float, seconds: float
+    figures: Figures, name: str, process: Target, highest: float, seconds: float
 ) -> None:
     """Add the latencies under a steady load, from when each request was due."""
     rate = highest * STEADY_SHARE
@@ -121,20 +140,23 @@
     caller.send(h11.EndOfMessage())
 
 
-def add_large(figures: Figures, process: ServingProcess, size: int) -> None:
+def add_large(
+    figures: Figures, name: str, target: Target, size: int, processes: Sequence[ChildProcess] = ()
+) -> None:
     """Add memory, time and processor time of one large body each way."""
-    for name, transfer in (("download", download), ("upload", upload)):
-        cpu = process.cpu_seconds()
-        seconds = asyncio.run(transfer(process, size))
-        cpu = process.cpu_seconds() - cpu
-        figures.add(f"large {name}: size", size / MEGABYTE, "MB")
-        figures.add(f"large {name}: rate", size / MEGABYTE / seconds, "MB/s")
-        figures.add(f"large {name}: processor time", cpu / size * GIGABYTE, "s/GB")
-    peak = process.peak_resident_bytes()
-    figures.at_most("peak resident memory", peak / MEGABYTE, "MB", RESIDENT_BOUND_MB)
-
-
-async def download(process: ServingProcess, size: int) -> float:
+    processes = processes or (target,)
+    for direction, transfer in (("download", download), ("upload", upload)):
+        cpu = total_cpu(processes)
+        seconds = asyncio.run(transfer(target, size))
+        cpu = total_cpu(processes) - cpu
+        megabytes = size / MEGABYTE
+        figures.add(f"{name}: {direction} of {megabytes:.0f} MB", megabytes / seconds, "MB/s")
+        figures.add(f"{name}: {direction}, processor time", cpu / size * GIGABYTE, "s/GB")
+    peak = max(process.peak_resident_bytes() for process in processes)
+    figures.at_most(f"{name}: peak resident memory", peak / MEGABYTE, "MB", RESIDENT_BOUND_MB)
+
+
+async def download(process: Target, size: int) -> float:
     """Download `size` bytes without keeping them, and return the seconds it took."""
     start = time.perf_counter()
     reader, writer = await asyncio.open_connection(process.host, process.port)
@@ -150,7 +172,7 @@
     return time.perf_counter() - start
 
 
-async def upload(process: ServingProcess, size: int) -> float:
+async def upload(process: Target, size: int) -> float:
     """Upload `size` bytes, and return the seconds it took."""
     start = time.perf_counter()
     reader, writer = await asyncio.open_connection(process.host, process.port)
@@ -177,15 +199,33 @@
     parser.add_argument("--profile", default="", help="cProfile file of the edge process")
     options = parser.parse_args(argv)
     figures = Figures()
+    add_h11(figures)
+    direct = add_edge(figures, options)
+    add_system(figures, options, direct)
+    return figures
+
+
+def add_edge(figures: Figures, options: argparse.Namespace) -> Load:
+    """Measure the HTTP edge alone, in one process; return what a direct caller sees."""
     profile = ("--profile", options.profile) if options.profile else ()
     with standin() as server:
         address = f"{server.host}:{server.port}"
         with ServingProcess("bench.edge_process", "--server", address, *profile) as edge:
-            add_h11(figures)
             add_rate(figures, "direct", server, options.seconds)
             load = add_rate(figures, "edge", edge, options.seconds)
-            figures.add("edge: processes for a VM's share", TARGET_RATE / load.rate, "processes")
-            add_alone(figures, "edge", edge, server)
+            direct = alone(server)
+            add_alone(figures, "edge", edge, direct)
             add_steady(figures, "edge", edge, load.rate, options.seconds)
-            add_large(figures, edge, options.large_bytes)
-    return figures
+            add_large(figures, "edge", edge, options.large_bytes)
+    return direct
+
+
+def add_system(figures: Figures, options: argparse.Namespace, direct: Load) -> None:
+    """Measure daemons: the gate reached by the caller, and through the other entry VM."""
+    with SmallSystem() as system:
+        daemons = (system.gate, system.other)
+        for name, target in (("gate", system.gate), ("gate hop", system.other)):
+            load = add_rate(figures, name, target, options.seconds, daemons)
+            add_alone(figures, name, target, direct)
+            add_steady(figures, name, target, load.rate, options.seconds)
+        add_large(figures, "gate hop", system.other, options.large_bytes, daemons)
--- a/standins/http_connection.py
+++ b/standins/http_connection.py
@@ -85,7 +85,6 @@
                 event = self.http.next_event()
                 if type(event) is h11.Request:
                     self.body_complete = False
-                    self.chunks.clear()
                     self.task = asyncio.get_running_loop().create_task(self.serve(event))
                 elif type(event) is h11.Data:
                     self.take_in(bytes(event.data))
@@ -107,10 +106,18 @@
 
     async def serve(self, head: h11.Request) -> None:
         """Answer one request, and get ready for the next one."""
-        await self.application.answer(self, head)
+        try:
+            await self.application.answer(self, head)
+        except Exception:
+            self.transport.abort()
+            raise
         self.task = None
         if self.transport.is_closing():
             return
+        # An answer may have been given without reading the body.
+        self.chunks.clear()
+        self.buffered = 0
+        self.transport.resume_reading()
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
             self.read_events()
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -9,11 +9,13 @@
 from fireflylock.exceptions import BodyCutShortError, ErrorKind, ProtocolError, RequestError
 from fireflylock.exchange import Body, read_all
 from standins import backend_server
+from standins.http_connection import BUFFER_BYTES
 from tests.edge import HOST, new_pool, new_request, raw_server
 
 SECOND = timedelta(seconds=1)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 MEGABYTE = 1024 * 1024
+SMALL_BODY = 16 * 1024
 
 
 def nothing():
@@ -288,6 +290,13 @@
     assert log()[-1]["event"] == "refused"
 
 
+async def test_standin_refuses_again_and_again_on_one_connection(standin):
+    _, pool, _ = standin
+    for _ in range(4 * BUFFER_BYTES // SMALL_BODY):
+        error = await failure(pool, new_request(body=b"x" * SMALL_BODY))
+        assert error.detail == "no-session"
+
+
 async def test_standin_checks_the_grant_again_at_the_effect(standin):
     application, pool, log = standin
     headers = granted(application)
