Drain accepts what waits in the backlog; targets may be whole URLs

Closing a listening socket resets the connections in its backlog, and with them requests that callers believe sent. The loop gets the turns that it needs to accept them first, and the node leaves that to the drain. The test failed before with a reset.

--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -26,6 +26,7 @@
 SWEEP_INTERVAL = timedelta(milliseconds=100)
 
 LISTEN_BACKLOG = 1024
+BACKLOG_TURNS = 10
 MAX_DEADLINE = timedelta(hours=1)
 MAX_IDEMPOTENCY_KEY_BYTES = 255
 REQUEST_ID = re.compile(rb"[A-Za-z0-9._:-]{1,128}")
@@ -157,11 +158,13 @@
 
     async def drain(self, timeout: timedelta) -> bool:
         """Let every request in flight finish; return whether all did within `timeout`."""
-        # One turn of the loop accepts the connections that wait in the backlog.
-        await asyncio.sleep(0)
-        self.stop_accepting()
         self.draining = True
         self.drain_started_at = self.clock.elapsed()
+        # Closing the socket resets the connections that wait in its backlog, so the loop is
+        # first given the turns that it needs to accept and to register them.
+        for _ in range(BACKLOG_TURNS):
+            await asyncio.sleep(0)
+        self.stop_accepting()
         end = self.drain_started_at + timeout
         while self.connections and self.clock.elapsed() < end:
             await self.clock.sleep(SWEEP_INTERVAL)
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -338,7 +338,6 @@
     async def stop(self) -> None:
         """Stop gracefully: no request in flight is cut off, every gate is handed over."""
         self.stopping = True
-        self.frontend.stop_accepting()
         timeout = self.settings.timing.drain
         async with asyncio.TaskGroup() as group:
             group.create_task(self.frontend.drain(timeout))
--- a/fireflylock/request_parser.py
+++ b/fireflylock/request_parser.py
@@ -11,6 +11,7 @@
     Framing,
     bad_request,
     head_problem,
+    header,
     partial_head_problem,
     read_framing,
 )
@@ -173,8 +174,6 @@
         return "Only HTTP/1.0 and HTTP/1.1 are spoken."
     if event.method == b"CONNECT":
         return "CONNECT is not offered."
-    if not event.target.startswith(b"/") and event.target != b"*":
-        return "The request target is not a path."
     return ""
 
 
@@ -182,13 +181,26 @@
     """Return the head that goes on to the front end."""
     return RequestHead(
         method=bytes(request.method),
-        target=bytes(request.target),
+        target=origin_form(bytes(request.target), framing.headers),
         headers=framing.headers,
         length=None if framing.chunked else framing.length or 0,
         deadline_ms=framing.deadline_ms,
     )
 
 
+def origin_form(target: bytes, headers: Headers) -> bytes:
+    """Return the target as a path; a whole URL must name the same host as the headers."""
+    if target.startswith(b"/") or target == b"*":
+        return target
+    scheme, separator, rest = target.partition(b"://")
+    if not separator or scheme.lower() not in (b"http", b"https"):
+        raise bad_request("The request target is not a path.")
+    authority, slash, path = rest.partition(b"/")
+    if authority.lower() != (header(headers, b"host") or authority).lower():
+        raise bad_request("The request target and Host name different hosts.")
+    return slash + path if slash else b"/"
+
+
 def refuse_if(problem: str) -> None:
     """Raise ``BAD_REQUEST`` when there is a problem."""
     if problem:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -1,6 +1,7 @@
 """Tests of the front end: framing, order, limits, cancellation, drain."""
 
 import asyncio
+import socket
 from datetime import timedelta
 
 import pytest
@@ -116,6 +117,8 @@
         (b"GET / HTTP/2.0", b"400"),
         (b"CONNECT mesa:80 HTTP/1.1", b"400"),
         (b"GET /../x HTTP/1.1", b"400"),
+        (b"GET http://other/ HTTP/1.1", b"400"),
+        (b"GET mesa HTTP/1.1", b"400"),
         (b"GET /%2e%2e/x HTTP/1.1", b"400"),
         (b"GET / HTTP/1.1\r\nX-Long: " + b"a" * 40000, b"431"),
     ],
@@ -126,6 +129,14 @@
     assert received.startswith(b"HTTP/1.1 " + status)
 
 
+async def test_a_target_may_be_a_whole_url_of_the_same_host():
+    handler = ScriptedHandler(echo)
+    async with running_frontend(handler) as (_, port):
+        for target in (b"http://mesa/a?b=c", b"http://MESA"):
+            await talk(port, b"GET " + target + b" HTTP/1.1\r\n" + HEAD + CLOSE + b"\r\n")
+    assert [request.target for request in handler.seen] == [b"/a?b=c", b"/"]
+
+
 async def test_connection_headers_and_system_headers_are_not_passed_on():
     handler = ScriptedHandler(echo)
     async with running_frontend(handler) as (_, port):
@@ -303,6 +314,19 @@
         await asyncio.open_connection(HOST, port)
 
 
+async def test_drain_answers_a_caller_that_waits_in_the_backlog():
+    limits = FrontendLimits(linger=timedelta(0))
+    async with running_frontend(ScriptedHandler(echo), limits) as (frontend, port):
+        # The kernel completes the connection while the loop does not run.
+        with socket.create_connection((HOST, port)) as caller:
+            caller.sendall(b"GET / HTTP/1.1\r\n" + HEAD + b"\r\n")
+            caller.setblocking(False)
+            assert await frontend.drain(timedelta(seconds=20))
+            received = caller.recv(65536)
+    assert received.startswith(b"HTTP/1.1 200")
+    assert b"connection: close" in received
+
+
 async def test_a_refused_body_does_not_cost_the_connection_when_it_has_come_in():
     async def refuse(request):
         raise RequestError(ErrorKind.QUEUE_FULL)
