--- a/fireflylock/gate.py
+++ b/fireflylock/gate.py
@@ -16,6 +16,9 @@
 
 # An idle control loop looks at queue deadlines at least this often.
 LONGEST_IDLE = timedelta(milliseconds=50)
+# How long requests are held back before a gate epoch ends that fences what is under way.
+LONGEST_PAUSE = timedelta(milliseconds=500)
+DRAIN_POLL = timedelta(milliseconds=5)
 
 
 class FinishingBody(Body):
@@ -128,6 +131,7 @@
         self.waiting: dict[str, Waiting] = {}
         self.wake = asyncio.Event()
         self.closing = False
+        self.paused = False
         self.refused = 0
         self.on_progress: Callable[[Gate], None] = lambda _gate: None
 
@@ -170,7 +174,7 @@
         now = self.clock.elapsed()
         if now >= request.deadline:
             raise RequestError(ErrorKind.DEADLINE_TOO_SHORT, "the deadline passed in the queue")
-        if self.closing:
+        if self.closing or self.paused:
             raise RequestError(ErrorKind.MOVED, "the gate is being handed over")
         if not self.session.may_send(now, unit, epoch):
             raise RequestError(ErrorKind.MOVED, f"unit {unit} at epoch {epoch} is not granted")
@@ -320,7 +324,18 @@
         self.closing = True
         self.turn_away()
         while not self.idle_now:
-            await self.clock.sleep(timedelta(milliseconds=5))
+            await self.clock.sleep(DRAIN_POLL)
+
+    async def pause(self) -> None:
+        """Hold new requests back for `LONGEST_PAUSE`, or until those under way have ended."""
+        self.paused = True
+        end = self.clock.elapsed() + LONGEST_PAUSE
+        while any(self.running.values()) and self.clock.elapsed() < end:
+            await self.clock.sleep(DRAIN_POLL)
+
+    def resume(self) -> None:
+        """Send requests again after `pause`."""
+        self.paused = False
 
     def replace_session(self, session: GateSession) -> None:
         """Go on under a new gate epoch; what was granted before is claimed afresh."""
--- a/fireflylock/gatekeeper.py
+++ b/fireflylock/gatekeeper.py
@@ -1,8 +1,7 @@
 """The gates that this entry VM holds, kept in step with configuration and assignments."""
 
 import asyncio
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable
 from datetime import timedelta
 
 from fireflylock.admission import Admission
@@ -10,16 +9,17 @@
 from fireflylock.assignments import AssignmentBook
 from fireflylock.backend import ServerPool
 from fireflylock.clock import Clock
-from fireflylock.coverage import Coverage, Mark
 from fireflylock.exceptions import ErrorKind, RequestError
 from fireflylock.exchange import Handler, Request, Response
 from fireflylock.fenced_session import FencedSession
 from fireflylock.gate import Gate
-from fireflylock.idempotency import EntryState, IdempotencyWindow, WindowLimits
+from fireflylock.idempotency import Entry
 from fireflylock.log import logger
 from fireflylock.model import BackendServer, Configuration, Service
-from fireflylock.orders import Orders
+from fireflylock.order_windows import OrderWindows
+from fireflylock.orders import OrderSender
 from fireflylock.session import GateSession, SessionTiming, UncheckedSession
+from fireflylock.window_copies import CopySender
 
 # Service time that admission assumes before it has seen one.
 FIRST_SERVICE_TIME = timedelta(milliseconds=20)
@@ -30,21 +30,38 @@
 LOG = logger("gatekeeper")
 
 
-@dataclass(frozen=True)
-class GateLimits:
-    """Bounds of one gate.
+class GateOrderSender(OrderSender):
+    """Sends one order through a gate, once the gate's standby knows of it.
 
-    Attributes
+    Parameters
     ----------
-    queue_requests : int
-        Requests that may wait for one backend server.
-    window_entries, window_bytes : int
-        Idempotency keys, and bytes of answers, remembered per service.
+    gate : Gate
+        The gate of the key's owner.
+    unit, epoch : int
+        The key's unit and its epoch.
+    copies : CopySender or None
+        The way to the standby; None when there is none.
     """
 
-    queue_requests: int = 200
-    window_entries: int = 200_000
-    window_bytes: int = 32 * 1024 * 1024
+    def __init__(self, gate: Gate, unit: int, epoch: int, copies: CopySender | None) -> None:
+        self.gate = gate
+        self.unit = unit
+        self.epoch = epoch
+        self.copies = copies
+
+    async def send(self, request: Request, entry: Entry) -> Response:
+        """Tell the standby, then send the order."""
+        if self.copies is not None:
+            await self.copies.begin(entry, self.unit, self.epoch)
+            gate_epoch = self.copies.target.gate_epoch
+            if self.gate.session.gate_epoch != (gate_epoch, 0):
+                raise RequestError(ErrorKind.MOVED, "the gate's standby has changed")
+        return await self.gate.handle(request, self.unit, self.epoch)
+
+    def settled(self, entry: Entry) -> None:
+        """Tell the standby how the order ended."""
+        if self.copies is not None:
+            self.copies.settle(entry)
 
 
 class Gatekeeper(Handler):
@@ -62,8 +79,10 @@
         Time.
     timing : SessionTiming
         Times of sessions with backend servers.
-    limits : GateLimits
-        Bounds.
+    queue_requests : int
+        Requests that may wait for one backend server.
+    windows : OrderWindows
+        What is remembered of orders.
 
     Attributes
     ----------
@@ -83,7 +102,8 @@
         book: AssignmentBook,
         clock: Clock,
         timing: SessionTiming,
-        limits: GateLimits,
+        queue_requests: int,
+        windows: OrderWindows,
     ) -> None:
         self.me = me
         self.process = process
@@ -91,12 +111,12 @@
         self.book = book
         self.clock = clock
         self.timing = timing
-        self.limits = limits
+        self.queue_requests = queue_requests
+        self.windows = windows
         self.gates: dict[str, Gate] = {}
+        self.provisional: dict[str, int] = {}
         self.loops: dict[str, asyncio.Task[None]] = {}
         self.closing: set[asyncio.Task[None]] = set()
-        self.orders: dict[str, Orders] = {}
-        self.coverage: dict[str, Coverage] = {}
         self.on_progress: Callable[[Gate], None] = lambda _gate: None
         self.on_request: Callable[[Gate, Request, int], None] = lambda _gate, _request, _unit: None
 
@@ -119,8 +139,8 @@
         epoch = ownership.epoch
         if request.idempotent or not request.idempotency_key:
             return await gate.handle(request, unit, epoch)
-        orders = self.orders_of(service)
-        return await orders.handle(request, unit, lambda order: gate.handle(order, unit, epoch))
+        sender = GateOrderSender(gate, unit, epoch, self.windows.copies.get(gate.server.name))
+        return await self.windows.orders_of(service).handle(request, unit, sender)
 
     async def handle_without_key(self, service: Service, request: Request) -> Response:
         """Answer a request of a service without keys through the least busy gate here."""
@@ -133,19 +153,6 @@
         epoch = gate.session.granted.get(WHOLE_SERVICE, 0)
         return await gate.handle(request, WHOLE_SERVICE, epoch)
 
-    def orders_of(self, service: Service) -> Orders:
-        """Return the orders of `service`, with a window of its own."""
-        orders = self.orders.get(service.name)
-        if orders is None:
-            limits = WindowLimits(
-                duration=service.window,
-                entries=self.limits.window_entries,
-                bytes=self.limits.window_bytes,
-            )
-            orders = Orders(IdempotencyWindow(limits), self.clock)
-            self.orders[service.name] = orders
-        return orders
-
     def follow(self) -> None:
         """Open, change and close gates after a change of configuration or assignments."""
         configuration = self.configuration()
@@ -165,7 +172,11 @@
         if assignment is None:
             return False
         record = assignment.gates.get(server)
-        return record is not None and (record.member, record.process) == (self.me, self.process)
+        if record is None:
+            return False
+        if (record.member, record.process) == (self.me, self.process):
+            return True
+        return self.provisional.get(server) == record.epoch
 
     def follow_service(
         self, configuration: Configuration, service: Service, assignment: Assignment
@@ -182,71 +193,48 @@
             gate = self.gates.get(server)
             if gate is None:
                 gate = self.open(known, service, record)
-            elif gate.session.gate_epoch != (record.epoch, 0):
+            elif gate.session.gate_epoch[0] != record.epoch:
                 gate.replace_session(self.new_session(known, service, record))
+            if record.member == self.me:
+                self.windows.follow_standby(service, known.name, record)
             units = by_server.get(server, {})
             if not service.keyed:
                 units = {WHOLE_SERVICE: record.epoch}
             servers.append(server)
             gate.set_grants(units, assignment.revision)
-        self.cover(service, assignment, servers)
-
-    def cover(self, service: Service, assignment: Assignment, servers: list[str]) -> None:
-        """Find out for which units earlier idempotency keys may not be known here."""
-        if not service.keyed:
-            return
-        coverage = self.coverage.setdefault(service.name, Coverage())
-        lost = coverage.advance(assignment, servers)
-        window = self.orders_of(service).window
-        window.taken_over(self.clock.elapsed(), self.clock.now(), lost)
+        self.windows.cover(service, assignment, servers)
 
-    def take_window(
-        self,
-        service: Service,
-        units: dict[int, Mark],
-        hot_keys: dict[str, Mark],
-        entries: list[bytes],
+    def open_provisional(
+        self, server: BackendServer, service: Service, session: GateSession
     ) -> None:
-        """Take over idempotency keys; see `WindowTransfer` for the arguments."""
-        window = self.orders_of(service).window
-        window.import_(self.clock.elapsed(), entries)
-        coverage = self.coverage.setdefault(service.name, Coverage())
-        coverage.units.update(units)
-        coverage.hot_keys.update(hot_keys)
-
-    def export_window(self, service: Service, units: Iterable[int]) -> list[bytes]:
-        """Return the remembered idempotency keys of `units`.
-
-        Orders that are still queued were not sent; they look for the next gate themselves.
-        """
-        wanted = set(units)
-        assignment = self.book.get(service.name)
-        window = self.orders_of(service).window
-        now = self.clock.elapsed()
-        exported = []
-        for entry in window.entries.values():
-            if entry.state is EntryState.RUNNING:
-                continue
-            if assignment is None or assignment.unit_of(entry.identity[1]) not in wanted:
-                continue
-            exported.append(window.export_entry(now, entry))
-        return exported
+        """Be the gate of `server` as its standby, until a gate is recorded."""
+        epoch = session.gate_epoch[0]
+        self.provisional[server.name] = epoch
+        replica = self.windows.holder.take(server.name, epoch)
+        if replica is not None:
+            self.windows.take_replica(service, server.name, epoch, replica)
+        self.run_gate(server, service, session)
+        self.follow()
 
     def open(self, server: BackendServer, service: Service, record: GateRecord) -> Gate:
-        """Begin to be the gate of `server`."""
+        """Begin to be the recorded gate of `server`."""
+        return self.run_gate(server, service, self.new_session(server, service, record))
+
+    def run_gate(self, server: BackendServer, service: Service, session: GateSession) -> Gate:
+        """Make a gate and keep its session."""
         gate = Gate(
             server,
             service,
-            self.new_session(server, service, record),
+            session,
             ServerPool(server, service.connection_limit, self.clock),
-            Admission(service.concurrency_limit, self.limits.queue_requests, FIRST_SERVICE_TIME),
+            Admission(service.concurrency_limit, self.queue_requests, FIRST_SERVICE_TIME),
             self.clock,
             self.timing.call_timeout,
         )
         gate.on_progress = lambda found: self.on_progress(found)
         self.gates[server.name] = gate
         self.loops[server.name] = asyncio.create_task(gate.run())
-        LOG.info("gate_opened", server=server.name, gate_epoch=record.epoch)
+        LOG.info("gate opened", server=server.name, gate_epoch=session.gate_epoch)
         return gate
 
     def new_session(
@@ -269,6 +257,8 @@
         """Stop being the gate of `server`; requests under way may still end."""
         gate = self.gates.pop(server)
         loop = self.loops.pop(server)
+        self.windows.copies.pop(server, None)
+        self.provisional.pop(server, None)
         gate.session.close(self.clock.elapsed())
         loop.cancel()
         task = asyncio.create_task(self.finish(gate))
--- a/fireflylock/handover.py
+++ b/fireflylock/handover.py
@@ -14,7 +14,7 @@
 from fireflylock.log import logger
 from fireflylock.messages import GateHandover
 from fireflylock.proofs import HandedOver
-from fireflylock.windows import Handoff
+from fireflylock.window_transfers import Handoff
 
 if TYPE_CHECKING:
     from fireflylock.node import Node
--- a/fireflylock/messages.py
+++ b/fireflylock/messages.py
@@ -453,34 +453,25 @@
 
 
 class StandbyRight(Message, frozen=True, tag=60):
-    """The gate's leave to claim its server when the session has run out.
+    """The gate's leave to claim its server without a write.
 
     Attributes
     ----------
     service, server : str
         Which server.
+    incarnation : str
+        The only process of the server that may be claimed.
     gate_epoch : int
         The recorded gate epoch.
-    incarnation : str
-        The server's incarnation.
-    until_us : int
-        When the right ends, on the standby's own clock, in microseconds.
+    process : str
+        The standby's process that has the leave.
     """
 
     service: str
     server: str
-    gate_epoch: int
     incarnation: str
-    until_us: int
-
-
-class StandbyReading(Message, frozen=True, tag=61):
-    """The standby's clock, from which the gate derives the next `StandbyRight`."""
-
-    service: str
-    server: str
     gate_epoch: int
-    reading_us: int
+    process: str
 
 
 class StandbyPromiseRequest(Message, frozen=True, tag=62):
@@ -500,45 +491,51 @@
         Which server.
     gate_epoch : int
         The recorded gate epoch.
-    claimed : bool
-        True when the standby has claimed the server, so that it cannot promise.
+    answer : str
+        Value of a `fireflylock.standby.PromiseAnswer`.
     """
 
     service: str
     server: str
     gate_epoch: int
-    claimed: bool
+    answer: str
 
 
-class WindowEntry(Message, frozen=True, tag=64):
-    """One entry of the idempotency window, copied to the standby.
+class WindowCopy(Message, frozen=True, tag=64):
+    """Entries of the idempotency window, copied to the standby.
 
     Attributes
     ----------
     service, server : str
-        Which server's window.
+        Which server's gate.
     gate_epoch : int
         The recorded gate epoch.
-    entry : bytes
-        The encoded entry.
-    sequence : int
-        Acknowledged by `WindowAck`.
+    number : int
+        Acknowledged by `WindowAck`; 0 asks for no acknowledgement.
+    first : bool
+        Whether the copies begin here; what was held before is forgotten.
+    units : dict of int to int
+        Units whose keys are all known with this message, and their epochs.
+    entries : list of bytes
+        Encoded entries.
     """
 
     service: str
     server: str
     gate_epoch: int
-    entry: bytes
-    sequence: int
+    number: int
+    first: bool
+    units: dict[int, int]
+    entries: list[bytes]
 
 
 class WindowAck(Message, frozen=True, tag=65):
-    """The standby holds the entry with this sequence number."""
+    """The standby holds the copy with this number."""
 
     service: str
     server: str
     gate_epoch: int
-    sequence: int
+    number: int
 
 
 class GateHandover(Message, frozen=True, tag=66):
@@ -637,10 +634,9 @@
     | ReleaseRefused
     | LoadReport
     | StandbyRight
-    | StandbyReading
     | StandbyPromiseRequest
     | StandbyPromise
-    | WindowEntry
+    | WindowCopy
     | WindowAck
     | GateHandover
     | WindowTransfer
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -17,7 +17,7 @@
 from fireflylock.forwarding import Forwarder
 from fireflylock.frontend import Frontend, FrontendLimits
 from fireflylock.gate import Gate
-from fireflylock.gatekeeper import Gatekeeper, GateLimits
+from fireflylock.gatekeeper import Gatekeeper
 from fireflylock.handover import Handover
 from fireflylock.load_reports import GateLoad
 from fireflylock.log import LogControl, logger
@@ -27,7 +27,12 @@
     LoadReport,
     ReleaseRefused,
     ReleaseUnits,
+    StandbyPromise,
+    StandbyPromiseRequest,
+    StandbyRight,
     UnitsReleased,
+    WindowAck,
+    WindowCopy,
     WindowTransfer,
     WindowTransferAck,
 )
@@ -36,6 +41,7 @@
 from fireflylock.mover import Mover
 from fireflylock.node_state import NodeState
 from fireflylock.operators_view import OperatorsView
+from fireflylock.order_windows import OrderWindows, WindowBounds
 from fireflylock.ownership import Evidence
 from fireflylock.peer_keys import CurveKeys
 from fireflylock.peers import PeerLimits, Peers
@@ -50,12 +56,14 @@
 from fireflylock.router import Router
 from fireflylock.routing_view import NodeRoutingView
 from fireflylock.session import SessionTiming
+from fireflylock.standby import Standby
+from fireflylock.standby_links import StandbyLinks
 from fireflylock.state import StateCache
 from fireflylock.state_keys import StateKeys
 from fireflylock.takeover import Takeover
 from fireflylock.vm_history import VMHistory
 from fireflylock.vm_list import VMListReader
-from fireflylock.windows import WindowTransfers
+from fireflylock.window_transfers import WindowTransfers
 
 LOG = logger("node")
 
@@ -64,6 +72,7 @@
 LEAVING_PERIOD = timedelta(milliseconds=250)
 TAKE_BACK_PERIOD = timedelta(milliseconds=250)
 GONE_PERIOD = timedelta(seconds=1)
+RIGHTS_PERIOD = timedelta(milliseconds=500)
 REPORT_PERIOD = timedelta(seconds=1)
 PAUSE_AFTER_FAILURE = timedelta(milliseconds=500)
 
@@ -157,6 +166,13 @@
         session_timing = SessionTiming(
             timing.session_ttl, timing.renew, timing.call_timeout, timing.drift
         )
+        self.order_windows = OrderWindows(
+            self.configuration,
+            self.book,
+            self.clock,
+            WindowBounds(limits.window_entries, limits.window_bytes),
+            self.peers.send,
+        )
         self.gatekeeper = Gatekeeper(
             self.name,
             self.process,
@@ -164,9 +180,14 @@
             self.book,
             self.clock,
             session_timing,
-            GateLimits(limits.queue_requests, limits.window_entries, limits.window_bytes),
+            limits.queue_requests,
+            self.order_windows,
+        )
+        self.standby = Standby(self.name, self.process, self.clock.elapsed(), session_timing)
+        self.links = StandbyLinks(
+            self.standby, self.gatekeeper, self.book, self.fleet, self.peers.send, self.clock
         )
-        self.windows = WindowTransfers(self.gatekeeper, self.peers.send)
+        self.windows = WindowTransfers(self.order_windows, self.peers.send)
         self.mover = Mover(self.book, self.peers.send)
         self.rebalancer = Rebalancer(
             self.name,
@@ -182,6 +203,7 @@
             self.book,
             self.fleet,
             self.evidence,
+            self.links,
             self.windows,
             self.rebalancer.view,
             self.configuration,
@@ -192,6 +214,8 @@
             self.book,
             self.fleet,
             self.evidence,
+            self.links,
+            lambda: self.relay.failed_readings > 0,
             self.configuration,
             self.clock,
             timing.call_timeout,
@@ -240,6 +264,11 @@
         self.peers.subscribe(ReleaseRefused, self.mover.on_refused)
         self.peers.subscribe(WindowTransfer, self.windows.on_transfer)
         self.peers.subscribe(WindowTransferAck, self.windows.on_ack)
+        self.peers.subscribe(WindowCopy, self.order_windows.holder.on_copy)
+        self.peers.subscribe(WindowAck, self.order_windows.on_ack)
+        self.peers.subscribe(StandbyRight, self.links.on_right)
+        self.peers.subscribe(StandbyPromiseRequest, self.links.on_request)
+        self.peers.subscribe(StandbyPromise, self.links.on_promise)
         self.peers.subscribe(LoadReport, self.rebalancer.on_report)
         self.peers.subscribe(GateHandover, self.handover.on_handover)
 
@@ -312,6 +341,7 @@
         self.every(GONE_PERIOD, self.recovery.look_for_gone)
         self.every(TAKE_BACK_PERIOD, self.releases.take_back)
         self.every(REPORT_PERIOD, as_coroutine(self.report_loads))
+        self.every(RIGHTS_PERIOD, as_coroutine(self.links.give_rights))
         self.every(LEAVING_PERIOD, as_coroutine(self.plan_if_urgent))
         self.every(timing.plan, as_coroutine(self.rebalancer.look))
         LOG.info("serving", vm=self.name, port=port)
@@ -372,7 +402,7 @@
         for gate in self.gatekeeper.gates.values():
             entries = [*gate.debug(), *gate.admission.state(), *gate.pool.state()]
             sections.append(DumpSection(f"gate of {gate.server.name}", entries))
-        for service, orders in self.gatekeeper.orders.items():
+        for service, orders in self.order_windows.orders.items():
             entries = [
                 ("entries", len(orders.window.entries)),
                 ("stored bytes", orders.window.bytes),
--- /dev/null
+++ b/fireflylock/order_windows.py
@@ -0,0 +1,196 @@
+"""The idempotency windows of one entry VM, by service, and what other VMs must know of them."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from fireflylock.assignment import Assignment, GateRecord
+from fireflylock.assignments import AssignmentBook
+from fireflylock.clock import Clock
+from fireflylock.coverage import Coverage, Mark
+from fireflylock.idempotency import EntryState, IdempotencyWindow, WindowLimits
+from fireflylock.messages import PeerMessage, WindowAck
+from fireflylock.model import Configuration, Service
+from fireflylock.orders import Orders
+from fireflylock.window_copies import CopyHolder, CopySender, CopyTarget, WindowReplica
+
+
+@dataclass(frozen=True)
+class WindowBounds:
+    """Bounds of the windows, in each service.
+
+    Attributes
+    ----------
+    entries : int
+        Idempotency keys remembered.
+    bytes : int
+        Bytes of answers kept.
+    """
+
+    entries: int = 200_000
+    bytes: int = 32 * 1024 * 1024
+
+
+class OrderWindows:
+    """The windows of one entry VM.
+
+    Parameters
+    ----------
+    configuration : callable
+        Returns the configuration in force.
+    book : AssignmentBook
+        Assignments in force.
+    clock : Clock
+        Time.
+    bounds : WindowBounds
+        Bounds.
+    send : callable
+        ``send(member, message)`` to another entry VM.
+
+    Attributes
+    ----------
+    orders : dict of str to Orders
+        Orders and their window, by service.
+    coverage : dict of str to Coverage
+        What earlier gates handed over, by service.
+    copies : dict of str to CopySender
+        The way to the standby, by backend server.
+    holder : CopyHolder
+        What this entry VM holds as standby.
+    """
+
+    def __init__(
+        self,
+        configuration: Callable[[], Configuration],
+        book: AssignmentBook,
+        clock: Clock,
+        bounds: WindowBounds,
+        send: Callable[[str, PeerMessage], bool],
+    ) -> None:
+        self.configuration = configuration
+        self.book = book
+        self.clock = clock
+        self.bounds = bounds
+        self.send = send
+        self.orders: dict[str, Orders] = {}
+        self.coverage: dict[str, Coverage] = {}
+        self.copies: dict[str, CopySender] = {}
+        self.holder = CopyHolder(self.window_limits_of, send, clock)
+
+    def orders_of(self, service: Service) -> Orders:
+        """Return the orders of `service`, with a window of its own."""
+        orders = self.orders.get(service.name)
+        if orders is None:
+            window = IdempotencyWindow(self.window_limits(service))
+            orders = self.orders[service.name] = Orders(window, self.clock)
+        return orders
+
+    def window_limits(self, service: Service) -> WindowLimits:
+        """Return the bounds of the window of `service`."""
+        return WindowLimits(
+            duration=service.window,
+            entries=self.bounds.entries,
+            bytes=self.bounds.bytes,
+        )
+
+    def window_limits_of(self, name: str) -> WindowLimits | None:
+        """Return the bounds of a service's window, or None when there is no such service."""
+        service = self.configuration().services.get(name)
+        return None if service is None else self.window_limits(service)
+
+    def cover(self, service: Service, assignment: Assignment, servers: list[str]) -> None:
+        """Find out for which units earlier idempotency keys may not be known here."""
+        if not service.keyed:
+            return
+        self.take_replicas(service, assignment, servers)
+        coverage = self.coverage.setdefault(service.name, Coverage())
+        lost = coverage.advance(assignment, servers)
+        window = self.orders_of(service).window
+        window.taken_over(self.clock.elapsed(), self.clock.now(), lost)
+
+    def follow_standby(self, service: Service, server: str, record: GateRecord) -> None:
+        """Begin to copy the window to the recorded standby."""
+        present = self.copies.get(server)
+        if present is not None and present.target.gate_epoch == record.epoch:
+            return
+        self.copies.pop(server, None)
+        if not record.standby or not service.keyed:
+            return
+        target = CopyTarget(service.name, server, record.epoch, record.standby)
+        self.copies[server] = CopySender(
+            target,
+            self.orders_of(service).window,
+            lambda: self.units_of(service.name, server),
+            lambda units: self.export_all(service, units),
+            self.send,
+            self.clock,
+        )
+
+    def units_of(self, service: str, server: str) -> dict[int, int]:
+        """Return the epoch of each unit that `server` owns."""
+        assignment = self.book.get(service)
+        return {} if assignment is None else assignment.units_of(server)
+
+    def on_ack(self, sender: str, message: WindowAck) -> None:
+        """Take a standby's acknowledgement."""
+        copies = self.copies.get(message.server)
+        if copies is not None and copies.target.gate_epoch == message.gate_epoch:
+            copies.on_ack(message)
+
+    def take_replicas(self, service: Service, assignment: Assignment, servers: list[str]) -> None:
+        """Put what this entry VM holds as standby to use for gates that it has taken over."""
+        for server in servers:
+            epoch = assignment.gates[server].epoch
+            replica = self.holder.take(server, epoch - 1)
+            if replica is not None:
+                self.take_replica(service, server, epoch, replica)
+
+    def take_replica(
+        self, service: Service, server: str, epoch: int, replica: WindowReplica
+    ) -> None:
+        """Put one replica to use under the gate epoch `epoch`."""
+        coverage = self.coverage.setdefault(service.name, Coverage())
+        coverage.units.update(
+            {unit: Mark(at, server, epoch) for unit, at in replica.units.items()}
+        )
+        entries = replica.window.export(self.clock.elapsed())
+        self.orders_of(service).window.import_(self.clock.elapsed(), entries)
+
+    def take_window(
+        self,
+        service: Service,
+        units: dict[int, Mark],
+        hot_keys: dict[str, Mark],
+        entries: list[bytes],
+    ) -> None:
+        """Take over idempotency keys; see `WindowTransfer` for the arguments."""
+        window = self.orders_of(service).window
+        window.import_(self.clock.elapsed(), entries)
+        coverage = self.coverage.setdefault(service.name, Coverage())
+        coverage.units.update(units)
+        coverage.hot_keys.update(hot_keys)
+
+    def export_window(self, service: Service, units: Iterable[int]) -> list[bytes]:
+        """Return the remembered idempotency keys of `units`.
+
+        Orders that are still queued were not sent; they look for the next gate themselves.
+        """
+        wanted = set(units)
+        assignment = self.book.get(service.name)
+        window = self.orders_of(service).window
+        now = self.clock.elapsed()
+        exported = []
+        for entry in window.entries.values():
+            if entry.state is EntryState.RUNNING:
+                continue
+            if assignment is None or assignment.unit_of(entry.identity[1]) not in wanted:
+                continue
+            exported.append(window.export_entry(now, entry))
+        return exported
+
+    def export_all(self, service: Service, units: set[int]) -> list[bytes]:
+        """Return the remembered idempotency keys of `units`, orders under way included."""
+        assignment = self.book.get(service.name)
+        if assignment is None:
+            return []
+        window = self.orders_of(service).window
+        return window.export(self.clock.elapsed(), lambda key: assignment.unit_of(key) in units)
--- a/fireflylock/orders.py
+++ b/fireflylock/orders.py
@@ -1,7 +1,7 @@
 """Orders: requests with an ``Idempotency-Key``, each of which runs at most once."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from abc import ABC, abstractmethod
 from datetime import timedelta
 
 import xxhash
@@ -21,10 +21,21 @@
     Unknown,
 )
 
-Send = Callable[[Request], Awaitable[Response]]
 REPLAYED = (b"fireflylock-replayed", b"yes")
 
 
+class OrderSender(ABC):
+    """Sends one order to its backend server."""
+
+    @abstractmethod
+    async def send(self, request: Request, entry: Entry) -> Response:
+        """Send `request`; see `Handler.handle`."""
+
+    @abstractmethod
+    def settled(self, entry: Entry) -> None:
+        """Take notice that it is known how the order ended."""
+
+
 class Orders:
     """Runs the orders of one service and remembers how they ended.
 
@@ -44,7 +55,7 @@
         self.clock = clock
         self.tasks: set[asyncio.Task[None]] = set()
 
-    async def handle(self, request: Request, unit: int, send: Send) -> Response:
+    async def handle(self, request: Request, unit: int, sender: OrderSender) -> Response:
         """Answer an order: run it, join it, or repeat its answer.
 
         Parameters
@@ -53,8 +64,8 @@
             The order.
         unit : int
             The unit that its key belongs to.
-        send : callable
-            Sends the request to the backend server.
+        sender : OrderSender
+            Sends the order to the backend server.
 
         Raises
         ------
@@ -72,7 +83,7 @@
                 fingerprint(request),
             )
             if isinstance(decision, Run):
-                return await self.run(request, decision.entry, send)
+                return await self.run(request, decision.entry, sender)
             if not isinstance(decision, Join):
                 return self.settled(decision)
             response = await self.join(decision.entry, request)
@@ -89,20 +100,24 @@
             raise RequestError(ErrorKind.QUEUE_FULL, retry_after=decision.retry_after)
         raise RequestError(ErrorKind.IDEMPOTENCY_UNKNOWN)
 
-    async def run(self, request: Request, entry: Entry, send: Send) -> Response:
+    async def run(self, request: Request, entry: Entry, sender: OrderSender) -> Response:
         """Run a new order in a task of its own and return its answer."""
         answered = asyncio.get_running_loop().create_future()
-        task = asyncio.create_task(self.carry_out(request, entry, send, answered))
+        task = asyncio.create_task(self.carry_out(request, entry, sender, answered))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return await asyncio.shield(answered)
 
     async def carry_out(
-        self, request: Request, entry: Entry, send: Send, answered: asyncio.Future[Response]
+        self,
+        request: Request,
+        entry: Entry,
+        sender: OrderSender,
+        answered: asyncio.Future[Response],
     ) -> None:
         """Send the order, settle its entry, and hand the answer to who waits."""
         try:
-            response = await send(request)
+            response = await sender.send(request, entry)
             stored = await self.read(response)
         except RequestError as error:
             self.settle_failure(entry, error)
@@ -118,6 +133,7 @@
             fail(answered, RequestError(ErrorKind.OUTCOME_UNKNOWN, type(error).__name__))
             raise
         self.window.finish(self.clock.elapsed(), entry, stored)
+        sender.settled(entry)
         if not answered.done():
             answered.set_result(answer(stored))
 
--- a/fireflylock/recovery.py
+++ b/fireflylock/recovery.py
@@ -15,11 +15,12 @@
 from fireflylock.loadview import LoadView
 from fireflylock.log import logger
 from fireflylock.model import Configuration
-from fireflylock.ownership import Evidence
+from fireflylock.ownership import Evidence, owner_proofs
 from fireflylock.placement import spread_lost
-from fireflylock.proofs import OwnerProof
+from fireflylock.proofs import OwnerProof, SessionOver
 from fireflylock.session import SessionState
-from fireflylock.windows import Handoffs, WindowTransfers
+from fireflylock.standby_links import StandbyLinks
+from fireflylock.window_transfers import Handoffs, WindowTransfers
 
 RETRY_PAUSE = timedelta(milliseconds=200)
 
@@ -39,6 +40,8 @@
         The other entry VMs.
     evidence : callable
         Returns what is known about who is over.
+    links : StandbyLinks
+        Asks standbys for their promise.
     windows : WindowTransfers
         Hands idempotency keys on.
     view : callable
@@ -55,6 +58,7 @@
         book: AssignmentBook,
         fleet: Fleet,
         evidence: Callable[[], Evidence],
+        links: StandbyLinks,
         windows: WindowTransfers,
         view: Callable[[str, Assignment], LoadView],
         configuration: Callable[[], Configuration],
@@ -64,6 +68,7 @@
         self.book = book
         self.fleet = fleet
         self.evidence = evidence
+        self.links = links
         self.windows = windows
         self.view = view
         self.configuration = configuration
@@ -97,15 +102,27 @@
         await self.book.writer.refresh(self.book.key(service))
         if gate.session is not session or not session.over(self.clock.elapsed()):
             return
-        proof = session.seal(self.clock.elapsed())
-        LOG.warning("server_lost", server=server, service=service)
+        over = session.seal(self.clock.elapsed())
+        LOG.warning("server lost", server=server, service=service)
         while gate.session is session and not gate.closing:
-            if await self.reassign(service, server, proof, hand_on=True):
+            proofs = await self.proofs(gate, over)
+            if proofs and await self.reassign(service, server, proofs, hand_on=True):
                 return
             await self.clock.sleep(RETRY_PAUSE)
 
+    async def proofs(self, gate: Gate, over: SessionOver) -> list[OwnerProof]:
+        """Return the proofs that a server with a sealed session runs nothing more, if complete."""
+        assignment = self.book.get(gate.service.name)
+        record = None if assignment is None else assignment.gates.get(gate.server.name)
+        if record is None:
+            return []
+        promise = None
+        if record.standby:
+            promise = await self.links.ask_promise(gate.service.name, gate.server.name, record)
+        return owner_proofs(gate.server, record, over, promise, self.evidence())
+
     async def reassign(
-        self, service: str, server: str, proof: OwnerProof, hand_on: bool = False
+        self, service: str, server: str, proofs: list[OwnerProof], hand_on: bool = False
     ) -> bool:
         """Record new owners for the units of `server`; True when nothing is left to do."""
         assignment = self.book.get(service)
@@ -124,7 +141,7 @@
                 if present.units[unit].server == server
                 and present.units[unit].epoch == assignment.units[unit].epoch
             }
-            return with_moves(present, moves, [proof], change_id) if moves else None
+            return with_moves(present, moves, proofs, change_id) if moves else None
 
         try:
             written = await self.book.update(service, change)
@@ -162,4 +179,4 @@
             if proof is None or assignment is None or not assignment.units_of(server.name):
                 continue
             if self.fleet.planner_of(server.service) == self.gatekeeper.me:
-                await self.reassign(server.service, server.name, proof)
+                await self.reassign(server.service, server.name, [proof])
--- a/fireflylock/releases.py
+++ b/fireflylock/releases.py
@@ -14,7 +14,7 @@
 from fireflylock.log import logger
 from fireflylock.messages import PeerMessage, ReleaseRefused, ReleaseUnits, UnitsReleased
 from fireflylock.proofs import SameGate
-from fireflylock.windows import Handoffs, WindowTransfers
+from fireflylock.window_transfers import Handoffs, WindowTransfers
 
 # Longest wait for the requests in flight of the units that are given up.
 RELEASE_TIMEOUT = timedelta(seconds=10)
--- a/fireflylock/router.py
+++ b/fireflylock/router.py
@@ -213,6 +213,9 @@
         gate = assignment.gates.get(ownership.server)
         if gate is None or not gate.member:
             raise RequestError(ErrorKind.NO_OWNER, f"{ownership.server} has no gate")
+        if gate.standby and not self.view.is_live(gate.member):
+            # The standby may have claimed the server while nothing can be recorded.
+            return Destination(gate.standby, ownership.server)
         return Destination(gate.member, ownership.server)
 
     def less_loaded(self, service: Service, assignment: Assignment) -> Destination:
--- /dev/null
+++ b/fireflylock/standby_links.py
@@ -0,0 +1,146 @@
+"""The messages between a gate and its standby: rights, promises, claims without a write."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from fireflylock.assignment import GateRecord
+from fireflylock.assignments import AssignmentBook
+from fireflylock.clock import Clock
+from fireflylock.control_calls import ControlReply
+from fireflylock.fleet import Fleet
+from fireflylock.gatekeeper import Gatekeeper
+from fireflylock.log import logger
+from fireflylock.messages import PeerMessage, StandbyPromiseRequest
+from fireflylock.messages import StandbyPromise as PromiseMessage
+from fireflylock.messages import StandbyRight as RightMessage
+from fireflylock.model import BackendServer, Service
+from fireflylock.proofs import StandbyPromise
+from fireflylock.standby import PromiseAnswer, Standby, StandbyRight
+
+LOG = logger("standby")
+
+ANSWER_TIMEOUT = timedelta(milliseconds=200)
+
+
+class StandbyLinks:
+    """Both sides of the link between gates and their standbys.
+
+    Parameters
+    ----------
+    standby : Standby
+        What this process may claim and has promised.
+    gatekeeper : Gatekeeper
+        The gates of this entry VM.
+    book : AssignmentBook
+        Assignments in force.
+    fleet : Fleet
+        The other entry VMs.
+    send : callable
+        ``send(member, message)`` to another entry VM.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        standby: Standby,
+        gatekeeper: Gatekeeper,
+        book: AssignmentBook,
+        fleet: Fleet,
+        send: Callable[[str, PeerMessage], bool],
+        clock: Clock,
+    ) -> None:
+        self.standby = standby
+        self.gatekeeper = gatekeeper
+        self.book = book
+        self.fleet = fleet
+        self.send = send
+        self.clock = clock
+        self.waiting: dict[tuple[str, int], asyncio.Future[PromiseAnswer]] = {}
+
+    # The gate's side.
+
+    def give_rights(self) -> None:
+        """Hand the standby of every open gate its right."""
+        for gate in self.gatekeeper.gates.values():
+            assignment = self.book.get(gate.service.name)
+            if assignment is None or not gate.open or not gate.service.checks_grants:
+                continue
+            record = assignment.gates.get(gate.server.name)
+            if (
+                record is None
+                or not record.standby
+                or (record.epoch, 0) != gate.session.gate_epoch
+            ):
+                continue
+            process = self.fleet.processes.get(record.standby)
+            if process is None:
+                continue
+            right = RightMessage(
+                gate.service.name,
+                gate.server.name,
+                record.server_incarnation,
+                record.epoch,
+                process,
+            )
+            self.send(record.standby, right)
+
+    async def ask_promise(
+        self, service: str, server: str, record: GateRecord
+    ) -> StandbyPromise | None:
+        """Return the standby's promise never to claim `server` under this gate epoch, or None."""
+        place = (server, record.epoch)
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[place] = future
+        try:
+            if not self.send(record.standby, StandbyPromiseRequest(service, server, record.epoch)):
+                return None
+            async with asyncio.timeout(ANSWER_TIMEOUT.total_seconds()):
+                answer = await future
+        except TimeoutError:
+            return None
+        finally:
+            del self.waiting[place]
+        if answer is not PromiseAnswer.PROMISED:
+            LOG.info("no promise", server=server, standby=record.standby, answer=answer.value)
+            return None
+        return StandbyPromise(server, record.epoch, record.standby)
+
+    def on_promise(self, sender: str, message: PromiseMessage) -> None:
+        """Take the standby's answer."""
+        future = self.waiting.get((message.server, message.gate_epoch))
+        if future is None or future.done():
+            return
+        try:
+            future.set_result(PromiseAnswer(message.answer))
+        except ValueError:
+            LOG.warning("unknown answer of a standby", standby=sender, answer=message.answer)
+
+    # The standby's side.
+
+    def on_right(self, sender: str, message: RightMessage) -> None:
+        """Take a right from a gate."""
+        self.standby.on_right(
+            StandbyRight(message.server, message.incarnation, message.gate_epoch, message.process)
+        )
+
+    def on_request(self, sender: str, message: StandbyPromiseRequest) -> None:
+        """Promise not to claim a server, if that is still possible."""
+        answer, _ = self.standby.promise(self.clock.elapsed(), message.server, message.gate_epoch)
+        reply = PromiseMessage(message.service, message.server, message.gate_epoch, answer.value)
+        self.send(sender, reply)
+
+    def has_claimed(self, server: str, record: GateRecord) -> bool:
+        """Return whether this process has claimed `server` under the recorded gate epoch."""
+        mine = record.standby == self.standby.member
+        return mine and self.standby.claimed.get(server, 0) == record.epoch
+
+    def claim(self, service: Service, server: BackendServer, hello: ControlReply) -> bool:
+        """Claim a server without a write, as far as our right allows; return whether we did."""
+        session = self.standby.claim(self.clock.elapsed(), hello)
+        if session is None:
+            return False
+        LOG.warning("claimed without a write", server=server.name, gate_epoch=session.gate_epoch)
+        self.gatekeeper.open_provisional(server, service, session)
+        return True
--- a/fireflylock/takeover.py
+++ b/fireflylock/takeover.py
@@ -18,8 +18,9 @@
 from fireflylock.log import logger
 from fireflylock.model import BackendServer, Configuration, ServerState, Service
 from fireflylock.ownership import Evidence, takeover_proof
-from fireflylock.proofs import GateProof, HandedOver
+from fireflylock.proofs import GateProof, HandedOver, SameGate, StandbyClaimed
 from fireflylock.session import SessionState
+from fireflylock.standby_links import StandbyLinks
 
 # Pause before a server that gave no proof is asked again.
 ASK_AGAIN = timedelta(milliseconds=100)
@@ -59,6 +60,10 @@
         The other entry VMs.
     evidence : callable
         Returns what is known about who is over.
+    links : StandbyLinks
+        Claims servers without a write.
+    platform_is_away : callable
+        Whether the last reading of the platform failed.
     configuration : callable
         Returns the configuration in force.
     clock : Clock
@@ -73,6 +78,8 @@
         book: AssignmentBook,
         fleet: Fleet,
         evidence: Callable[[], Evidence],
+        links: StandbyLinks,
+        platform_is_away: Callable[[], bool],
         configuration: Callable[[], Configuration],
         clock: Clock,
         call_timeout: timedelta,
@@ -81,6 +88,8 @@
         self.book = book
         self.fleet = fleet
         self.evidence = evidence
+        self.links = links
+        self.platform_is_away = platform_is_away
         self.configuration = configuration
         self.clock = clock
         self.call_timeout = call_timeout
@@ -112,7 +121,9 @@
             return False
         record = assignment.gates.get(server.name)
         if record is not None and record.member == self.gatekeeper.me:
-            return record.process != self.gatekeeper.process or self.must_renew(server)
+            return record.process != self.gatekeeper.process or self.must_renew(server, record)
+        if record is not None and self.links.has_claimed(server.name, record):
+            return True
         handed_over = self.handed_over.get(server.name)
         if (
             handed_over is not None
@@ -124,14 +135,32 @@
             return False
         candidates = self.fleet.candidates(self.configuration())
         others = [found for found in candidates if record is None or found.name != record.member]
+        if record is not None and any(found.name == record.standby for found in others):
+            # The standby knows the idempotency keys.
+            return record.standby == self.gatekeeper.me
         return decide_gate(server, None, others).gate == self.gatekeeper.me
 
-    def must_renew(self, server: BackendServer) -> bool:
+    def must_renew(self, server: BackendServer, record: GateRecord) -> bool:
         """Return whether our own session with the server needs a new gate epoch."""
         gate = self.gatekeeper.gates.get(server.name)
-        if gate is None:
+        if gate is None or gate.closing:
             return False
-        return gate.session.sealed or gate.session.state is SessionState.RESTARTED
+        if gate.session.sealed or gate.session.state is SessionState.RESTARTED:
+            return True
+        return gate.open and gate.service.keyed and self.needs_standby(server, record)
+
+    def needs_standby(self, server: BackendServer, record: GateRecord) -> bool:
+        """Return whether the recorded standby is lost and another one can be had."""
+        if record.standby and self.fleet.is_live(record.standby):
+            return False
+        return self.standby_for(server) != record.standby
+
+    def standby_for(self, server: BackendServer) -> str:
+        """Return the best other entry VM to be the standby, or ""."""
+        candidates = self.fleet.candidates(self.configuration())
+        others = [found for found in candidates if found.name != self.gatekeeper.me]
+        live = [found for found in others if self.fleet.is_live(found.name)]
+        return decide_gate(server, None, live).gate
 
     async def take(
         self, service: Service, servers: list[BackendServer], assignment: Assignment
@@ -146,6 +175,20 @@
         candidates = [candidate for candidate in found if candidate is not None]
         if not candidates:
             return
+        paused = [
+            self.gatekeeper.gates[found.server.name]
+            for found in candidates
+            if isinstance(found.proof, SameGate) and found.server.name in self.gatekeeper.gates
+        ]
+        try:
+            await asyncio.gather(*(gate.pause() for gate in paused))
+            await self.record(service, candidates)
+        finally:
+            for gate in paused:
+                gate.resume()
+
+    async def record(self, service: Service, candidates: list[Successor]) -> None:
+        """Write this entry VM as the gate of the candidates' servers."""
 
         def change(present: Assignment | None, change_id: str) -> Assignment | None:
             result = present
@@ -180,11 +223,18 @@
             self.gatekeeper.me,
             0,
             process=self.gatekeeper.process,
+            standby=self.standby_for(server) if service.keyed else "",
             server_incarnation="" if reply is None else reply.incarnation,
         )
         present = assignment.gates.get(server.name)
         if present is None or not present.member:
             return Successor(server, successor, None)
+        if self.links.has_claimed(server.name, present):
+            proof = StandbyClaimed(server.name, present.epoch, self.gatekeeper.me)
+            return Successor(server, successor, proof)
+        if reply is not None and self.platform_is_away() and present.standby == self.gatekeeper.me:
+            self.links.claim(service, server, reply)
+            return None
         handed_over = self.handed_over.get(server.name)
         proof = takeover_proof(server, present, successor, self.evidence(), reply, handed_over)
         return None if proof is None else Successor(server, successor, proof)
--- /dev/null
+++ b/fireflylock/window_copies.py
@@ -0,0 +1,255 @@
+"""Copies of the idempotency window at the standby, so that a lost gate's orders stay known.
+
+An order is sent to its backend server only after the standby has acknowledged that it knows
+the order's key.  A standby that takes the gate over therefore knows every key that may have
+run, and can run any other.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from fireflylock.clock import Clock
+from fireflylock.exceptions import ErrorKind, ProtocolError, RequestError
+from fireflylock.idempotency import Entry, IdempotencyWindow, WindowLimits
+from fireflylock.messages import PeerMessage, WindowAck, WindowCopy
+
+# Longer than a round trip between zones; an order that waits longer is answered "not run".
+ACK_TIMEOUT = timedelta(milliseconds=250)
+# Entries per message, so that one message stays far below the transport's limit.
+BATCH_BYTES = 512 * 1024
+# A copy for settling an order is not acknowledged.
+NO_ANSWER = 0
+
+Send = Callable[[str, PeerMessage], bool]
+
+
+@dataclass(frozen=True)
+class CopyTarget:
+    """Whose window is copied, and to whom.
+
+    Attributes
+    ----------
+    service, server : str
+        The backend server whose gate is here.
+    gate_epoch : int
+        The recorded gate epoch.
+    standby : str
+        The entry VM that gets the copies.
+    """
+
+    service: str
+    server: str
+    gate_epoch: int
+    standby: str
+
+
+class CopySender:
+    """The gate's side.
+
+    Parameters
+    ----------
+    target : CopyTarget
+        Whose window is copied, and to whom.
+    window : IdempotencyWindow
+        The gate's window.
+    units : callable
+        Returns the epoch of each unit that the server owns now.
+    export : callable
+        Returns the encoded entries of units.
+    send : callable
+        ``send(member, message)`` to another entry VM.
+    clock : Clock
+        Time.
+
+    Attributes
+    ----------
+    synced : dict of int to int
+        Units whose earlier keys the standby has acknowledged, with their epochs.
+    """
+
+    def __init__(
+        self,
+        target: CopyTarget,
+        window: IdempotencyWindow,
+        units: Callable[[], dict[int, int]],
+        export: Callable[[set[int]], list[bytes]],
+        send: Send,
+        clock: Clock,
+    ) -> None:
+        self.target = target
+        self.window = window
+        self.units = units
+        self.export = export
+        self.send = send
+        self.clock = clock
+        self.synced: dict[int, int] = {}
+        self.numbers = itertools.count(NO_ANSWER + 1)
+        self.waiting: dict[int, asyncio.Future[None]] = {}
+        self.lock = asyncio.Lock()
+
+    async def begin(self, entry: Entry, unit: int, epoch: int) -> None:
+        """Return once the standby knows that the order of `entry` may run.
+
+        Raises
+        ------
+        RequestError
+            The standby does not answer; nothing was sent to the backend server.
+        """
+        try:
+            if self.synced.get(unit) != epoch:
+                await self.sync(unit, epoch)
+            await self.copy({}, [self.window.export_entry(self.clock.elapsed(), entry)])
+        except TimeoutError:
+            # A standby that was restarted holds nothing and acknowledges nothing.
+            self.synced.clear()
+            raise RequestError(
+                ErrorKind.MOVED, f"the standby {self.target.standby} does not answer"
+            ) from None
+
+    def settle(self, entry: Entry) -> None:
+        """Let the standby know how an order ended; losing this costs only the answer."""
+        data = self.window.export_entry(self.clock.elapsed(), entry)
+        self.send(self.target.standby, self.message(NO_ANSWER, {}, [data]))
+
+    async def sync(self, unit: int, epoch: int) -> None:
+        """Copy the entries of every unit that the standby does not know yet."""
+        async with self.lock:
+            if self.synced.get(unit) == epoch:
+                return
+            missing = {
+                found: at for found, at in self.units().items() if self.synced.get(found) != at
+            }
+            batches = split(self.export(set(missing)))
+            first = not self.synced
+            for batch in batches[:-1]:
+                await self.copy({}, batch, first)
+                first = False
+            known = {found: at for found, at in missing.items() if found not in self.window.lost}
+            await self.copy(known, batches[-1], first)
+            self.synced.update(missing)
+
+    async def copy(self, units: dict[int, int], entries: list[bytes], first: bool = False) -> None:
+        """Send entries and wait for the acknowledgement; raises TimeoutError without one."""
+        number = next(self.numbers)
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[number] = future
+        try:
+            self.send(self.target.standby, self.message(number, units, entries, first))
+            async with asyncio.timeout(ACK_TIMEOUT.total_seconds()):
+                await future
+        finally:
+            del self.waiting[number]
+
+    def message(
+        self, number: int, units: dict[int, int], entries: list[bytes], first: bool = False
+    ) -> WindowCopy:
+        """Return the message that carries entries."""
+        target = self.target
+        return WindowCopy(
+            target.service, target.server, target.gate_epoch, number, first, units, entries
+        )
+
+    def on_ack(self, message: WindowAck) -> None:
+        """Take the standby's acknowledgement."""
+        future = self.waiting.get(message.number)
+        if future is not None and not future.done():
+            future.set_result(None)
+
+
+@dataclass
+class WindowReplica:
+    """What a standby holds for one backend server.
+
+    Attributes
+    ----------
+    gate_epoch : int
+        The recorded gate epoch under which it was copied.
+    window : IdempotencyWindow
+        The entries.
+    units : dict of int to int
+        Units whose keys are all known, with their epochs.
+    """
+
+    gate_epoch: int
+    window: IdempotencyWindow
+    units: dict[int, int] = field(default_factory=dict)
+
+
+class CopyHolder:
+    """The standby's side.
+
+    Parameters
+    ----------
+    limits : callable
+        Returns the bounds of a service's window by the service's name, or None.
+    send : callable
+        ``send(member, message)`` to another entry VM.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self, limits: Callable[[str], WindowLimits | None], send: Send, clock: Clock
+    ) -> None:
+        self.limits = limits
+        self.send = send
+        self.clock = clock
+        self.replicas: dict[str, WindowReplica] = {}
+
+    def on_copy(self, sender: str, message: WindowCopy) -> None:
+        """Take entries of a gate; only what is held for good is acknowledged."""
+        replica = self.replica(message)
+        if replica is None:
+            return
+        try:
+            replica.window.import_(self.clock.elapsed(), message.entries)
+        except ProtocolError:
+            return
+        replica.units.update(message.units)
+        if message.number != NO_ANSWER:
+            self.send(
+                sender,
+                WindowAck(message.service, message.server, message.gate_epoch, message.number),
+            )
+
+    def replica(self, message: WindowCopy) -> WindowReplica | None:
+        """Return where the entries belong, or None when they cannot be held completely.
+
+        Entries that follow on what an earlier process of this entry VM held are not taken:
+        without an acknowledgement the gate begins afresh.
+        """
+        held = self.replicas.get(message.server)
+        if held is not None and held.gate_epoch > message.gate_epoch:
+            return None
+        if message.first:
+            limits = self.limits(message.service)
+            if limits is None:
+                return None
+            held = WindowReplica(message.gate_epoch, IdempotencyWindow(limits))
+            self.replicas[message.server] = held
+        if held is None or held.gate_epoch != message.gate_epoch:
+            return None
+        return held
+
+    def take(self, server: str, gate_epoch: int) -> WindowReplica | None:
+        """Return and forget what is held for the gate epoch that has just ended."""
+        held = self.replicas.get(server)
+        if held is None or held.gate_epoch != gate_epoch:
+            return None
+        return self.replicas.pop(server)
+
+
+def split(entries: list[bytes]) -> list[list[bytes]]:
+    """Return entries in batches of bounded size; at least one batch, which may be empty."""
+    batches: list[list[bytes]] = [[]]
+    size = 0
+    for entry in entries:
+        if batches[-1] and size + len(entry) > BATCH_BYTES:
+            batches.append([])
+            size = 0
+        batches[-1].append(entry)
+        size += len(entry)
+    return batches
--- a/fireflylock/windows.py
+++ b/fireflylock/window_transfers.py
@@ -9,14 +9,13 @@
 from fireflylock.assignment import NO_SERVER, Assignment, GateRecord, hash_slot
 from fireflylock.coverage import Mark
 from fireflylock.exceptions import ProtocolError
-from fireflylock.gatekeeper import Gatekeeper
 from fireflylock.messages import PeerMessage, WindowTransfer, WindowTransferAck
 from fireflylock.model import Service
+from fireflylock.order_windows import OrderWindows
+from fireflylock.window_copies import split
 
 # Without an acknowledgement the next gate treats unknown keys as "may have run".
 ACK_TIMEOUT = timedelta(milliseconds=500)
-# Entries per message, so that one message stays far below the transport's limit.
-BATCH_BYTES = 512 * 1024
 
 
 @dataclass
@@ -88,14 +87,14 @@
 
     Parameters
     ----------
-    gatekeeper : Gatekeeper
-        The gates of this entry VM.
+    windows : OrderWindows
+        The windows of this entry VM.
     send : callable
         ``send(member, message)`` to another entry VM.
     """
 
-    def __init__(self, gatekeeper: Gatekeeper, send: Callable[[str, PeerMessage], bool]) -> None:
-        self.gatekeeper = gatekeeper
+    def __init__(self, windows: OrderWindows, send: Callable[[str, PeerMessage], bool]) -> None:
+        self.windows = windows
         self.send = send
         self.numbers = itertools.count(1)
         self.waiting: dict[int, asyncio.Future[None]] = {}
@@ -108,11 +107,11 @@
         bool
             Whether the next gate has them all.
         """
-        service = self.gatekeeper.configuration().services.get(handoff.service)
+        service = self.windows.configuration().services.get(handoff.service)
         if service is None:
             return False
         self.leave_out_lost(service, handoff)
-        batches = split(self.gatekeeper.export_window(service, handoff.sources))
+        batches = split(self.windows.export_window(service, handoff.sources))
         for batch in batches[:-1]:
             if not await self.send_batch(Handoff(handoff.service, handoff.member), batch):
                 return False
@@ -120,8 +119,8 @@
 
     def leave_out_lost(self, service: Service, handoff: Handoff) -> None:
         """Claim completeness only for units whose earlier keys are all known here."""
-        window = self.gatekeeper.orders_of(service).window
-        window.expire(self.gatekeeper.clock.elapsed())
+        window = self.windows.orders_of(service).window
+        window.expire(self.windows.clock.elapsed())
         for unit in set(handoff.units) & set(window.lost):
             del handoff.units[unit]
         for key in list(handoff.hot_keys):
@@ -147,11 +146,11 @@
 
     def on_transfer(self, sender: str, message: WindowTransfer) -> None:
         """Take idempotency keys of an earlier gate."""
-        service = self.gatekeeper.configuration().services.get(message.service)
+        service = self.windows.configuration().services.get(message.service)
         if service is None:
             return
         try:
-            self.gatekeeper.take_window(service, message.units, message.hot_keys, message.entries)
+            self.windows.take_window(service, message.units, message.hot_keys, message.entries)
         except ProtocolError:
             return
         self.send(sender, WindowTransferAck(message.number))
@@ -161,16 +160,3 @@
         future = self.waiting.get(message.number)
         if future is not None and not future.done():
             future.set_result(None)
-
-
-def split(entries: list[bytes]) -> list[list[bytes]]:
-    """Return entries in batches of bounded size; at least one batch, which may be empty."""
-    batches: list[list[bytes]] = [[]]
-    size = 0
-    for entry in entries:
-        if batches[-1] and size + len(entry) > BATCH_BYTES:
-            batches.append([])
-            size = 0
-        batches[-1].append(entry)
-        size += len(entry)
-    return batches
