Load reports: decayed unit loads as measured in the load benchmark

Cause: reports were smoothed over about two seconds, in which chance alone lifts the fullest of 20 servers of 100 requests/s some 10 % over the mean, beyond the trigger of the planner; and a key's load stayed with its hash slot after the key had got a unit of its own. Change: reports are counted by UnitLoads (mean age 15 s), as in python -m bench load, and a key's load is counted where the key is.

--- a/bench/load.py
+++ b/bench/load.py
@@ -7,7 +7,7 @@
 import json
 import sys
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from pathlib import Path
 
@@ -229,6 +229,7 @@
     parser.add_argument("--service", action="append", help="only this service")
     parser.add_argument("--seeds", help="comma-separated seeds instead of the usual ones")
     parser.add_argument("--policies", default=",".join(POLICIES), help="comma-separated policies")
+    parser.add_argument("--hash-slots", type=int, help="hash slots of each service")
     parser.add_argument("--out", help="write the time series here, as JSON")
     options = parser.parse_args(argv or [])
     length = QUICK_EVENING if options.quick else EVENING
@@ -242,6 +243,9 @@
     for workload in WORKLOADS:
         if options.service and workload.service.name not in options.service:
             continue
+        if options.hash_slots:
+            service = replace(workload.service, hash_slots=options.hash_slots)
+            workload = replace(workload, service=service)
         for seed in seeds:
             evening = Evening(workload, seed, surprises=seed != QUIET_SEED, length=length)
             runs += play(evening, policies)
--- a/fireflylock/load_reports.py
+++ b/fireflylock/load_reports.py
@@ -1,5 +1,6 @@
 """Load reports: what gates count, and what a planner knows from their reports."""
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -8,13 +9,12 @@
 from fireflylock.clock import Instant
 from fireflylock.gate import Gate
 from fireflylock.hotkeys import HotKeys
+from fireflylock.loads import UnitLoads
 from fireflylock.loadview import LoadView, ServerView, expected_hot_keys
 from fireflylock.messages import LoadReport
 from fireflylock.model import Configuration, Service
 
 HOT_KEYS_REPORTED = 20
-# The weight of a new report against what earlier ones said.
-REPORT_GAIN = 0.4
 # A report that is older says nothing about the present.
 REPORT_LIFETIME = timedelta(seconds=30)
 # Gates report only while they have a session with their server.
@@ -68,7 +68,7 @@
     Attributes
     ----------
     units : dict of int to float
-        Requests per second by unit, smoothed.
+        Requests per second by unit, as last reported.
     hot_keys : dict of str to float
         Keys that stand out, with their requests per second.
     received_at : timedelta
@@ -95,17 +95,14 @@
     def __init__(self, now: Instant) -> None:
         self.started_at = now
         self.servers: dict[str, ServerReports] = {}
+        self.loads = UnitLoads(now, 0)
+        self.placed: dict[str, int] = {}
 
     def take(self, now: Instant, message: LoadReport) -> None:
         """Take one gate's report."""
         known = self.servers.setdefault(message.server, ServerReports())
-        smoothed = {}
-        for unit in known.units.keys() | message.units.keys():
-            before = known.units.get(unit, 0.0)
-            rate = before + REPORT_GAIN * (message.units.get(unit, 0.0) - before)
-            if rate > 0.001:
-                smoothed[unit] = rate
-        known.units = smoothed
+        known.units = dict(message.units)
+        self.loads.add_report(now, message.units, timedelta(milliseconds=message.period_ms))
         known.hot_keys = dict(message.hot_keys)
         known.refused += message.refused
         known.received_at = now
@@ -125,16 +122,28 @@
         }
 
     def unit_loads(self, now: Instant, assignment: Assignment) -> dict[int, float]:
-        """Return requests per second of each unit, as its present owner's gate reported."""
-        loads = {}
-        for name, known in self.fresh(now).items():
-            for unit, rate in known.units.items():
-                ownership = assignment.units.get(unit)
-                if ownership is None:
-                    continue
-                if ownership.server == name or unit not in loads:
-                    loads[unit] = rate
-        return loads
+        """Return requests per second of each unit, decayed over the last reports."""
+        self.follow(now, assignment)
+        rates = self.loads.rates(now).tolist()
+        return {unit: rates[unit] for unit in assignment.units if unit < len(rates)}
+
+    def follow(self, now: Instant, assignment: Assignment) -> None:
+        """Count for keys that got or lost a unit of their own in their present unit.
+
+        Otherwise a key's load would go on showing where the key no longer is.
+        """
+        rates = self.hot_rates(now)
+        for key, unit in self.placed.items():
+            if assignment.hot_keys.get(key) == unit:
+                continue
+            slot = hash_slot(assignment.service, key, assignment.hash_slots)
+            self.loads.shift(now, unit, slot, math.inf)
+        for key, unit in assignment.hot_keys.items():
+            if self.placed.get(key) == unit:
+                continue
+            slot = hash_slot(assignment.service, key, assignment.hash_slots)
+            self.loads.shift(now, slot, unit, rates.get(key, 0.0))
+        self.placed = dict(assignment.hot_keys)
 
     def hot_rates(self, now: Instant) -> dict[str, float]:
         """Return requests per second of the keys that stand out."""
--- a/fireflylock/loads.py
+++ b/fireflylock/loads.py
@@ -70,6 +70,7 @@
 
     def shift(self, now: Instant, source: int, target: int, rate: float) -> None:
         """Count `rate` for `target` instead of `source`, because a key changed its unit."""
+        self._make_room(max(source, target))
         growth = self._growth(now)
         weight = min(rate * self._seen(now), float(self.weights[source]) / growth)
         self.add(now, source, -weight)
