--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from fireflylock import assignment_changes, ownership
+from fireflylock import assignment_changes, idempotency, ownership
 from fireflylock.assignment import Ownership
 from fireflylock.cut_zones import Witness
 from fireflylock.fenced_session import FencedSession
@@ -185,6 +185,7 @@
 SESSION = "tests/test_session.py"
 OWNERSHIP = "tests/test_ownership.py"
 IDEMPOTENCY = "tests/test_idempotency.py"
+AT_MOST_ONCE = "tests/test_at_most_once.py"
 RETRY = "tests/test_retry.py"
 
 ALWAYS = lambda *_: True  # noqa: E731
@@ -288,14 +289,14 @@
     Mutant("take a cut zone at once", Witness, "stood_down", zone_taken_at_once, OWNERSHIP),
     Mutant("retry after bytes were sent", test_retry, "may_retry", retry_whatever_was_sent, RETRY),
     Mutant(
-        "drop the window on handover", IdempotencyWindow, "import_", drop_imported, IDEMPOTENCY
+        "drop the window on handover", IdempotencyWindow, "import_", drop_imported, AT_MOST_ONCE
     ),
     Mutant(
         "forget that a window was lost",
         IdempotencyWindow,
         "taken_over",
         take_over_as_new,
-        IDEMPOTENCY,
+        AT_MOST_ONCE,
     ),
     Mutant(
         "forget keys when answers are too many",
@@ -311,6 +312,7 @@
         run_again_after_unknown,
         IDEMPOTENCY,
     ),
+    Mutant("trust callers' clocks", idempotency, "CALLER_SKEW", timedelta(0), AT_MOST_ONCE),
     *LINK_MUTANTS,
 )
 
