--- a/demo/traffic.py
+++ b/demo/traffic.py
@@ -4,10 +4,12 @@
 import random
 import time
 import uuid
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from demo.caller import ANSWERED, Attempt, Balancer
-from fireflylock.model import Configuration
+from fireflylock.model import Configuration, Service
 
 KEYS = 40
 HOT_EXPONENT = 1.0
@@ -108,13 +110,13 @@
             task.cancel()
         self.balancer.close()
 
-    def begin(self, work) -> None:
+    def begin(self, work: Coroutine[Any, Any, None]) -> None:
         """Run `work` beside the rest."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def probe(self, service, key: str, stop_at: float) -> None:
+    async def probe(self, service: Service, key: str, stop_at: float) -> None:
         """Read one key again and again, to see when it cannot be served."""
         while time.monotonic() < stop_at:
             call = Call(started=time.monotonic())
@@ -139,14 +141,14 @@
             await self.attempt(call, service, f"key-{rank}", order)
         call.ended = time.monotonic()
 
-    async def ask_twice(self, call: Call, service, key: str, order: str) -> None:
+    async def ask_twice(self, call: Call, service: Service, key: str, order: str) -> None:
         """Send an order, and once more elsewhere before its answer can be there."""
         first = asyncio.create_task(self.attempt(call, service, key, order))
         await asyncio.sleep(IMPATIENT_SECONDS)
         await self.attempt(call, service, key, order)
         await first
 
-    async def attempt(self, call: Call, service, key: str, order: str) -> None:
+    async def attempt(self, call: Call, service: Service, key: str, order: str) -> None:
         """Try once, at another entry VM than the last time."""
         avoid = call.attempts[-1].vm if call.attempts else ""
         attempt = Attempt(
--- a/fireflylock/administration.py
+++ b/fireflylock/administration.py
@@ -1,5 +1,6 @@
 """What operators can see and change, on one object; the admin API is a thin layer above."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from fireflylock.assignment import Ownership
@@ -247,7 +248,13 @@
         )
         return reasons
 
-    async def _merge(self, principal, change, change_id: str, summary: str) -> Configuration:
+    async def _merge(
+        self,
+        principal: Principal,
+        change: Callable[[Configuration], Configuration],
+        change_id: str,
+        summary: str,
+    ) -> Configuration:
         """Write a change that can be made on top of whatever others changed meanwhile."""
         for _ in range(MERGE_ATTEMPTS):
             base = self.node.configuration()
--- a/fireflylock/sheet.py
+++ b/fireflylock/sheet.py
@@ -139,7 +139,7 @@
         model = ROW_KINDS.get(kind)
         if model is None:
             allowed = ", ".join(ROW_KINDS)
-            self.report(number, KIND, f"{cells[0]!r}; allowed: {allowed}")
+            self.report(number, self.columns, KIND, f"{cells[0]!r}; allowed: {allowed}")
             return
         if len(cells) > len(self.columns):
             place = f"Line {number}, column {len(self.columns) + 1}"
@@ -191,13 +191,13 @@
             message = "missing"
         if allowed and "allowed:" not in message:
             message += f"; allowed: {allowed}"
-        self.report(number, column, message)
+        self.report(number, self.columns, column, message)
 
-    def report(self, number: int, column: str, message: str) -> None:
-        """Add a mistake with its place."""
+    def report(self, number: int, columns: list[str], column: str, message: str) -> None:
+        """Add a mistake with its place; `columns` is the header of its table."""
         place = f"Line {number}"
-        if column in self.columns:
-            place += f", column {self.columns.index(column) + 1} ({column})"
+        if column in columns:
+            place += f", column {columns.index(column) + 1} ({column})"
         elif column:
             place += f", column {column}"
         self.problems.append(f"{place}: {message}.")
@@ -223,8 +223,7 @@
                 # A service whose own row is wrong is not missing as well.
                 if error.column == "service" and "service" in self.failed_kinds:
                     continue
-                self.columns = line.columns
-                self.report(line.number, error.column, str(error))
+                self.report(line.number, line.columns, error.column, str(error))
         return content
 
     def without_old_peaks(self, base: Configuration) -> Configuration:
--- a/fireflylock/top.py
+++ b/fireflylock/top.py
@@ -3,6 +3,7 @@
 import json
 import sys
 import time
+from collections.abc import Iterator
 from typing import Any
 
 from rich.console import Console, Group
@@ -41,7 +42,7 @@
                 live.update(self.view(self.collect()), refresh=True)
         return 0
 
-    def rounds(self, interval: float, rounds: int):
+    def rounds(self, interval: float, rounds: int) -> Iterator[int]:
         """Yield once per round, with pauses in between."""
         done = 0
         while True:
