A slow reader gets its last answer whole; a body broken from the start was not run

Two faults found by reading. And a request whose body was already known to be broken still went to the handler, so that its refusal had to say outcome unknown.

--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -141,6 +141,10 @@
         self.phase = Phase.EXCHANGE
         self.body = CallerBody(self)
         self.read_body()
+        if self.body.problem is not None:
+            # What came with the head is broken already: nothing was handed on.
+            self.refuse(self.body.problem)
+            return
         self.update_reading()
         self.exchange = CallerExchange(self, head, self.body)
         self.task = asyncio.get_running_loop().create_task(self.serve(self.exchange))
@@ -160,7 +164,9 @@
     def begin_wait(self) -> None:
         """Note that body bytes are waited for; tell a caller that asked to go on."""
         self.progress_at = self.frontend.clock.elapsed()
-        if self.parser.awaits_continue and not self.exchange.answer_started:
+        if self.exchange is None or self.exchange.answer_started:
+            return
+        if self.parser.awaits_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self.transport.write(self.parser.http.send(interim))
 
--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -51,7 +51,7 @@
     keepalive_timeout : timedelta
         How long a connection may wait for its next request.
     linger : timedelta
-        How long a caller may take to read the last answer before the connection ends.
+        How long a caller may keep a connection after its last answer was sent.
     drain_idle : timedelta
         How long an idle connection is kept while draining; a request that was under way
         to this VM when the drain began is still answered.
@@ -255,7 +255,9 @@
 
     def sweep_closing(self, connection: CallerConnection, now: Instant) -> None:
         """End a connection whose caller had time enough to read the last answer."""
-        if now - connection.progress_at >= self.limits.linger:
+        unsent = connection.transport.get_write_buffer_size() > 0
+        patience = self.limits.body_timeout if unsent else self.limits.linger
+        if now - connection.progress_at >= patience:
             connection.transport.abort()
 
     def sweep_waiting(self, connection: CallerConnection, now: Instant) -> None:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -231,6 +231,37 @@
         writer.close()
 
 
+async def test_a_slow_reader_gets_its_last_answer_whole():
+    size = 8 * 1024 * 1024
+
+    async def large(request):
+        return Response(200, [], BytesBody(bytes(size)), size)
+
+    limits = FrontendLimits(linger=timedelta(0))
+    async with running_frontend(ScriptedHandler(large), limits) as (frontend, port):
+        reader, writer = await asyncio.open_connection(HOST, port, limit=1024)
+        writer.write(b"GET / HTTP/1.1\r\n" + HEAD + CLOSE + b"\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        frontend.sweep(frontend.clock.elapsed())
+        await asyncio.sleep(0.01)
+        frontend.sweep(frontend.clock.elapsed())
+        received = await reader.read(-1)
+        writer.close()
+    assert head.startswith(b"HTTP/1.1 200")
+    assert len(received) == size
+
+
+async def test_a_body_that_is_broken_from_the_start_is_certainly_not_run():
+    handler = ScriptedHandler(echo)
+    async with running_frontend(handler) as (_, port):
+        received = await talk(
+            port, b"POST / HTTP/1.1\r\n" + HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"
+        )
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert b"fireflylock-outcome: not run" in received
+    assert handler.seen == []
+
+
 async def test_slow_heads_and_slow_bodies_are_timed_out():
     limits = FrontendLimits(
         headers_timeout=timedelta(milliseconds=50), body_timeout=timedelta(milliseconds=50)
