--- /dev/null
+++ b/fireflylock/contacts.py
@@ -0,0 +1,106 @@
+"""Whom a member may ask for the table: the platform's list, seeds, members lost from sight."""
+
+import random
+
+from fireflylock.clock import Instant
+from fireflylock.members import MemberTable
+from fireflylock.membership_timing import MembershipTiming
+from fireflylock.model import VMList
+
+# Contacts asked at once by a member that knows nobody.
+JOIN_CONTACTS = 3
+
+
+class Contacts:
+    """Addresses by name, and whose turn it is to be asked.
+
+    Parameters
+    ----------
+    name : str
+        This member.
+    table : MemberTable
+        The members.
+    timing : MembershipTiming
+        Periods and bounds.
+    rng : random.Random
+        Chooses contacts.
+    now : timedelta
+        The present instant.
+
+    Attributes
+    ----------
+    vm_list : VMList or None
+        The newest list of the platform.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        table: MemberTable,
+        timing: MembershipTiming,
+        rng: random.Random,
+        now: Instant,
+    ) -> None:
+        self.name = name
+        self.table = table
+        self.timing = timing
+        self.rng = rng
+        self.known: dict[str, str] = {}
+        self.vm_list: VMList | None = None
+        self.next_join = now
+
+    def add(self, contacts: dict[str, str]) -> None:
+        """Add contacts: addresses by name, or by any label.
+
+        A contact whose address turns out to belong to a member is called by that member's name
+        from then on.
+        """
+        self.known.update(contacts)
+        self.known.pop(self.name, None)
+
+    def on_vm_list(self, vm_list: VMList) -> list[str]:
+        """Take the platform's list; return the lost members that it no longer holds.
+
+        An older list is not believed after a newer one.
+        """
+        if self.vm_list is not None and vm_list.version <= self.vm_list.version:
+            return []
+        earlier = self.vm_list.vms if self.vm_list is not None else {}
+        self.vm_list = vm_list
+        gone = []
+        for name in earlier:
+            if name in vm_list.vms:
+                continue
+            self.known.pop(name, None)
+            row = self.table.rows.get(name)
+            if row is not None and not row.alive:
+                gone.append(name)
+        self.add({vm.name: vm.address for vm in vm_list.vms.values() if vm.address})
+        return gone
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether the platform is about to take `name` away."""
+        vm = self.vm_list.vms.get(name) if self.vm_list is not None else None
+        return vm is not None and vm.leaving
+
+    def addresses(self) -> dict[str, str]:
+        """Return the addresses to keep connections with, by member name.
+
+        Lost members that are still remembered are among them: they may come back.
+        """
+        found = {row.name: row.address for row in self.table.rows.values()}
+        taken = set(found.values())
+        for name, address in self.known.items():
+            if address not in taken:
+                found.setdefault(name, address)
+        found.pop(self.name, None)
+        return found
+
+    def to_ask(self, now: Instant, alone: bool) -> list[str]:
+        """Return whom to ask for the table now; later on, only those that are not live."""
+        if now < self.next_join:
+            return []
+        self.next_join = now + (self.timing.join_every if alone else self.timing.rejoin_every)
+        missing = [name for name in self.addresses() if alone or not self.table.is_alive(name)]
+        count = JOIN_CONTACTS if alone else 1
+        return self.rng.sample(sorted(missing), min(count, len(missing)))
--- a/fireflylock/membership.py
+++ b/fireflylock/membership.py
@@ -9,7 +9,9 @@
 from msgspec.structs import replace
 
 from fireflylock.clock import Instant
+from fireflylock.contacts import Contacts
 from fireflylock.freshness import MICROSECOND, PlatformFreshness
+from fireflylock.losses import LossDetector
 from fireflylock.member_events import EventKind, MemberEvent, Send, send_to_all
 from fireflylock.members import MemberTable, MemberView
 from fireflylock.membership_timing import DEFAULT_TIMING, MembershipTiming
@@ -28,13 +30,9 @@
 from fireflylock.neighbours import Neighbours
 from fireflylock.refutation import Refutation
 from fireflylock.ring import ring_neighbours
-from fireflylock.suspicion import Suspicions
 from fireflylock.version_reports import VersionReports
 from fireflylock.zone_reach import ZoneStatements
 
-# Contacts asked at once by a member that knows nobody.
-JOIN_CONTACTS = 3
-
 REPORTER = "versions"
 
 
@@ -73,18 +71,16 @@
     ) -> None:
         self.me = me
         self.timing = timing
-        self.rng = rng or random.Random()
         self.table = MemberTable()
         self.own = MemberRow(me.name, me.zone, me.region, me.peer_address, incarnation)
         self.table.merge(self.own)
         self.neighbours = Neighbours(me.name, me.zone, self.table, timing)
-        self.suspicions = Suspicions(2 * timing.loss_after)
+        self.losses = LossDetector(me.name, self.table, self.neighbours, timing)
+        self.contacts = Contacts(me.name, self.table, timing, rng or random.Random(), now)
         self.zones = ZoneStatements()
         self.refutation = Refutation(timing)
         self.reports = VersionReports(me.name, timing)
         self.platform = PlatformFreshness()
-        self.contacts: dict[str, str] = {}
-        self.vm_list: VMList | None = None
         self.joined = False
         self.state_revision = 0
         self.events: list[MemberEvent] = []
@@ -92,7 +88,6 @@
         self.answered: dict[str, Instant] = {}
         self.last_tick = now
         self.next_look = now
-        self.next_join = now
         self.next_repair = now
         self.views: dict[str, MemberView] = {}
         self.views_of: tuple | None = None
@@ -143,17 +138,13 @@
         return self.platform.age(now)
 
     def addresses(self) -> dict[str, str]:
-        """Return the addresses to keep connections with, by member name.
+        """Return the addresses to keep connections with, by member name."""
+        return self.contacts.addresses()
 
-        Lost members that are still remembered are among them: they may come back.
-        """
-        found = {row.name: row.address for row in self.table.rows.values()}
-        known = set(found.values())
-        for name, address in self.contacts.items():
-            if address not in known:
-                found.setdefault(name, address)
-        found.pop(self.me.name, None)
-        return found
+    @property
+    def vm_list(self) -> VMList | None:
+        """The newest list of the platform."""
+        return self.contacts.vm_list
 
     def take_events(self) -> list[MemberEvent]:
         """Return the events since the last call."""
@@ -172,33 +163,16 @@
         self.own = self.table.rows[self.me.name]
 
     def add_contacts(self, contacts: dict[str, str]) -> None:
-        """Add members to ask for the table: addresses by name, or by any label.
-
-        A contact whose address turns out to belong to a member is called by that member's name
-        from then on.
-        """
-        self.contacts.update(contacts)
-        self.contacts.pop(self.me.name, None)
+        """Add members to ask for the table: addresses by name, or by any label."""
+        self.contacts.add(contacts)
 
     def on_vm_list(self, now: Instant, vm_list: VMList) -> None:
         """Take the platform's list: contacts, who is leaving, which lost members are gone.
 
-        The list never adds a member and never calls a live one lost, and an older list is not
-        believed after a newer one.
+        The list never adds a member and never calls a live one lost.
         """
-        if self.vm_list is not None and vm_list.version <= self.vm_list.version:
-            return
-        earlier = self.vm_list.vms if self.vm_list is not None else {}
-        self.vm_list = vm_list
-        for name in earlier:
-            if name in vm_list.vms:
-                continue
-            self.contacts.pop(name, None)
-            row = self.table.rows.get(name)
-            if row is not None and not row.alive:
-                self._forget(name)
-        listed = {vm.name: vm.address for vm in vm_list.vms.values() if vm.address}
-        self.add_contacts(listed)
+        for name in self.contacts.on_vm_list(vm_list):
+            self._forget(name)
 
     def on_message(self, now: Instant, sender: str, message: PeerMessage) -> list[Send]:
         """Take a message of another member; return what to send."""
@@ -227,7 +201,7 @@
         if now >= self.next_look:
             self.next_look = now + self.timing.heartbeat
             self.neighbours.drop_silent_followers(now)
-            sends += self._suspect_silent(now)
+            sends += self.losses.votes(now)
             sends += self._watch_zones(now)
         sends += self._declare_losses(now)
         sends += self._refute(now)
@@ -280,33 +254,12 @@
         if now - self.last_tick <= self.timing.pause_after:
             return
         self.events.append(MemberEvent(EventKind.PAUSED, self.me.name))
-        self.suspicions.clear_all()
-        self.neighbours.forgive(now)
+        self.losses.forgive_all(now)
 
     # Losses.
 
-    def _silent_and_voted(self, now: Instant) -> list[tuple[MemberRow, list[str]]]:
-        """Return the silent members that this one votes on, with their other monitors."""
-        found = []
-        for name in self.neighbours.monitored:
-            if not self.neighbours.is_silent(now, name) or not self.table.is_alive(name):
-                continue
-            monitors = self.neighbours.monitors_of(name)
-            if self.me.name not in monitors:
-                continue
-            monitors.remove(self.me.name)
-            found.append((self.table.rows[name], monitors))
-        return found
-
-    def _suspect_silent(self, now: Instant) -> list[Send]:
-        """Tell the other monitors of silent members."""
-        sends = []
-        for row, monitors in self._silent_and_voted(now):
-            sends += send_to_all(monitors, Suspect(row.name, row.incarnation, row.refutation))
-        return sends
-
     def _on_suspect(self, now: Instant, sender: str, message: Suspect) -> list[Send]:
-        self.suspicions.add(now, sender, message)
+        self.losses.on_vote(now, sender, message)
         if not self.neighbours.is_silent(now, message.name):
             return []
         return self._declare_losses(now)
@@ -314,10 +267,7 @@
     def _declare_losses(self, now: Instant) -> list[Send]:
         """Declare the members lost that enough of their monitors no longer hear."""
         sends = []
-        for row, monitors in self._silent_and_voted(now):
-            voters = [name for name in monitors if not self.neighbours.is_silent(now, name)]
-            if not self.suspicions.is_lost(now, row, self.me.name, voters):
-                continue
+        for row in self.losses.lost(now):
             news = self._merge(now, [replace(row, alive=False)])
             sends += self._broadcast(MemberRows(news))
         return sends
@@ -373,7 +323,7 @@
             kind = EventKind.RETURNED
         else:
             return
-        self.suspicions.clear(new.name)
+        self.losses.forgive(new.name)
         if new.alive:
             self.lost_at.pop(new.name, None)
             self.neighbours.forget_life(now, new.name)
@@ -433,14 +383,8 @@
 
     def _join(self, now: Instant) -> list[Send]:
         """Ask contacts for the table; later on, look for those that are not live."""
-        if now < self.next_join:
-            return []
         alone = not self.joined or not self.neighbours.monitored
-        self.next_join = now + (self.timing.join_every if alone else self.timing.rejoin_every)
-        missing = [name for name in self.addresses() if alone or not self.table.is_alive(name)]
-        count = JOIN_CONTACTS if alone else 1
-        chosen = self.rng.sample(sorted(missing), min(count, len(missing)))
-        return send_to_all(chosen, Join(self.own))
+        return send_to_all(self.contacts.to_ask(now, alone), Join(self.own))
 
     def _repair(self, now: Instant) -> list[Send]:
         """Ask a neighbour for its table when it has differed for long."""
@@ -463,6 +407,7 @@
     def _forget(self, name: str) -> None:
         self.lost_at.pop(name, None)
         self.answered.pop(name, None)
+        self.zones.forget_sender(name)
         self.table.forget(name)
         self.events.append(MemberEvent(EventKind.GONE, name))
 
@@ -504,7 +449,6 @@
         return self._pass_on(sender, Versions(news)) if news else []
 
     def _view(self, row: MemberRow, cut: frozenset[str]) -> MemberView:
-        listed = self.vm_list.vms.get(row.name) if self.vm_list is not None else None
         return MemberView(
             name=row.name,
             zone=row.zone,
@@ -513,6 +457,6 @@
             incarnation=row.incarnation,
             alive=row.alive,
             reachable=row.zone not in cut,
-            leaving=listed is not None and listed.leaving,
+            leaving=self.contacts.is_leaving(row.name),
             config_version=row.config_version,
         )
--- a/fireflylock/membership_timing.py
+++ b/fireflylock/membership_timing.py
@@ -1,6 +1,6 @@
 """Periods and bounds of membership."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 
@@ -52,5 +52,20 @@
     ring_reach: int = 2
     zone_links: int = 2
 
+    @classmethod
+    def for_heartbeat(cls, heartbeat: timedelta) -> "MembershipTiming":
+        """Return the periods that go with another time between heartbeats."""
+        usual = cls()
+        factor = heartbeat / usual.heartbeat
+        return replace(
+            usual,
+            tick=usual.tick * factor,
+            heartbeat=heartbeat,
+            loss_after=usual.loss_after * factor,
+            link_heartbeat=usual.link_heartbeat * factor,
+            zone_loss_after=usual.zone_loss_after * factor,
+            pause_after=usual.pause_after * factor,
+        )
+
 
 DEFAULT_TIMING = MembershipTiming()
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -129,7 +129,7 @@
         self.peers = Peers(self.name, address, self.clock, curve, limits)
         vm = self.settings.vm
         me = EntryVM(vm.name, vm.zone, vm.region, address)
-        timing = MembershipTiming(heartbeat=self.settings.timing.heartbeat)
+        timing = MembershipTiming.for_heartbeat(self.settings.timing.heartbeat)
         self.membership = Membership(me, self.incarnation, self.clock.elapsed(), timing)
         # A seed's name is not known before it has answered; its address serves until then.
         self.membership.add_contacts(seed_contacts(peers.seeds))
--- a/tests/mutants_links.py
+++ b/tests/mutants_links.py
@@ -1,5 +1,8 @@
 """Mutants of the platform client, the links between daemons, membership and the state relay."""
 
+from dataclasses import replace
+
+from fireflylock.contacts import Contacts
 from fireflylock.exceptions import ErrorKind, PlatformError, RequestError
 from fireflylock.flow import BodySender, ReceivedBody
 from fireflylock.forwarding import Outgoing
@@ -19,7 +22,7 @@
 NOTHING = lambda *_: None  # noqa: E731
 
 take_heartbeat = Membership._on_heartbeat
-take_vm_list = Membership.on_vm_list
+take_vm_list = Contacts.on_vm_list
 take_chunk = ReceivedBody.on_chunk
 end_outgoing = Outgoing.fail
 
@@ -52,9 +55,10 @@
         self.note_read(message.echo_us * MICROSECOND - message.platform_age_ms * MILLISECOND)
 
 
-def believe_any_list(self, now, vm_list):
-    self.vm_list = None
-    take_vm_list(self, now, vm_list)
+def believe_any_list(self, vm_list):
+    if self.vm_list is not None:
+        self.vm_list = replace(self.vm_list, version=-1)
+    return take_vm_list(self, vm_list)
 
 
 def believe_late_heartbeat(self, now, sender, message):
@@ -128,7 +132,7 @@
     ),
     Mutant("lose a member by one vote", Suspicions, "is_lost", ALWAYS, HALF_OPEN),
     Mutant(
-        "believe an older list in membership", Membership, "on_vm_list", believe_any_list, VM_LIST
+        "believe an older list in membership", Contacts, "on_vm_list", believe_any_list, VM_LIST
     ),
     Mutant("hear a late heartbeat", Membership, "_on_heartbeat", believe_late_heartbeat, LATE),
     Mutant("blame others for an own pause", Neighbours, "forgive", NOTHING, PAUSED),
