Witnesses: a member that somebody else hears is not lost

Cause: a switch that cut a zone of eight into halves made nearly all of its members lost in everybody's eyes for as long as the cut lasted, although other zones heard them all: either half has enough monitors to vote. Ruled out: more votes, which only delays real losses.

--- a/fireflylock/member_runner.py
+++ b/fireflylock/member_runner.py
@@ -11,14 +11,30 @@
     Heartbeat,
     Join,
     MemberRows,
+    Ping,
+    Pong,
+    Probe,
     Suspect,
     TablePull,
     Versions,
+    Vouch,
     ZoneReach,
 )
 from fireflylock.peers import Peers
 
-MEMBERSHIP_MESSAGES = (Heartbeat, Join, MemberRows, TablePull, Suspect, ZoneReach, Versions)
+MEMBERSHIP_MESSAGES = (
+    Heartbeat,
+    Join,
+    MemberRows,
+    TablePull,
+    Suspect,
+    ZoneReach,
+    Versions,
+    Probe,
+    Ping,
+    Pong,
+    Vouch,
+)
 
 
 class MemberRunner:
--- a/fireflylock/membership.py
+++ b/fireflylock/membership.py
@@ -21,9 +21,13 @@
     MemberRow,
     MemberRows,
     PeerMessage,
+    Ping,
+    Pong,
+    Probe,
     Suspect,
     TablePull,
     Versions,
+    Vouch,
     ZoneReach,
 )
 from fireflylock.model import EntryVM, VMList
@@ -75,8 +79,9 @@
         self.own = MemberRow(me.name, me.zone, me.region, me.peer_address, incarnation)
         self.table.merge(self.own)
         self.neighbours = Neighbours(me.name, me.zone, self.table, timing)
-        self.losses = LossDetector(me.name, self.table, self.neighbours, timing)
-        self.contacts = Contacts(me.name, self.table, timing, rng or random.Random(), now)
+        rng = rng or random.Random()
+        self.losses = LossDetector(me.name, self.table, self.neighbours, timing, rng)
+        self.contacts = Contacts(me.name, self.table, timing, rng, now)
         self.zones = ZoneStatements()
         self.refutation = Refutation(timing)
         self.reports = VersionReports(me.name, timing)
@@ -190,7 +195,8 @@
             return [Send(sender, self._whole_table())]
         if isinstance(message, ZoneReach):
             self.zones.add(now, sender, message)
-        return []
+            return []
+        return self._on_probe(now, sender, message)
 
     def tick(self, now: Instant) -> list[Send]:
         """Do what is due and return what to send; called every `MembershipTiming.tick`."""
@@ -201,6 +207,7 @@
         if now >= self.next_look:
             self.next_look = now + self.timing.heartbeat
             self.neighbours.drop_silent_followers(now)
+            sends += self.losses.probes(now)
             sends += self.losses.votes(now)
             sends += self._watch_zones(now)
         sends += self._declare_losses(now)
@@ -264,6 +271,18 @@
             return []
         return self._declare_losses(now)
 
+    def _on_probe(self, now: Instant, sender: str, message: PeerMessage) -> list[Send]:
+        """Take a step of a question about a member: probe, ping, pong, vouch."""
+        if isinstance(message, Probe):
+            return [Send(message.target, Ping(sender))]
+        if isinstance(message, Ping):
+            return [Send(sender, Pong(message.asker, self.own.incarnation))]
+        if isinstance(message, Pong):
+            return [Send(message.asker, Vouch(sender, message.incarnation))]
+        if isinstance(message, Vouch):
+            self.neighbours.vouch(now, message.target, message.incarnation)
+        return []
+
     def _declare_losses(self, now: Instant) -> list[Send]:
         """Declare the members lost that enough of their monitors no longer hear."""
         sends = []
--- a/fireflylock/membership_timing.py
+++ b/fireflylock/membership_timing.py
@@ -14,6 +14,8 @@
         How often `Membership.tick` is called.
     heartbeat, loss_after : timedelta
         Between heartbeats, and the silence after which a neighbour is suspected.
+    probe_after : timedelta
+        The silence after which witnesses are asked for a neighbour.
     link_heartbeat, zone_loss_after : timedelta
         Between heartbeats to other zones that do not vote on this member's loss, and the
         silence after which another zone counts as cut off.
@@ -37,6 +39,7 @@
     tick: timedelta = timedelta(milliseconds=25)
     heartbeat: timedelta = timedelta(milliseconds=100)
     loss_after: timedelta = timedelta(milliseconds=350)
+    probe_after: timedelta = timedelta(milliseconds=180)
     link_heartbeat: timedelta = timedelta(milliseconds=250)
     zone_loss_after: timedelta = timedelta(seconds=1)
     pause_after: timedelta = timedelta(milliseconds=300)
@@ -62,6 +65,7 @@
             tick=usual.tick * factor,
             heartbeat=heartbeat,
             loss_after=usual.loss_after * factor,
+            probe_after=usual.probe_after * factor,
             link_heartbeat=usual.link_heartbeat * factor,
             zone_loss_after=usual.zone_loss_after * factor,
             pause_after=usual.pause_after * factor,
--- a/fireflylock/messages.py
+++ b/fireflylock/messages.py
@@ -141,6 +141,32 @@
     versions: dict[str, tuple[int, int]]
 
 
+class Probe(Message, frozen=True, tag=11):
+    """Asks a witness whether it reaches a member that the sender no longer hears."""
+
+    target: str
+
+
+class Ping(Message, frozen=True, tag=12):
+    """Asks for a sign of life, on behalf of `asker`."""
+
+    asker: str
+
+
+class Pong(Message, frozen=True, tag=13):
+    """The answer to a `Ping`: the sender is alive, in this incarnation."""
+
+    asker: str
+    incarnation: int
+
+
+class Vouch(Message, frozen=True, tag=14):
+    """The sender has just heard from `target`, in this incarnation of it."""
+
+    target: str
+    incarnation: int
+
+
 class StateValue(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One value of the platform's service; empty data means that the key was deleted."""
 
@@ -618,6 +644,10 @@
     | MemberRows
     | TablePull
     | Suspect
+    | Probe
+    | Ping
+    | Pong
+    | Vouch
     | ZoneReach
     | Versions
     | StatePull
--- a/fireflylock/neighbours.py
+++ b/fireflylock/neighbours.py
@@ -19,6 +19,8 @@
     ----------
     heard_at : timedelta
         When the last heartbeat arrived, or monitoring began.
+    vouched_at : timedelta
+        When a witness last had heard it.
     heard_us_at : timedelta
         When the other side last heard this member, by the echo of an own reading.
     reading_us, incarnation : int
@@ -34,6 +36,7 @@
 
     heard_at: Instant
     heard_us_at: Instant
+    vouched_at: Instant = timedelta(0)
     reading_us: int = -1
     incarnation: int = -1
     revision: int = 0
@@ -132,9 +135,24 @@
         return list(dict.fromkeys(monitors))
 
     def is_silent(self, now: Instant, name: str) -> bool:
-        """Return whether `name` is monitored and was not heard for long."""
+        """Return whether `name` is monitored and gave no sign of life for long."""
         neighbour = self.monitored.get(name)
-        return neighbour is not None and now - neighbour.heard_at > self.timing.loss_after
+        if neighbour is None:
+            return False
+        return now - max(neighbour.heard_at, neighbour.vouched_at) > self.timing.loss_after
+
+    def unheard(self, now: Instant) -> list[str]:
+        """Return the monitored members whose heartbeats stay away."""
+        return [
+            name
+            for name, neighbour in self.monitored.items()
+            if now - neighbour.heard_at > self.timing.probe_after
+        ]
+
+    def vouch(self, now: Instant, name: str, incarnation: int) -> None:
+        """Note that a witness had heard this life of `name`."""
+        if name in self.monitored and self.table.rows[name].incarnation == incarnation:
+            self.monitored[name].vouched_at = now
 
     def hears_zone(self, now: Instant, zone: str) -> bool:
         """Return whether any counterpart in `zone` was heard lately."""
--- a/tests/mutants_links.py
+++ b/tests/mutants_links.py
@@ -108,15 +108,16 @@
 
 
 MEMBERSHIP = "tests/test_membership.py::"
-HALF_OPEN = MEMBERSHIP + "test_a_half_open_link_loses_nobody_and_is_seen_from_both_ends"
+DEAF = MEMBERSHIP + "test_a_member_that_hears_nobody_makes_nobody_lost"
 AGE = MEMBERSHIP + "test_the_age_of_the_platform_reading_is_never_too_small"
 ECHO = MEMBERSHIP + "test_an_echo_from_before_a_restart_proves_nothing"
 VM_LIST = MEMBERSHIP + "test_the_list_of_vms_is_a_hint_except_for_who_is_gone"
 PAUSED = MEMBERSHIP + "test_a_paused_member_returns_without_blaming_anybody"
 LATE = MEMBERSHIP + "test_a_late_message_of_an_earlier_process_is_not_believed"
 FLAPPING = MEMBERSHIP + "test_a_flapping_member_contradicts_ever_later"
-FAULTS = MEMBERSHIP + "test_after_any_faults_everybody_agrees_again"
+FOLLOWER = MEMBERSHIP + "test_whoever_sends_heartbeats_gets_some"
 CUT_ZONE = MEMBERSHIP + "test_a_zone_that_is_cut_off_is_unreachable_but_not_lost"
+HALVES = MEMBERSHIP + "test_halves_of_a_zone_that_are_cut_from_each_other_lose_nobody"
 STATE = "tests/test_state.py"
 FORWARDING = "tests/test_forwarding.py::"
 PLATFORM = "tests/test_platform.py::"
@@ -130,13 +131,14 @@
     Mutant(
         "believe an echo of an earlier life", PlatformFreshness, "hear", echo_of_any_life, ECHO
     ),
-    Mutant("lose a member by one vote", Suspicions, "is_lost", ALWAYS, HALF_OPEN),
+    Mutant("lose a member by one vote", Suspicions, "is_lost", ALWAYS, DEAF),
     Mutant(
         "believe an older list in membership", Contacts, "on_vm_list", believe_any_list, VM_LIST
     ),
     Mutant("hear a late heartbeat", Membership, "_on_heartbeat", believe_late_heartbeat, LATE),
     Mutant("blame others for an own pause", Neighbours, "forgive", NOTHING, PAUSED),
-    Mutant("fall silent towards followers", Neighbours, "all", monitored_alone, FAULTS),
+    Mutant("fall silent towards followers", Neighbours, "all", monitored_alone, FOLLOWER),
+    Mutant("believe no witness", Neighbours, "vouch", NOTHING, HALVES),
     Mutant("flap without a hold-down", Refutation, "schedule", contradict_at_once, FLAPPING),
     Mutant("never call a zone cut off", ZoneStatements, "is_cut", lambda *_: False, CUT_ZONE),
     Mutant(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -358,3 +358,59 @@
     fleet.run(SECOND)
     assert member.addresses() == {"a0": label}
     assert alive_for(fleet, "b0") == {"a0", "b0"}
+
+
+def test_halves_of_a_zone_that_are_cut_from_each_other_lose_nobody():
+    fleet = started_fleet(LARGER)
+    half = {f"a{number}" for number in range(4)}
+
+    def is_cut(sender, receiver):
+        zones = fleet.vms[sender].zone, fleet.vms[receiver].zone
+        return zones == ("a", "a") and (sender in half) != (receiver in half)
+
+    fleet.is_cut = is_cut
+    fleet.run(20 * SECOND)
+    assert everybody_agrees(fleet)
+    assert all(events_of(fleet, name) == [] for name in fleet.members)
+    for name in half:
+        member = fleet.members[name]
+        for other in set(member.neighbours.ring_peers) - half:
+            assert member.is_unreachable(fleet.clock_of(name), other)
+    fleet.kill("a0")
+    assert time_until(fleet, lambda: everybody_agrees(fleet)) <= SECOND
+
+
+def test_a_member_that_hears_nobody_makes_nobody_lost():
+    fleet = started_fleet(LARGER)
+    fleet.is_cut = lambda sender, receiver: receiver == "a0"
+    fleet.run(20 * SECOND)
+    assert everybody_agrees(fleet)
+    for name in fleet.members:
+        assert events_of(fleet, name) == []
+
+
+@pytest.mark.parametrize("zones", [{"a": 2}, {"a": 1, "b": 1}, TODAY])
+@pytest.mark.parametrize("times", [1, 3])
+def test_members_that_were_all_cut_from_each_other_find_together_again(zones, times):
+    fleet = started_fleet(zones)
+    for _ in range(times):
+        fleet.is_cut = lambda sender, receiver: True
+        fleet.run(5 * SECOND)
+        assert not everybody_agrees(fleet)
+        fleet.is_cut = lambda sender, receiver: False
+        fleet.run(5 * SECOND)
+    assert everybody_agrees(fleet)
+
+
+def test_whoever_sends_heartbeats_gets_some():
+    """Members whose tables differ for a while do not agree on who is whose neighbour."""
+    fleet = started_fleet(LARGER)
+    member = fleet.members["a0"]
+    now = fleet.clock_of("a0")
+    known = {"a0", *member.neighbours.monitored}
+    stranger = next(name for name in fleet.members if name not in known)
+    life = fleet.members[stranger].own
+    heartbeat = Heartbeat(life.incarnation, life.refutation, 1, -1, -1, -1, member.table.digest, 0)
+    member.on_message(now, stranger, heartbeat)
+    answers = [send for send in member.tick(now) if send.to == stranger]
+    assert [type(send.message) for send in answers] == [Heartbeat]
