A gate epoch is never used by two sessions; copies of the window cost no sort

A gate that was closed and opened again under the same record could have taken up a session that was sealed, with the requests that a frozen server still held. A new session now seals itself when the server already accepted its gate epoch, so that the gate is recorded afresh.

Importing window entries sorted all of them each time, also for the single copy that a standby gets per order; entries that come in order are now appended.

--- a/fireflylock/fenced_session.py
+++ b/fireflylock/fenced_session.py
@@ -62,6 +62,7 @@
         self.incarnation = incarnation
         self.keep_grants = keep_grants
         self.lease = ReadingLease(timing.ttl, timing.drift)
+        self.claim_made = False
         self.claimed = False
         self.sealed = False
         self.draining = False
@@ -122,6 +123,7 @@
     def claim(self) -> Claim:
         """Return the claim; it names the recorded process of the server only."""
         until = self.extend()
+        self.claim_made = True
         grants = None if self.keep_grants else sorted(self.wanted.items())
         return Claim(self.gate_epoch, self.incarnation, until, grants)
 
@@ -168,6 +170,10 @@
         if decoded.gate_epoch > self.gate_epoch:
             self.state = SessionState.SUPERSEDED
             return
+        if decoded.gate_epoch == self.gate_epoch and not self.claim_made:
+            # Another session used this gate epoch, and may have been sealed.
+            self.sealed = True
+            return
         reading_value = timedelta(microseconds=decoded.reading_us)
         self.reading = Reading(reading_value, self.sent_at, now)
         self.next_call_at = now
--- a/fireflylock/idempotency.py
+++ b/fireflylock/idempotency.py
@@ -349,27 +349,36 @@
         ProtocolError
             An entry is not valid; those before it were added.
         """
-        for data in exported:
-            try:
-                decoded = msgspec.msgpack.decode(data, type=ExportedEntry)
-            except msgspec.DecodeError as error:
-                raise ProtocolError(f"A window entry is not valid: {error}") from error
-            self.import_entry(now, decoded)
-        self.sort()
-
-    def import_entry(self, now: Instant, exported: ExportedEntry) -> None:
-        """Add one entry unless its answer is known here or it runs here."""
+        in_order = True
+        try:
+            for data in exported:
+                in_order &= self.import_entry(now, decode_entry(data))
+        finally:
+            if not in_order:
+                self.sort()
+
+    def import_entry(self, now: Instant, exported: ExportedEntry) -> bool:
+        """Add one entry unless its answer is known here or it runs here.
+
+        Returns
+        -------
+        bool
+            Whether the entries are still ordered by the time of settling.
+        """
         present = self.entries.get(exported.identity)
         if present is not None and (
             present.state is not EntryState.UNKNOWN or exported.response is None
         ):
-            return
+            return True
         age = timedelta(microseconds=max(0, exported.age_us))
         entry = Entry(exported.identity, exported.fingerprint, EntryState.UNKNOWN, now - age)
+        self.entries.pop(entry.identity, None)
+        latest = next(reversed(self.entries.values()), None)
         self.entries[entry.identity] = entry
         if exported.response is not None:
             entry.state = EntryState.STORED
             self.store(entry, exported.response)
+        return latest is None or latest.settled_at <= entry.settled_at
 
     def complete(self, units: Iterable[int]) -> None:
         """Note that the whole earlier window of `units` was imported."""
@@ -382,6 +391,14 @@
         self.entries = {entry.identity: entry for entry in entries}
 
 
+def decode_entry(data: bytes) -> ExportedEntry:
+    """Return an entry of another gate; raises ProtocolError when it is not valid."""
+    try:
+        return msgspec.msgpack.decode(data, type=ExportedEntry)
+    except msgspec.DecodeError as error:
+        raise ProtocolError(f"A window entry is not valid: {error}") from error
+
+
 def issue_time(idempotency_key: str) -> datetime | None:
     """Return the time of issue that a UUID of version 7 carries, or None for other keys."""
     try:
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -93,3 +93,19 @@
     assert begin(taken, now, "running") == Unknown()
     assert isinstance(begin(taken, now, "elsewhere", key="other"), Run)
     assert isinstance(begin(taken, now + timedelta(minutes=9)), Run)
+
+
+def test_copies_out_of_order_still_expire_in_time():
+    source = IdempotencyWindow()
+    window = IdempotencyWindow()
+    for number in range(4):
+        now = START + number * timedelta(minutes=1)
+        entry = begin(source, now, f"order-{number}").entry
+        window.import_(now, [source.export_entry(now, entry)])
+        source.finish(now, entry, ANSWER)
+    later = START + timedelta(minutes=5)
+    window.import_(later, reversed(source.export(later)))
+    ages = [entry.settled_at for entry in window.entries.values()]
+    assert ages == sorted(ages)
+    assert begin(window, later, "order-0") == Stored(ANSWER)
+    assert isinstance(begin(window, START + timedelta(minutes=10), "order-0"), Run)
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -146,6 +146,17 @@
     assert pair.fence.gate_epoch == (0, 0)
 
 
+def test_a_gate_epoch_is_never_used_by_two_sessions():
+    pair = opened()
+    again = FencedSession("server", (1, 0), TIMING, pair.now(), "boot-1")
+    again.set_grants(pair.now(), {1: 1, 2: 5})
+    pair.run(timedelta(seconds=1), session=again)
+    assert again.sealed
+    assert not again.may_send(pair.now(), 1, 1)
+    assert not again.over(pair.now() + timedelta(hours=1))
+    assert pair.fence.admit((1, 0), 1, 1) == "no-session"
+
+
 def test_an_answer_of_another_server_is_refused():
     pair = Pair()
     call = pair.session.poll(pair.now())
