--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -166,7 +166,7 @@
                 board.move(_item(board, unit), board.emptiest(), MoveReason.NO_OWNER)
         stuck: set[str] = set()
         for _ in range(GREEDY_MOVES):
-            source = board.fullest(stuck)
+            source = board.fullest(set(board.capacity) - stuck)
             if source is None or board.relative(source) <= GREEDY_GOAL:
                 break
             target = board.emptiest()
--- a/bench/load.py
+++ b/bench/load.py
@@ -295,6 +295,13 @@
             else:
                 figures.add(f"{label}: imbalance, mean", float(np.mean(even)), "max/mean")
                 figures.add(f"{label}: imbalance, p99", worst, "max/mean")
+        unseen = [v for each in mine if each.seed in UNSEEN_SEEDS for v in each.even_windows()]
+        if unseen and policy == "cost":
+            figures.add(
+                f"{label}: imbalance, mean, unseen seeds", float(np.mean(unseen)), "max/mean"
+            )
+            worst = float(np.percentile(unseen, 99))
+            figures.add(f"{label}: imbalance, p99, unseen seeds", worst, "max/mean")
         settled = [value for each in mine for value in each.settled_windows()]
         if settled:
             name = f"{label}: imbalance without such a key at any step"
--- a/fireflylock/board.py
+++ b/fireflylock/board.py
@@ -88,9 +88,8 @@
         fair = self.fair(server)
         return self.load[server] / fair if fair > 0.0 else 0.0
 
-    def fullest(self, skip: set[str]) -> str | None:
-        """Return the server with the highest relative load that is not in `skip`."""
-        names = [name for name in self.capacity if name not in skip]
+    def fullest(self, names: set[str]) -> str | None:
+        """Return the server of `names` with the highest relative load, None when empty."""
         return max(names, key=lambda name: (self.relative(name), name), default=None)
 
     def emptiest(self, zone: str = "") -> str:
--- a/fireflylock/placement.py
+++ b/fireflylock/placement.py
@@ -204,25 +204,24 @@
     def balance(self, board: Board, band: Band, most_keys: float) -> None:
         """Move items of at most `most_keys` keys from the fullest to the emptiest servers."""
         budget = self.budget(board.view) - board.plan.slot_keys_by_choice(board.view)
-        done: set[str] = set()
-        relieving: set[str] = set()
+        relieving = {name for name in board.capacity if board.relative(name) > band.trigger}
         filling = self.lowest(board) < band.fill_trigger
-        for _ in range(BATCH + len(board.capacity)):
-            source = board.fullest(done)
+        useless: set[str] = set()
+        for _ in range(BATCH):
+            relieving = {name for name in relieving if board.relative(name) > band.settle}
+            filling = filling and self.lowest(board) < band.fill_settle
+            too_full = bool(relieving - useless)
+            if not too_full and not filling:
+                return
+            candidates = relieving if too_full else set(board.capacity)
+            source = board.fullest(candidates - useless)
             if source is None:
                 return
-            if board.relative(source) > band.trigger:
-                relieving.add(source)
-            too_full = source in relieving and board.relative(source) > band.settle
-            too_empty = filling and self.lowest(board) < band.fill_settle
-            if not too_full and not too_empty:
-                done.add(source)
-                continue
             # Single keys are never held back: they are what relieves a server most cheaply.
             affordable = max(min(most_keys, budget), 1.0)
             item, target = self.best_move(board, source, affordable)
             if item is None:
-                done.add(source)
+                useless.add(source)
                 continue
             budget -= item.keys if item.keys > 1.0 else 0.0
             board.move(item, target, MoveReason.OVERLOAD if too_full else MoveReason.FILL)
