--- a/fireflylock/daemon.py
+++ b/fireflylock/daemon.py
@@ -79,13 +79,21 @@
 
     def __init__(self, settings: Settings) -> None:
         self.curve = peer_keys(settings.peers)
-        tokens_file = settings.admin.tokens_file
-        self.authority = Authority(read_tokens(tokens_file) if tokens_file else None)
+        self.tokens_file = settings.admin.tokens_file
+        self.authority = Authority(read_tokens(self.tokens_file) if self.tokens_file else None)
         self.callers_tls: ServerTLS | None = server_tls(settings.callers)
         self.admin_tls: ServerTLS | None = server_tls(settings.admin)
 
     def reload(self) -> None:
-        """Read certificates afresh; connections that are open are not touched."""
+        """Read tokens and certificates afresh; open connections are not touched.
+
+        What cannot be read is logged, and what was in use stays.
+        """
+        try:
+            if self.tokens_file:
+                self.authority.records = read_tokens(self.tokens_file)
+        except SettingsError as error:
+            LOG.error("tokens not reloaded", reason=str(error))
         for tls in (self.callers_tls, self.admin_tls):
             if tls is None:
                 continue
