--- a/bench/control.py
+++ b/bench/control.py
@@ -144,11 +144,12 @@
 
 def _add_memory(figures: Figures, base: float) -> None:
     table = _table_bytes(TARGET_VMS)
-    connection = asyncio.run(_connection_bytes())
+    connection, descriptors = asyncio.run(_connection_cost())
     total = base + table + connection * TARGET_VMS
     figures.add("memory.process_with_libraries", base, "B")
     figures.add(f"memory.members.{TARGET_VMS}_vms", table, "B")
     figures.add("memory.per_connection_both_ways", connection, "B")
+    figures.add("descriptors.per_connection_both_ways", descriptors, "")
     figures.at_most(f"memory.control.{TARGET_VMS}_vms", total, "B", MOST_MEMORY)
 
 
@@ -171,8 +172,8 @@
     return float(used)
 
 
-async def _connection_bytes() -> float:
-    """Return the memory of one encrypted connection to a peer and one from it."""
+async def _connection_cost() -> tuple[float, float]:
+    """Return memory and descriptors of one encrypted connection to a peer and one from it."""
     clock = SystemClock()
     own, other = CurveKeys.new(), CurveKeys.new()
     known = {"own": own.public, "other": other.public}
@@ -184,6 +185,7 @@
     receiver.start()
     sender.start()
     resident = []
+    descriptors = []
     for count in CONNECTIONS:
         for number in range(count):
             sender.connect(f"vm{number}", receiver.address, own.public)
@@ -193,9 +195,16 @@
             sender.send(name, Heartbeat(1, 0, 0, 0, 0, 0, 0, 0))
         await asyncio.sleep(0.2)
         resident.append(_resident_bytes())
+        descriptors.append(_open_descriptors())
     sender.stop()
     receiver.stop()
-    return (resident[1] - resident[0]) / (CONNECTIONS[1] - CONNECTIONS[0])
+    more = CONNECTIONS[1] - CONNECTIONS[0]
+    return (resident[1] - resident[0]) / more, (descriptors[1] - descriptors[0]) / more
+
+
+def _open_descriptors() -> int:
+    """Return the number of files and sockets that this process has open."""
+    return len(list(Path("/proc/self/fd").iterdir()))
 
 
 def _resident_bytes() -> float:
--- a/bench/site.py
+++ b/bench/site.py
@@ -71,6 +71,10 @@
         """Drop a connection."""
         self.links.pop(name, None)
 
+    def is_connected(self, name: str) -> bool:
+        """Return whether a message to `name` would be accepted now."""
+        return name in self.links and name in self.site.relays
+
     def send(self, name: str, message: PeerMessage) -> bool:
         """Put a message on the wire."""
         if name not in self.links or name not in self.site.relays:
--- a/fireflylock/daemon.py
+++ b/fireflylock/daemon.py
@@ -13,6 +13,7 @@
 from fireflylock.auth import Authority, read_tokens
 from fireflylock.clock import SystemClock
 from fireflylock.config import Settings
+from fireflylock.descriptors import raise_descriptor_limit
 from fireflylock.exceptions import FireflylockError, SettingsError
 from fireflylock.keys import peer_keys
 from fireflylock.link_metrics import LinkReadings
@@ -56,6 +57,7 @@
         return 0
     control = LogControl(settings.log.level)
     configure(control, settings.log.format, vm=settings.vm.name)
+    LOG.info("open files", limit=raise_descriptor_limit())
     try:
         asyncio.run(serve(settings, control, parts))
     except (OSError, FireflylockError) as error:
--- /dev/null
+++ b/fireflylock/descriptors.py
@@ -0,0 +1,17 @@
+"""The process's limit of open files and sockets."""
+
+import contextlib
+import resource
+
+
+def raise_descriptor_limit() -> int:
+    """Raise the limit as far as the system allows it to this process, and return it.
+
+    Each peer takes three descriptors and each caller and backend connection one; the usual
+    limit of 1,024 is reached with 300 peers.
+    """
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with contextlib.suppress(ValueError, OSError):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+        soft = hard
+    return soft
--- a/fireflylock/member_runner.py
+++ b/fireflylock/member_runner.py
@@ -5,7 +5,7 @@
 
 from fireflylock.clock import Clock
 from fireflylock.exceptions import ProtocolError
-from fireflylock.member_events import MemberEvent, Send
+from fireflylock.member_events import EventKind, MemberEvent, Send
 from fireflylock.membership import Membership
 from fireflylock.messages import (
     Heartbeat,
@@ -36,6 +36,9 @@
     Vouch,
 )
 
+# A member that was not there is there now.
+BACK = (EventKind.JOINED, EventKind.RETURNED, EventKind.RESTARTED)
+
 
 class MemberRunner:
     """Connects pure membership with the transport.
@@ -92,5 +95,15 @@
 
     def _tell_events(self) -> None:
         for event in self.membership.take_events():
+            if event.kind in BACK:
+                self._reconnect(event.name)
             for callback in self.on_event:
                 callback(event)
+
+    def _reconnect(self, name: str) -> None:
+        """Connect at once; the transport's own next attempt may be far away."""
+        link = self.peers.links.get(name)
+        if link is None or self.peers.is_connected(name):
+            return
+        self.peers.disconnect(name)
+        self.connect_all()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,10 +5,12 @@
 
 import pytest
 
-from fireflylock.clock import SystemClock
+from fireflylock.clock import FakeClock, SystemClock
 from fireflylock.etcd import EtcdStore
 from fireflylock.exceptions import PlatformError, VersionConflictError
+from fireflylock.member_runner import MemberRunner
 from fireflylock.membership import Membership
+from fireflylock.messages import Join, MemberRow
 from fireflylock.model import EntryVM
 from fireflylock.peers import Peers
 from fireflylock.relay import StateRelay
@@ -157,3 +159,41 @@
             return all(view.leaving for view in views.values())
 
         await until(lambda: all(knows(relay) for relay in made.relays.values()))
+
+
+class StuckPeers:
+    """A transport whose next attempt to connect is far away."""
+
+    def __init__(self):
+        self.links = {}
+        self.attempts = 0
+
+    def subscribe(self, message_type, callback):
+        pass
+
+    def connect(self, name, address):
+        if name not in self.links:
+            self.attempts += 1
+        self.links[name] = address
+
+    def disconnect(self, name):
+        del self.links[name]
+
+    def is_connected(self, name):
+        return False
+
+    def send(self, name, message):
+        return False
+
+
+def test_a_member_that_comes_is_connected_at_once():
+    peers, clock = StuckPeers(), FakeClock()
+    membership = Membership(EntryVM("a", "z", "r", "127.0.0.1:1"), 1, clock.elapsed())
+    runner = MemberRunner(peers, membership, clock)
+    membership.add_contacts({"b": "127.0.0.1:2"})
+    runner.connect_all()
+    assert peers.attempts == 1
+    for incarnation in (1, 2):
+        row = MemberRow("b", "z", "r", "127.0.0.1:2", incarnation)
+        runner._on_message("b", Join(row))
+        assert peers.attempts == 1 + incarnation
