--- a/fireflylock/request_parser.py
+++ b/fireflylock/request_parser.py
@@ -65,6 +65,7 @@
         # The last bytes that were given to h11, to see how a chunked body ended.
         self.tail = b""
         self.had_trailers = False
+        self.skipped_line = False
 
     def receive(self, data: bytes) -> None:
         """Take in bytes from the caller."""
@@ -79,9 +80,7 @@
             ``BAD_REQUEST``, ``HEADERS_TOO_LARGE`` or ``BODY_TOO_LARGE``; the connection
             can't be used any more.
         """
-        if self.pending.startswith(b"\r\n"):
-            # Some callers send an empty line after a body; RFC 9112 has it ignored.
-            del self.pending[:2]
+        self.skip_empty_line()
         end = self.pending.find(HEAD_END)
         if end < 0:
             self.check_partial_head()
@@ -94,6 +93,14 @@
         refuse_if(head_problem(head))
         return self.parse_head(head)
 
+    def skip_empty_line(self) -> None:
+        """Skip one empty line before a request, which RFC 9112 has ignored; more are refused."""
+        while self.pending.startswith(b"\r\n"):
+            if self.skipped_line:
+                raise bad_request("Empty lines stand before the request.")
+            self.skipped_line = True
+            del self.pending[:2]
+
     def check_partial_head(self) -> None:
         """Refuse a head early that can no longer become valid."""
         if len(self.pending) > self.header_bytes:
@@ -114,6 +121,7 @@
         if self.max_body is not None and (framing.length or 0) > self.max_body:
             raise RequestError(ErrorKind.BODY_TOO_LARGE)
         self.in_body = True
+        self.skipped_line = False
         self.chunked = framing.chunked
         self.body_bytes = 0
         self.tail = b""
--- a/tests/test_frontend_fuzz.py
+++ b/tests/test_frontend_fuzz.py
@@ -3,7 +3,7 @@
 import asyncio
 import re
 
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
 from fireflylock.exceptions import ErrorKind, RequestError
@@ -105,6 +105,7 @@
 
 @settings(max_examples=800, deadline=None)
 @given(STREAMS, st.integers(1, 50))
+@example(b"\r\n\r\n\r\n", 1)
 def test_the_parser_gives_typed_errors_and_does_not_depend_on_how_bytes_are_split(data, size):
     whole, whole_kind = parse_all([data])
     assert whole_kind is None or whole_kind in EXPECTED_KINDS
