Cut zones at run time: witnesses, stand-down, moves after the wait; far keys refused at once

The planner names a witness in another zone for each zone of a service whose keys others may take; the witness marks a zone that has been silent for 2 s and, after the wait, its units move. Gates of such a zone stand down when neither a reading of the platform nor the witness vouches for it. A request whose key lies in a zone that is cut off is refused at once instead of after the patience for takeovers. Proved with fakes on the fake clock; not yet in real processes.

--- a/fireflylock/fleet.py
+++ b/fireflylock/fleet.py
@@ -65,6 +65,16 @@
             return False
         return not self.membership.is_unreachable(self.clock.elapsed(), name)
 
+    def is_cut_off(self, name: str) -> bool:
+        """Return whether the zone of `name` is cut off from this entry VM's zone."""
+        view = self.views().get(name)
+        return view is not None and view.alive and not view.reachable
+
+    def is_zone_silent(self, zone: str) -> bool:
+        """Return whether the zone has entry VMs and none of them can be reached."""
+        views = [view for view in self.views().values() if view.zone == zone]
+        return bool(views) and not any(view.alive and view.reachable for view in views)
+
     def live_names(self) -> list[str]:
         """Return the members that are alive and in a zone that can be reached."""
         return [view.name for view in self.views().values() if view.alive and view.reachable]
--- a/fireflylock/freshness.py
+++ b/fireflylock/freshness.py
@@ -37,15 +37,22 @@
         age = self.age(now)
         return -1 if age is None else -(-age // MILLISECOND)
 
-    def hear(self, now: Instant, message: Heartbeat, own_incarnation: int) -> None:
+    def hear(
+        self, now: Instant, message: Heartbeat, own_incarnation: int, own_revision: int
+    ) -> None:
         """Take the age in a heartbeat that echoes a reading of this member's clock.
 
+        What was read then must be held here, too: otherwise a mark that the reading had shown
+        could be overlooked here, and the age would vouch for a state that is older.
+
         The sender's age counts from an instant after it had got the echoed reading, so the
         platform was read at the earliest "age" before that reading was taken here.  A message
         that is delayed can only make the reading look older.
         """
         if message.platform_age_ms < 0 or message.echo_us < 0:
             return
+        if message.state_revision > own_revision:
+            return
         echo = message.echo_us * MICROSECOND
         if message.echo_incarnation != own_incarnation or echo > now:
             return
--- a/fireflylock/gate.py
+++ b/fireflylock/gate.py
@@ -132,6 +132,7 @@
         self.wake = asyncio.Event()
         self.closing = False
         self.paused = False
+        self.stood_down = False
         self.refused = 0
         self.on_progress: Callable[[Gate], None] = lambda _gate: None
 
@@ -174,6 +175,8 @@
         now = self.clock.elapsed()
         if now >= request.deadline:
             raise RequestError(ErrorKind.DEADLINE_TOO_SHORT, "the deadline passed in the queue")
+        if self.stood_down:
+            raise RequestError(ErrorKind.NO_OWNER, "the zone is cut off and has stood down")
         if self.closing or self.paused:
             raise RequestError(ErrorKind.MOVED, "the gate is being handed over")
         if not self.session.may_send(now, unit, epoch):
@@ -255,7 +258,7 @@
         while True:
             now = self.clock.elapsed()
             self.expire(now)
-            call = self.session.poll(now)
+            call = None if self.stood_down else self.session.poll(now)
             if call is not None:
                 await self.call(call)
                 self.on_progress(self)
@@ -333,6 +336,12 @@
         while any(self.running.values()) and self.clock.elapsed() < end:
             await self.clock.sleep(DRAIN_POLL)
 
+    def stand_down(self, due: bool) -> None:
+        """Renew and claim nothing while `due`; others may take the server's keys then."""
+        if due and not self.stood_down:
+            self.turn_away()
+        self.stood_down = due
+
     def resume(self) -> None:
         """Send requests again after `pause`."""
         self.paused = False
@@ -365,4 +374,5 @@
             ("running", sum(self.running.values())),
             ("waiting", len(self.waiting)),
             ("closing", self.closing),
+            ("stood_down", self.stood_down),
         ]
--- a/fireflylock/membership.py
+++ b/fireflylock/membership.py
@@ -252,7 +252,7 @@
         elif not row.alive:
             # It must hear of its loss to be able to contradict.
             sends += self._answer_once(now, sender, MemberRows([row]))
-        self.platform.hear(now, message, self.own.incarnation)
+        self.platform.hear(now, message, self.own.incarnation, self.state_revision)
         self.neighbours.hear(now, sender, message, self.own.incarnation)
         return sends
 
--- a/fireflylock/messages.py
+++ b/fireflylock/messages.py
@@ -617,6 +617,30 @@
     number: int
 
 
+class WitnessQuestion(Message, frozen=True, tag=69):
+    """Asks a zone's witness whether the zone may go on.
+
+    Attributes
+    ----------
+    service, zone : str
+        Which zone, for which service.
+    number : int
+        The answer's; unique per sender.
+    """
+
+    service: str
+    zone: str
+    number: int
+
+
+class WitnessWord(Message, frozen=True, tag=70):
+    """The witness's word that it has not begun to mark the zone as cut off."""
+
+    service: str
+    zone: str
+    number: int
+
+
 class DumpPull(Message, frozen=True, tag=80):
     """Asks for the receiver's state dump."""
 
@@ -671,6 +695,8 @@
     | GateHandover
     | WindowTransfer
     | WindowTransferAck
+    | WitnessQuestion
+    | WitnessWord
     | DumpPull
     | DumpRows
 )
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -35,6 +35,8 @@
     WindowCopy,
     WindowTransfer,
     WindowTransferAck,
+    WitnessQuestion,
+    WitnessWord,
 )
 from fireflylock.metrics import Metrics
 from fireflylock.model import Configuration, EntryVM
@@ -64,6 +66,7 @@
 from fireflylock.vm_history import VMHistory
 from fireflylock.vm_list import VMListReader
 from fireflylock.window_transfers import WindowTransfers
+from fireflylock.zone_watch import ZoneWatch
 
 LOG = logger("node")
 
@@ -72,6 +75,7 @@
 LEAVING_PERIOD = timedelta(milliseconds=250)
 TAKE_BACK_PERIOD = timedelta(milliseconds=250)
 GONE_PERIOD = timedelta(seconds=1)
+ZONE_PERIOD = timedelta(milliseconds=250)
 RIGHTS_PERIOD = timedelta(milliseconds=500)
 REPORT_PERIOD = timedelta(seconds=1)
 PAUSE_AFTER_FAILURE = timedelta(milliseconds=500)
@@ -224,6 +228,17 @@
             self.gatekeeper, self.book, self.windows, self.peers.send, self.clock
         )
         self.handover = Handover(self)
+        self.zone_watch = ZoneWatch(
+            self.gatekeeper,
+            self.book,
+            self.fleet,
+            self.recovery,
+            self.evidence,
+            self.configuration,
+            lambda: self.membership.freshness(self.clock.elapsed()),
+            self.peers.send,
+            self.clock,
+        )
         self.gatekeeper.on_progress = self.recovery.on_progress
         self.gatekeeper.on_request = self.count_request
 
@@ -269,6 +284,8 @@
         self.peers.subscribe(StandbyRight, self.links.on_right)
         self.peers.subscribe(StandbyPromiseRequest, self.links.on_request)
         self.peers.subscribe(StandbyPromise, self.links.on_promise)
+        self.peers.subscribe(WitnessQuestion, self.zone_watch.on_question)
+        self.peers.subscribe(WitnessWord, self.zone_watch.on_word)
         self.peers.subscribe(LoadReport, self.rebalancer.on_report)
         self.peers.subscribe(GateHandover, self.handover.on_handover)
 
@@ -342,6 +359,8 @@
         self.every(TAKE_BACK_PERIOD, self.releases.take_back)
         self.every(REPORT_PERIOD, as_coroutine(self.report_loads))
         self.every(RIGHTS_PERIOD, as_coroutine(self.links.give_rights))
+        self.every(ZONE_PERIOD, as_coroutine(self.zone_watch.look_at_gates))
+        self.every(ZONE_PERIOD, self.zone_watch.look_at_zones)
         self.every(LEAVING_PERIOD, as_coroutine(self.plan_if_urgent))
         self.every(timing.plan, as_coroutine(self.rebalancer.look))
         LOG.info("serving", vm=self.name, port=port)
--- a/fireflylock/recovery.py
+++ b/fireflylock/recovery.py
@@ -78,7 +78,7 @@
 
     def on_progress(self, gate: Gate) -> None:
         """Look at a gate after each step of its session."""
-        if gate.closing or not gate.session.over(self.clock.elapsed()):
+        if gate.closing or gate.stood_down or not gate.session.over(self.clock.elapsed()):
             return
         if gate.server.name in self.tasks or not gate.session.wanted:
             return
--- a/fireflylock/router.py
+++ b/fireflylock/router.py
@@ -43,11 +43,19 @@
     def is_live(self, member: str) -> bool:
         """Return whether the entry VM `member` is believed to be reachable."""
 
+    @abstractmethod
+    def is_cut_off(self, member: str) -> bool:
+        """Return whether the zone of the entry VM `member` is cut off from this one."""
+
     @abstractmethod
     async def wait_for_change(self, timeout: timedelta) -> None:
         """Return after the next change of configuration, assignment or members, or `timeout`."""
 
 
+class ZoneCutOffError(RequestError):
+    """The owner's zone is cut off, which rarely ends soon: the request is refused at once."""
+
+
 class WatchedBody(Body):
     """A request body that remembers whether anything was read from it.
 
@@ -154,6 +162,8 @@
             try:
                 return await self.attempt(request)
             except RequestError as error:
+                if isinstance(error, ZoneCutOffError):
+                    raise self.final(error) from None
                 if body.touched or not self.may_try_again(request, error, budget):
                     raise self.final(error) from None
                 if self.clock.elapsed() + pause >= give_up_at:
@@ -213,6 +223,8 @@
         gate = assignment.gates.get(ownership.server)
         if gate is None or not gate.member:
             raise RequestError(ErrorKind.NO_OWNER, f"{ownership.server} has no gate")
+        if self.view.is_cut_off(gate.member):
+            raise ZoneCutOffError(ErrorKind.OWNER_UNREACHABLE, "the key's zone is cut off")
         if gate.standby and not self.view.is_live(gate.member):
             # The standby may have claimed the server while nothing can be recorded.
             return Destination(gate.standby, ownership.server)
--- a/fireflylock/routing_view.py
+++ b/fireflylock/routing_view.py
@@ -36,6 +36,10 @@
         """Return whether messages to `member` are believed to arrive."""
         return self.node.fleet.is_live(member)
 
+    def is_cut_off(self, member: str) -> bool:
+        """Return whether the zone of the entry VM `member` is cut off from this one."""
+        return self.node.fleet.is_cut_off(member)
+
     async def wait_for_change(self, timeout: timedelta) -> None:
         """Return after the next change, or after `timeout`."""
         await self.changes.wait(timeout)
--- /dev/null
+++ b/fireflylock/zone_watch.py
@@ -0,0 +1,256 @@
+"""Zones that are cut off, for services whose keys others may take: both sides at run time."""
+
+import itertools
+from collections.abc import Callable
+from datetime import timedelta
+
+from fireflylock.assignment import Assignment
+from fireflylock.assignment_changes import with_cut_zone, with_witness, without_cut_zone
+from fireflylock.assignments import AssignmentBook, Change
+from fireflylock.clock import Clock, Instant
+from fireflylock.cut_zones import StandDown, Witness, moves_when_cut
+from fireflylock.exceptions import InvariantError, PlatformError
+from fireflylock.fleet import Fleet
+from fireflylock.gate import Gate
+from fireflylock.gatekeeper import Gatekeeper
+from fireflylock.log import logger
+from fireflylock.messages import PeerMessage, WitnessQuestion, WitnessWord
+from fireflylock.model import Configuration, Service
+from fireflylock.ownership import Evidence
+from fireflylock.recovery import Recovery
+
+LOG = logger("zones")
+
+# How long a zone must be silent before its witness marks it.
+SILENT_BEFORE_MARK = timedelta(seconds=2)
+# A new process gives no word before a mark that an earlier one sent must have arrived.
+QUIET_AFTER_START = timedelta(seconds=5)
+# The witness is asked when the platform has not been heard of for this share of the time.
+ASK_SHARE = 0.25
+
+Place = tuple[str, str]
+
+
+class ZoneWatch:
+    """Stands this VM's gates down in a cut zone, and is the witness of other zones.
+
+    Parameters
+    ----------
+    gatekeeper : Gatekeeper
+        The gates of this entry VM.
+    book : AssignmentBook
+        Assignments in force, and how they are changed.
+    fleet : Fleet
+        The other entry VMs.
+    recovery : Recovery
+        Gives the units of a zone that has stood down to others.
+    evidence : callable
+        Returns what is known about who is over.
+    configuration : callable
+        Returns the configuration in force.
+    freshness : callable
+        Returns the age of the newest reading of the platform that is held here.
+    send : callable
+        ``send(member, message)`` to another entry VM.
+    clock : Clock
+        Time.
+
+    Attributes
+    ----------
+    stand_downs : dict of (str, str) to StandDown
+        By service and zone of the gates held here.
+    witnesses : dict of (str, str) to Witness
+        By service and zone that this entry VM is the witness of.
+    """
+
+    def __init__(
+        self,
+        gatekeeper: Gatekeeper,
+        book: AssignmentBook,
+        fleet: Fleet,
+        recovery: Recovery,
+        evidence: Callable[[], Evidence],
+        configuration: Callable[[], Configuration],
+        freshness: Callable[[], timedelta | None],
+        send: Callable[[str, PeerMessage], bool],
+        clock: Clock,
+    ) -> None:
+        self.gatekeeper = gatekeeper
+        self.book = book
+        self.fleet = fleet
+        self.recovery = recovery
+        self.evidence = evidence
+        self.configuration = configuration
+        self.freshness = freshness
+        self.send = send
+        self.clock = clock
+        self.started_at = clock.elapsed()
+        self.stand_downs: dict[Place, StandDown] = {}
+        self.witnesses: dict[Place, Witness] = {}
+        self.silent_since: dict[str, Instant] = {}
+        self.numbers = itertools.count(1)
+        self.asked: dict[int, Instant] = {}
+
+    # The gates' side.
+
+    def look_at_gates(self) -> None:
+        """Stand gates down whose zone nobody vouches for, and raise them again."""
+        for gate in self.gatekeeper.gates.values():
+            if moves_when_cut(gate.service):
+                self.look_at_gate(gate)
+
+    def look_at_gate(self, gate: Gate) -> None:
+        """Stand one gate down when that is due."""
+        service, zone = gate.service, gate.server.zone
+        assignment = self.book.get(service.name)
+        if assignment is None:
+            return
+        drift = self.gatekeeper.timing.drift
+        present = self.stand_downs.get((service.name, zone))
+        if present is None or present.move_after != service.move_after:
+            present = StandDown(service.move_after, drift)
+            self.stand_downs[service.name, zone] = present
+        now = self.clock.elapsed()
+        age = self.freshness()
+        if age is not None:
+            present.on_platform(now, age, zone in assignment.cut_zones)
+        if age is None or age > service.move_after * ASK_SHARE:
+            self.ask_witness(service, zone, assignment)
+        due = present.is_due(now)
+        if due != gate.stood_down:
+            LOG.warning("gate stands down" if due else "gate goes on", server=gate.server.name)
+        gate.stand_down(due)
+
+    def ask_witness(self, service: Service, zone: str, assignment: Assignment) -> None:
+        """Ask the zone's witness for its word."""
+        witness = assignment.witnesses.get(zone, "")
+        now = self.clock.elapsed()
+        self.asked = {
+            number: at for number, at in self.asked.items() if now - at < service.move_after
+        }
+        number = next(self.numbers)
+        if witness and self.send(witness, WitnessQuestion(service.name, zone, number)):
+            self.asked[number] = now
+
+    def on_word(self, sender: str, message: WitnessWord) -> None:
+        """Take the witness's word; it counts from when it was asked for."""
+        asked_at = self.asked.pop(message.number, None)
+        present = self.stand_downs.get((message.service, message.zone))
+        assignment = self.book.get(message.service)
+        if asked_at is None or present is None or assignment is None:
+            return
+        if assignment.witnesses.get(message.zone) == sender:
+            present.on_witness(asked_at)
+
+    # The witness's side.
+
+    def on_question(self, sender: str, message: WitnessQuestion) -> None:
+        """Give our word for a zone, unless we may have marked it as cut off."""
+        place = (message.service, message.zone)
+        witness = self.witnesses.get(place)
+        settled = self.clock.elapsed() - self.started_at >= QUIET_AFTER_START
+        if witness is None or not settled or not witness.gives_word():
+            return
+        self.send(sender, WitnessWord(message.service, message.zone, message.number))
+
+    async def look_at_zones(self) -> None:
+        """Mark zones that are cut off, move their units in time, and name missing witnesses."""
+        configuration = self.configuration()
+        self.note_silence(configuration)
+        for service in configuration.services.values():
+            assignment = self.book.get(service.name)
+            if assignment is None or not moves_when_cut(service):
+                continue
+            for zone in sorted({s.zone for s in configuration.servers_of(service.name)}):
+                await self.look_at_zone(service, zone, assignment)
+
+    def note_silence(self, configuration: Configuration) -> None:
+        """Note since when each zone has been silent."""
+        now = self.clock.elapsed()
+        for zone in {server.zone for server in configuration.servers.values()}:
+            if not self.fleet.is_zone_silent(zone):
+                self.silent_since.pop(zone, None)
+                continue
+            self.silent_since.setdefault(zone, now)
+
+    async def look_at_zone(self, service: Service, zone: str, assignment: Assignment) -> None:
+        """Do what this entry VM has to do about one zone."""
+        me = self.gatekeeper.me
+        recorded = assignment.witnesses.get(zone, "")
+        if recorded != me:
+            self.witnesses.pop((service.name, zone), None)
+            if self.fleet.planner_of(service.name) == me:
+                await self.name_witness(service, zone, recorded)
+            return
+        witness = self.witnesses.get((service.name, zone))
+        if witness is None:
+            witness = Witness(zone, service.move_after, self.gatekeeper.timing)
+            self.witnesses[service.name, zone] = witness
+        now = self.clock.elapsed()
+        witness.on_assignment(now, assignment)
+        since = self.silent_since.get(zone)
+        if since is None:
+            await self.end_mark(service, zone, witness)
+        elif now - since >= SILENT_BEFORE_MARK:
+            await self.mark(service, zone, witness)
+
+    async def name_witness(self, service: Service, zone: str, present: str) -> None:
+        """Record a witness for a zone that has none, or whose witness is gone."""
+        proof = self.evidence().gone(present, present) if present else None
+        if present and proof is None:
+            return
+        candidates = self.fleet.candidates(self.configuration())
+        others = sorted(found.name for found in candidates if found.zone != zone)
+        if not others:
+            return
+        await self.write(
+            service,
+            lambda found, change: (
+                with_witness(found, zone, others[0], proof, change)
+                if found.witnesses.get(zone, "") == present
+                else None
+            ),
+        )
+
+    async def mark(self, service: Service, zone: str, witness: Witness) -> None:
+        """Mark a silent zone; when it must have stood down, give its units to others."""
+        if witness.mark == 0:
+            witness.begin()
+            me = self.gatekeeper.me
+            await self.write(service, lambda found, change: with_cut_zone(found, zone, me, change))
+            witness.on_assignment(self.clock.elapsed(), self.book.get(service.name))
+            return
+        servers = self.configuration().servers_of(service.name)
+        inside = frozenset(server.name for server in servers if server.zone == zone)
+        proof = witness.stood_down(self.clock.elapsed(), inside)
+        if proof is None:
+            return
+        for name in sorted(inside):
+            present = self.book.get(service.name)
+            if present is not None and present.units_of(name):
+                await self.recovery.reassign(service.name, name, [proof])
+
+    async def end_mark(self, service: Service, zone: str, witness: Witness) -> None:
+        """Take the mark of a zone away that is heard again."""
+        if not witness.marking:
+            return
+        try:
+            await self.book.writer.refresh(self.book.key(service.name))
+        except PlatformError:
+            return
+        present = self.book.get(service.name)
+        if present is not None and zone not in present.cut_zones:
+            witness.give_up()
+            return
+        await self.write(service, lambda found, change: without_cut_zone(found, zone, change))
+
+    async def write(self, service: Service, change: Change) -> None:
+        """Write a change of the assignment, if there is one to change."""
+
+        def of_present(present: Assignment | None, change_id: str) -> Assignment | None:
+            return None if present is None else change(present, change_id)
+
+        try:
+            await self.book.update(service.name, of_present)
+        except (InvariantError, PlatformError) as error:
+            LOG.info("zone change not recorded", service=service.name, reason=str(error))
