--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,9 @@
 	$(PYTHON) -m bench cost --json
 	$(PYTHON) -m bench recovery --json
 
-# The short form of the load benchmark has the same bounds on a shorter evening.  Of the four
-# services only library-app keeps all of them; "make bench" shows the others' broken ones.
+# The short form of the load benchmark has the same bounds on a shorter evening.  There only
+# library-app keeps all of them; "make bench" plays whole evenings of all four services, where
+# one bound is broken (see docs/design/placement.md).
 bounds: install
 	$(PYTHON) -m bench recovery
 	$(PYTHON) -m bench load --quick --service library-app --policies cost,bounded-lazy
