Planner: a large key does not move to a server that has just come up cold

Cause: a cold server owns nothing, so it could make room for a large key without moving anything, and was chosen as its home although it has a quarter of its capacity. The new test shows it failing before. Change: the home of a large load must carry it or be as strong as its present server.

--- a/fireflylock/placement.py
+++ b/fireflylock/placement.py
@@ -162,7 +162,11 @@
         if item.key and board.free_hot_units <= 0:
             return
         stay = self.keys_to_clear(board, source, item)
-        others = [name for name in sorted(board.capacity) if name != source]
+        others = [
+            name
+            for name in sorted(board.capacity)
+            if name != source and self.carries(board, name, source, item)
+        ]
         homes = heapq.nsmallest(HOMES_WEIGHED, others, key=lambda name: len(board.units[name]))
         costs = {name: self.keys_to_clear(board, name, item) for name in homes}
         zone = board.view.caller_zones.get(item.unit, "")
@@ -174,6 +178,15 @@
         if best != source and 1.0 + costs[best] < stay / 2:
             board.move(item, best, MoveReason.CONTAIN)
 
+    def carries(self, board: Board, server: str, source: str, large: Item) -> bool:
+        """Return whether `server` carries a large load, or is at least as strong as `source`.
+
+        A server that has just come up cold is empty, and still too weak for it.
+        """
+        if large.load <= SLOT_BAND.trigger * board.fair(server):
+            return True
+        return board.capacity[server] >= board.capacity[source]
+
     def keys_to_clear(self, board: Board, server: str, large: Item) -> float:
         """Return how many keys must leave `server` to make room for a large load.
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -141,6 +141,14 @@
     assert joined[NOW] <= 0.5 * SLOTS / 11
 
 
+def test_a_large_key_does_not_move_to_a_cold_server():
+    view = make_view(hot_rates={"hot": 12.0}, home_slots={"hot": 0})
+    view.loads[0] += 12.0
+    view.servers["server-99"] = ServerView("server-99", "zone-0", 4.0, cold_since=NOW)
+    after, _ = settle(view)
+    assert server_loads(after)["server-99"] <= 0.5 * sum(view.loads.values()) / 11
+
+
 def test_units_of_lost_servers_go_to_all_others_evenly():
     view = make_view()
     owners = spread_lost(view, ["server-00", "server-01"], NOW)
