--- a/bench/draw.py
+++ b/bench/draw.py
@@ -43,6 +43,7 @@
     top.axhline(1.15, color="red", linewidth=0.5, linestyle="--")
     top.set_ylim(1.0, 3.0)
     bottom.set_yscale("symlog", linthresh=100)
+    bottom.set_ylim(bottom=0)
     bottom.set_xlabel("minutes", fontsize=8)
 
 
