The relay's loops are started again when they fail; failed subscribers are counted

A fault in one tick ended membership, reading or pulling for good and in silence: the new test waited in vain before. Each fault is logged and counted in the dump.

--- a/fireflylock/peers.py
+++ b/fireflylock/peers.py
@@ -126,6 +126,7 @@
         self.received = Traffic()
         self.sent = Traffic()
         self.protocol_errors = 0
+        self.subscriber_faults = 0
         self.context: zmq.Context | None = None
         self.receiver: zmq.Socket | None = None
         self.checker: KeyChecker | None = None
@@ -242,6 +243,7 @@
             ("peers.encrypted", self.curve is not None),
             ("peers.protocol_errors", self.protocol_errors),
             ("peers.refused_keys", self.refused_keys),
+            ("peers.subscriber_faults", self.subscriber_faults),
         ]
         for traffic, label in ((self.received, "received"), (self.sent, "sent")):
             messages, size = traffic.control()
@@ -338,4 +340,5 @@
             try:
                 callback(sender, message)
             except Exception:
+                self.subscriber_faults += 1
                 LOG.exception("a message was not handled", message=type(message).__name__)
--- a/fireflylock/relay.py
+++ b/fireflylock/relay.py
@@ -7,13 +7,14 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import aclosing
 from dataclasses import dataclass
 from datetime import timedelta
 
 from fireflylock.clock import Clock
 from fireflylock.exceptions import PlatformError
+from fireflylock.log import logger
 from fireflylock.member_events import MemberEvent
 from fireflylock.member_runner import MemberRunner
 from fireflylock.membership import Membership
@@ -26,6 +27,11 @@
 from fireflylock.vm_list import VMListReader
 from fireflylock.vm_list_relay import VMListRelay
 
+LOG = logger("relay")
+
+# Before a loop that failed is started again.
+RESTART_PAUSE = timedelta(milliseconds=200)
+
 # Size of one answer to a peer, so that a message stays below the transport's bound.
 ANSWER_BYTES = 2 * 1024 * 1024
 
@@ -118,6 +124,7 @@
         )
         self.on_change: list[Callable[[list[str]], None]] = []
         self.failed_readings = 0
+        self.loop_faults = 0
         # Nothing under the prefix changed between the cache's revision and this one.
         self.read_revision = 0
         self.watching: asyncio.Task | None = None
@@ -144,7 +151,18 @@
             self._run_watch,
             self._run_pull,
         )
-        self.tasks = [asyncio.create_task(loop()) for loop in loops]
+        self.tasks = [asyncio.create_task(self._keep_running(loop)) for loop in loops]
+
+    async def _keep_running(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Run a loop, and start it again when it fails."""
+        while True:
+            try:
+                await loop()
+                return
+            except Exception:
+                self.loop_faults += 1
+                LOG.exception("loop failed", loop=loop.__qualname__)
+            await self.clock.sleep(RESTART_PAUSE)
 
     async def stop(self) -> None:
         """Stop running."""
@@ -191,6 +209,7 @@
             ("relay.watcher", self.membership.chosen(WATCHER)),
             ("relay.platform_age", self.membership.freshness(self.clock.elapsed())),
             ("relay.failed_readings", self.failed_readings),
+            ("relay.loop_faults", self.loop_faults),
         ]
 
     # Reading the platform.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -116,3 +116,19 @@
         await until(lambda: a.is_connected("b"))
         assert a.send("b", StatePull(1))
         assert await queue.get() == ("a", StatePull(1))
+
+
+async def test_a_subscriber_that_fails_does_not_stop_the_others():
+    with started(plain("a"), plain("b")) as (a, b):
+
+        def fail(sender, message):
+            raise ZeroDivisionError
+
+        b.subscribe(StatePull, fail)
+        queue = received_by(b)
+        a.connect("b", b.address)
+        await until(lambda: a.is_connected("b"))
+        for number in range(5):
+            a.send("b", StatePull(number))
+        assert [(await queue.get())[1].since_revision for _ in range(5)] == list(range(5))
+        assert b.subscriber_faults == 5
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -197,3 +197,21 @@
         row = MemberRow("b", "z", "r", "127.0.0.1:2", incarnation)
         runner._on_message("b", Join(row))
         assert peers.attempts == 1 + incarnation
+
+
+async def test_a_loop_that_fails_is_started_again():
+    async with site(("a1", "a2")) as made:
+        relay = made.relays["a1"]
+        tick, failed = relay.membership.tick, []
+
+        def fail_once(now):
+            if not failed:
+                failed.append(now)
+                raise ZeroDivisionError
+            return tick(now)
+
+        relay.membership.tick = fail_once
+        await until(lambda: relay.loop_faults == 1)
+        await made.relays["a2"].put(PREFIX + "k", b"1", 0)
+        await made.everybody_has(PREFIX + "k", b"1")
+        await made.everybody_has_met()
