Servers' own words and losses reach the planner at once; services without keys use health and load

Found by reading: after an attempt that may have run, a later attempt that certainly did not let the router answer 'not run' (test_not_run_is_not_said_when_an_earlier_attempt_may_have_run fails without the change). Gates report at once when a session opens or ends and when a server says that it is leaving; a server that comes back starts slowly and is cold for the planner. Services without keys choose among two by load and by own observation of health, and the gate gets the choice.

--- a/fireflylock/exchange.py
+++ b/fireflylock/exchange.py
@@ -91,6 +91,8 @@
         Whether the request may be sent twice.
     idempotency_key : str
         The caller's ``Idempotency-Key``, or empty.
+    server : str
+        The backend server that was chosen; empty where the key decides.
     """
 
     request_id: str
@@ -105,6 +107,7 @@
     deadline: Instant
     idempotent: bool
     idempotency_key: str = ""
+    server: str = ""
 
 
 @dataclass
--- a/fireflylock/forward_codec.py
+++ b/fireflylock/forward_codec.py
@@ -86,6 +86,7 @@
         deadline_ms=left // MILLISECOND,
         idempotent=request.idempotent,
         idempotency_key=request.idempotency_key,
+        server=request.server,
         response_window=response_window,
         assignment_revision=assignment_revision,
     )
@@ -106,6 +107,7 @@
         deadline=deadline,
         idempotent=message.idempotent,
         idempotency_key=message.idempotency_key,
+        server=message.server,
     )
 
 
--- a/fireflylock/gate.py
+++ b/fireflylock/gate.py
@@ -18,6 +18,12 @@
 LONGEST_IDLE = timedelta(milliseconds=50)
 # How long requests are held back before a gate epoch ends that fences what is under way.
 LONGEST_PAUSE = timedelta(milliseconds=500)
+# A refusal because of draining says nothing about the present after so long.
+DRAINING_LIFETIME = timedelta(seconds=5)
+# The detail of a typed refusal by a server that is leaving.
+DRAINING = "draining"
+# How long a server that comes back takes to get its full load.
+SLOW_START = timedelta(seconds=3)
 DRAIN_POLL = timedelta(milliseconds=5)
 
 
@@ -134,6 +140,9 @@
         self.paused = False
         self.stood_down = False
         self.refused = 0
+        self.refused_draining_at: Instant | None = None
+        self.was_open = False
+        self.opened_before = False
         self.on_progress: Callable[[Gate], None] = lambda _gate: None
 
     async def handle(self, request: Request, unit: int, epoch: int) -> Response:
@@ -164,12 +173,20 @@
         try:
             headers = self.headers(request, unit, epoch)
             response = await self.pool.exchange(request, headers, before_send)
-        except BaseException:
+        except BaseException as error:
+            self.note_refusal(error)
             finish(False)
             raise
         response.body = FinishingBody(response.body, finish)
         return response
 
+    def note_refusal(self, error: BaseException) -> None:
+        """Remember when the server said that it takes no new request."""
+        if not isinstance(error, RequestError) or error.kind is not ErrorKind.SERVER_REFUSED:
+            return
+        if error.detail == DRAINING:
+            self.refused_draining_at = self.clock.elapsed()
+
     def check(self, request: Request, unit: int, epoch: int) -> None:
         """Raise unless the request may be handed to the transport in this very step."""
         now = self.clock.elapsed()
@@ -317,6 +334,26 @@
         """Whether no request is queued or under way."""
         return not self.waiting and not any(self.running.values())
 
+    @property
+    def draining(self) -> bool:
+        """Whether the server itself takes no new requests, by what this gate has seen."""
+        if self.session.draining:
+            return True
+        at = self.refused_draining_at
+        return at is not None and self.clock.elapsed() - at < DRAINING_LIFETIME
+
+    def note_state(self) -> bool:
+        """Return whether the session has opened or ended since the last look.
+
+        A server that comes back is cold: it gets its load step by step.
+        """
+        changed = self.open != self.was_open
+        if changed and self.open and self.opened_before:
+            self.admission.begin_slow_start(self.clock.elapsed(), SLOW_START)
+        self.opened_before = self.opened_before or self.open
+        self.was_open = self.open
+        return changed
+
     @property
     def open(self) -> bool:
         """Whether the server accepts requests from this gate."""
--- a/fireflylock/gatekeeper.py
+++ b/fireflylock/gatekeeper.py
@@ -143,12 +143,10 @@
         return await self.windows.orders_of(service).handle(request, unit, sender)
 
     async def handle_without_key(self, service: Service, request: Request) -> Response:
-        """Answer a request of a service without keys through the least busy gate here."""
-        gates = [gate for gate in self.gates.values() if gate.service.name == service.name]
-        usable = [gate for gate in gates if gate.open and not gate.admission.draining]
-        if not usable:
-            raise RequestError(ErrorKind.MOVED, f"{self.me} has no open gate of {service.name}")
-        gate = min(usable, key=lambda found: found.running[WHOLE_SERVICE] + len(found.waiting))
+        """Answer a request of a service without keys through the gate that was chosen."""
+        gate = self.gates.get(request.server)
+        if gate is None or gate.service.name != service.name or not gate.open:
+            raise RequestError(ErrorKind.MOVED, f"{self.me} has no open gate of {request.server}")
         self.on_request(gate, request, WHOLE_SERVICE)
         epoch = gate.session.granted.get(WHOLE_SERVICE, 0)
         return await gate.handle(request, WHOLE_SERVICE, epoch)
--- a/fireflylock/load_reports.py
+++ b/fireflylock/load_reports.py
@@ -12,12 +12,12 @@
 from fireflylock.loads import UnitLoads
 from fireflylock.loadview import LoadView, ServerView, expected_hot_keys
 from fireflylock.messages import LoadReport
-from fireflylock.model import Configuration, Service
+from fireflylock.model import BackendServer, Configuration, ServerState, Service
 
 HOT_KEYS_REPORTED = 20
 # A report that is older says nothing about the present.
 REPORT_LIFETIME = timedelta(seconds=30)
-# Gates report only while they have a session with their server.
+# Gates report every second, and at once when a session opens or ends.
 SESSION_LOST_AFTER = timedelta(milliseconds=2500)
 SECOND = timedelta(seconds=1)
 
@@ -58,6 +58,8 @@
             len(gate.waiting),
             refused,
             period // timedelta(milliseconds=1),
+            gate.open,
+            gate.draining,
         )
 
 
@@ -75,12 +77,19 @@
         When the last report came.
     refused : int
         Requests refused since the first report.
+    session_open, draining : bool
+        Whether the server accepts requests, and whether it said that it is leaving.
+    cold_since : timedelta or None
+        When it came back after a loss; None when it never was lost.
     """
 
     units: dict[int, float] = field(default_factory=dict)
     hot_keys: dict[str, float] = field(default_factory=dict)
     received_at: Instant = timedelta(0)
     refused: int = 0
+    session_open: bool = True
+    draining: bool = False
+    cold_since: Instant | None = None
 
 
 class ServiceReports:
@@ -106,12 +115,34 @@
         known.hot_keys = dict(message.hot_keys)
         known.refused += message.refused
         known.received_at = now
+        if message.session_open and not known.session_open:
+            known.cold_since = now
+        known.session_open = message.session_open
+        known.draining = message.draining
 
     def is_reachable(self, now: Instant, server: str) -> bool:
-        """Return whether the server's gate reported lately, or may not have had the time."""
+        """Return whether the server accepts requests, as far as reports tell.
+
+        A member that is not the planner gets no reports and knows nothing against a server.
+        """
+        known = self.servers.get(server)
+        if known is not None and now - known.received_at <= SESSION_LOST_AFTER:
+            return known.session_open
+        others = any(now - one.received_at <= SESSION_LOST_AFTER for one in self.servers.values())
+        listening = now - self.started_at > SESSION_LOST_AFTER
+        return not (others and listening)
+
+    def state(self, server: BackendServer) -> ServerState:
+        """Return what is wanted of the server, or that it is leaving by its own word."""
+        known = self.servers.get(server.name)
+        if server.state is ServerState.IN and known is not None and known.draining:
+            return ServerState.DRAINING
+        return server.state
+
+    def cold_since(self, server: str) -> Instant | None:
+        """Return when the server came back cold, or None."""
         known = self.servers.get(server)
-        heard_at = self.started_at if known is None else known.received_at
-        return now - heard_at <= SESSION_LOST_AFTER
+        return None if known is None else known.cold_since
 
     def fresh(self, now: Instant) -> dict[str, ServerReports]:
         """Return the servers whose last report still counts."""
@@ -164,8 +195,6 @@
 
     Attributes
     ----------
-    cold_since : dict of str to timedelta
-        When servers that are still cold came up.
     moving : frozenset of int
         Units whose move is under way.
     keys_moved_last_hour : float
@@ -174,7 +203,6 @@
         Since local midnight.
     """
 
-    cold_since: dict[str, Instant] = field(default_factory=dict)
     moving: frozenset[int] = frozenset()
     keys_moved_last_hour: float = 0.0
     time_of_day: timedelta = timedelta(0)
@@ -194,8 +222,8 @@
             server.name,
             server.zone,
             float(service.concurrency_limit),
-            server.state,
-            state.cold_since.get(server.name),
+            reports.state(server),
+            reports.cold_since(server.name),
             reports.is_reachable(now, server.name),
         )
         for server in configuration.servers_of(service.name)
--- a/fireflylock/messages.py
+++ b/fireflylock/messages.py
@@ -265,6 +265,8 @@
         Whether the request may be sent twice.
     idempotency_key : str
         The caller's key, or empty.
+    server : str
+        The backend server that was chosen; empty where the key decides.
     response_window : int
         Bytes of the response's body that may be under way.
     assignment_revision : int
@@ -285,6 +287,7 @@
     deadline_ms: int
     idempotent: bool
     idempotency_key: str = ""
+    server: str = ""
     response_window: int = 0
     assignment_revision: int = 0
 
@@ -464,6 +467,10 @@
         Requests that wait now, and that were refused in the period.
     period_ms : int
         Length of the period.
+    session_open : bool
+        Whether the server accepts requests from its gate.
+    draining : bool
+        Whether the server itself refuses new requests.
     """
 
     service: str
@@ -473,6 +480,8 @@
     queue: int
     refused: int
     period_ms: int
+    session_open: bool = True
+    draining: bool = False
 
 
 # Gates, standbys and the idempotency window.
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -239,7 +239,7 @@
             self.peers.send,
             self.clock,
         )
-        self.gatekeeper.on_progress = self.recovery.on_progress
+        self.gatekeeper.on_progress = self.on_gate_progress
         self.gatekeeper.on_request = self.count_request
 
     def build_edge(self, callers_context: ssl.SSLContext | None) -> None:
@@ -328,18 +328,26 @@
 
     def report_loads(self) -> None:
         """Send each gate's load to the planner of its service."""
-        now = self.clock.elapsed()
         gates = self.gatekeeper.gates
         for server in list(self.gate_loads):
             if server not in gates:
                 del self.gate_loads[server]
-        for server, gate in gates.items():
-            if not gate.open:
-                continue
-            load = self.gate_loads.setdefault(server, GateLoad(now))
-            planner = self.fleet.planner_of(gate.service.name)
-            if planner:
-                self.peers.send(planner, load.report(now, gate))
+        for gate in gates.values():
+            self.report_load(gate)
+
+    def report_load(self, gate: Gate) -> None:
+        """Send one gate's load to the planner of its service."""
+        now = self.clock.elapsed()
+        load = self.gate_loads.setdefault(gate.server.name, GateLoad(now))
+        planner = self.fleet.planner_of(gate.service.name)
+        if planner:
+            self.peers.send(planner, load.report(now, gate))
+
+    def on_gate_progress(self, gate: Gate) -> None:
+        """Look at a gate after each step of its session."""
+        if gate.note_state():
+            self.report_load(gate)
+        self.recovery.on_progress(gate)
 
     async def start(self) -> None:
         """Begin to serve.
--- a/fireflylock/rebalancer.py
+++ b/fireflylock/rebalancer.py
@@ -168,7 +168,9 @@
             if self.book.get(name) is None:
                 return True
         for server in configuration.servers.values():
-            if server.state is ServerState.IN or server.service not in mine:
+            if server.service not in mine:
+                continue
+            if self.reports_of(server.service).state(server) is ServerState.IN:
                 continue
             if self.book.get(server.service).units_of(server.name):
                 return True
--- a/fireflylock/router.py
+++ b/fireflylock/router.py
@@ -12,6 +12,7 @@
 from fireflylock.exchange import Body, Handler, Request, Response
 from fireflylock.model import Configuration, Service
 from fireflylock.retry import RetryBudget, may_retry
+from fireflylock.server_choice import ServerChoice
 
 # How long a request waits for a move or a takeover that is under way, before it is
 # answered "not run".  A takeover is meant to take less than a second.
@@ -89,22 +90,6 @@
         await self.body.close()
 
 
-class Destination:
-    """Where one attempt goes.
-
-    Attributes
-    ----------
-    member : str
-        The entry VM that is the gate.
-    server : str
-        The backend server.
-    """
-
-    def __init__(self, member: str, server: str) -> None:
-        self.member = member
-        self.server = server
-
-
 class Router(Handler):
     """Finds the gate for each request and tries again while it certainly did not run.
 
@@ -147,7 +132,7 @@
         self.retries = retries
         self.clock = clock
         self.rng = rng or random.Random()
-        self.outstanding: dict[str, int] = {}
+        self.choices: dict[str, ServerChoice] = {}
 
     async def handle(self, request: Request) -> Response:
         """Answer `request`; see `Handler.handle`."""
@@ -158,16 +143,18 @@
         start = self.clock.elapsed()
         give_up_at = min(start + TAKEOVER_PATIENCE, request.deadline)
         pause = FIRST_PAUSE
+        may_have_run = False
         while True:
             try:
                 return await self.attempt(request)
             except RequestError as error:
+                may_have_run = may_have_run or not error.not_run
                 if isinstance(error, ZoneCutOffError):
-                    raise self.final(error) from None
+                    raise self.final(error, may_have_run) from None
                 if body.touched or not self.may_try_again(request, error, budget):
-                    raise self.final(error) from None
+                    raise self.final(error, may_have_run) from None
                 if self.clock.elapsed() + pause >= give_up_at:
-                    raise self.final(error) from None
+                    raise self.final(error, may_have_run) from None
             await self.view.wait_for_change(pause)
             pause = min(pause * 2, LONGEST_PAUSE)
 
@@ -178,45 +165,43 @@
             return False
         return error.kind not in BUDGETED_KINDS or budget.try_spend()
 
-    def final(self, error: RequestError) -> RequestError:
-        """Return `error` with a time to come back."""
+    def final(self, error: RequestError, may_have_run: bool) -> RequestError:
+        """Return the answer to give after the last attempt ended with `error`.
+
+        The last attempt may be certain not to have run while an earlier one is not.
+        """
+        if may_have_run and error.not_run:
+            return RequestError(ErrorKind.OUTCOME_UNKNOWN, f"at last: {error}")
         if error.retry_after is not None or not error.answer.retryable:
             return error
         return RequestError(error.kind, error.detail, RETRY_AFTER)
 
     async def attempt(self, request: Request) -> Response:
-        """Send `request` to the gate once."""
-        destination = self.destination(request)
-        self.outstanding[destination.server] = self.outstanding.get(destination.server, 0) + 1
-        try:
-            if destination.member == self.me:
-                return await self.local.handle(request)
-            if not self.view.is_live(destination.member):
-                raise RequestError(
-                    ErrorKind.OWNER_UNREACHABLE, f"{destination.member} does not answer"
-                )
-            return await self.remote(destination.member, request)
-        finally:
-            self.outstanding[destination.server] -= 1
+        """Send `request` to a gate once."""
+        service = self.view.configuration().services.get(request.service)
+        assignment = self.view.assignment(request.service)
+        if service is None or assignment is None:
+            raise RequestError(ErrorKind.NO_CONFIGURATION)
+        if service.keyed:
+            return await self.send(request, self.gate_of_owner(request, assignment))
+        return await self.send_to_any(request, service, assignment)
+
+    async def send(self, request: Request, member: str) -> Response:
+        """Have the gate on `member` answer `request`."""
+        if member == self.me:
+            return await self.local.handle(request)
+        if not self.view.is_live(member):
+            raise RequestError(ErrorKind.OWNER_UNREACHABLE, f"{member} does not answer")
+        return await self.remote(member, request)
 
-    def destination(self, request: Request) -> Destination:
-        """Return the gate and the backend server for `request`.
+    def gate_of_owner(self, request: Request, assignment: Assignment) -> str:
+        """Return the entry VM that sends to the one owner of the request's key.
 
         Raises
         ------
         RequestError
             Nobody can be asked now.
         """
-        service = self.view.configuration().services.get(request.service)
-        assignment = self.view.assignment(request.service)
-        if service is None or assignment is None:
-            raise RequestError(ErrorKind.NO_CONFIGURATION)
-        if service.keyed:
-            return self.owner(request, assignment)
-        return self.less_loaded(service, assignment)
-
-    def owner(self, request: Request, assignment: Assignment) -> Destination:
-        """Return the gate of the one owner of the request's key."""
         ownership = assignment.owner_of(request.key)
         if ownership is None or ownership.server == NO_SERVER:
             raise RequestError(ErrorKind.NO_OWNER)
@@ -227,24 +212,32 @@
             raise ZoneCutOffError(ErrorKind.OWNER_UNREACHABLE, "the key's zone is cut off")
         if gate.standby and not self.view.is_live(gate.member):
             # The standby may have claimed the server while nothing can be recorded.
-            return Destination(gate.standby, ownership.server)
-        return Destination(gate.member, ownership.server)
-
-    def less_loaded(self, service: Service, assignment: Assignment) -> Destination:
-        """Return the less busy of two backend servers picked at random, near ones first."""
-        servers = self.view.configuration().servers
-        reachable = []
-        for name, gate in assignment.gates.items():
-            if name not in servers or servers[name].state.value != "in":
-                continue
-            if gate.member == self.me or self.view.is_live(gate.member):
-                reachable.append(Destination(gate.member, name))
-        if not reachable:
-            raise RequestError(ErrorKind.NO_OWNER, f"no backend server of {service.name}")
-        near = [found for found in reachable if servers[found.server].zone == self.zone]
-        candidates = near or reachable
-        pair = self.rng.sample(candidates, min(2, len(candidates)))
-        return min(pair, key=lambda found: self.outstanding.get(found.server, 0))
+            return gate.standby
+        return gate.member
+
+    async def send_to_any(
+        self, request: Request, service: Service, assignment: Assignment
+    ) -> Response:
+        """Have the least busy backend server that is near and well answer `request`."""
+        choice = self.choices.get(service.name)
+        if choice is None or choice.service != service:
+            choice = self.choices[service.name] = ServerChoice(service, self.zone, self.rng)
+        choice.follow(self.view.configuration(), assignment)
+        gates = assignment.gates
+        reachable = [name for name, gate in gates.items() if self.is_reachable(gate.member)]
+        request.server = choice.pick(self.clock.elapsed(), reachable)
+        failure: RequestError | None = None
+        try:
+            return await self.send(request, gates[request.server].member)
+        except RequestError as error:
+            failure = error
+            raise
+        finally:
+            choice.ended(self.clock.elapsed(), request.server, failure)
+
+    def is_reachable(self, member: str) -> bool:
+        """Return whether `member` is this entry VM or one that is live."""
+        return member == self.me or self.view.is_live(member)
 
 
 class Changes:
--- a/fireflylock/session.py
+++ b/fireflylock/session.py
@@ -89,8 +89,10 @@
         As of the last call with an instant.
     """
 
-    # Only sessions with servers that check grants can be ended for good.
+    # Only sessions with servers that check grants can be ended for good, or hear from the
+    # server itself that it is leaving.
     sealed = False
+    draining = False
 
     def __init__(
         self, server: str, gate_epoch: GateEpoch, timing: SessionTiming, now: Instant
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,169 @@
+"""Tests of the router: where requests go, when they are tried again, what is answered."""
+
+import random
+from datetime import timedelta
+
+import pytest
+
+from fireflylock.assignment import Assignment, GateRecord, Ownership
+from fireflylock.clock import FakeClock
+from fireflylock.exceptions import ErrorKind, RequestError
+from fireflylock.exchange import BytesBody, Handler, Request, Response
+from fireflylock.model import BackendServer, Configuration, Service
+from fireflylock.retry import RetryBudget
+from fireflylock.router import RETRY_AFTER, TAKEOVER_PATIENCE, Router, RoutingView
+
+SECOND = timedelta(seconds=1)
+SERVERS = {
+    name: BackendServer(name, "desk", f"vm-{name}", zone, "127.0.0.1", 1)
+    for name, zone in (("mesa-01", "rosario"), ("mesa-02", "parana"))
+}
+GATES = {"mesa-01": GateRecord("entry-1", 1), "mesa-02": GateRecord("entry-2", 1, "entry-3")}
+
+
+class View(RoutingView):
+    """A fixed world on a fake clock."""
+
+    def __init__(self, clock: FakeClock, keyed: bool, owner: str) -> None:
+        self.clock = clock
+        self.lost: set[str] = set()
+        self.cut: set[str] = set()
+        service = Service("desk", keyed=keyed, hash_slots=1)
+        self.content = Configuration(1, services={"desk": service}, servers=SERVERS)
+        units = {0: Ownership(owner, 1)} if keyed else {}
+        self.assigned = Assignment("desk", 1, units, gates=GATES, revision=1)
+
+    def configuration(self):
+        return self.content
+
+    def assignment(self, service):
+        return self.assigned
+
+    def is_live(self, member):
+        return member not in self.lost
+
+    def is_cut_off(self, member):
+        return member in self.cut
+
+    async def wait_for_change(self, timeout):
+        self.clock.advance(timeout)
+
+
+class Gates(Handler):
+    """Answers as told, and remembers who was asked."""
+
+    def __init__(self, *answers: ErrorKind | None) -> None:
+        self.answers = list(answers)
+        self.asked: list[tuple[str, str]] = []
+
+    async def handle(self, request):
+        return await self.remote("entry-1", request)
+
+    async def remote(self, member, request):
+        self.asked.append((member, request.server))
+        kind = self.answers.pop(0) if self.answers else None
+        if kind is not None:
+            raise RequestError(kind)
+        return Response(200)
+
+
+class World:
+    """A router of entry-1 in Rosario, and what surrounds it."""
+
+    def __init__(self, *answers, keyed=True, owner="mesa-02", budget=None) -> None:
+        self.clock = FakeClock()
+        self.view = View(self.clock, keyed, owner)
+        self.gates = Gates(*answers)
+        self.budget = budget or RetryBudget()
+        self.router = Router(
+            "entry-1",
+            "rosario",
+            self.view,
+            self.gates,
+            self.gates.remote,
+            lambda _service: self.budget,
+            self.clock,
+            random.Random(1),
+        )
+
+    async def ask(self, idempotent=True) -> Response:
+        method = "GET" if idempotent else "POST"
+        deadline = self.clock.elapsed() + 10 * SECOND
+        return await self.router.handle(
+            Request("r", "desk", "k", "k", method, b"/", [], BytesBody(), 0, deadline, idempotent)
+        )
+
+    async def refused(self, idempotent=True) -> RequestError:
+        with pytest.raises(RequestError) as caught:
+            await self.ask(idempotent)
+        return caught.value
+
+
+async def test_a_request_goes_to_the_gate_of_its_owner():
+    world = World()
+    assert (await world.ask()).status == 200
+    assert world.gates.asked == [("entry-2", "")]
+
+
+async def test_the_standby_is_asked_when_the_gate_is_lost():
+    world = World()
+    world.view.lost = {"entry-2"}
+    await world.ask()
+    assert world.gates.asked == [("entry-3", "")]
+
+
+async def test_an_order_waits_for_a_move_and_is_sent_once():
+    world = World(ErrorKind.MOVED, ErrorKind.MOVED, None)
+    assert (await world.ask(idempotent=False)).status == 200
+
+
+@pytest.mark.parametrize("kind", [ErrorKind.OUTCOME_UNKNOWN, ErrorKind.SERVER_REFUSED])
+async def test_an_order_that_may_have_reached_its_server_is_never_sent_again(kind):
+    world = World(kind)
+    assert (await world.refused(idempotent=False)).kind is kind
+    assert len(world.gates.asked) == 1
+
+
+async def test_not_run_is_not_said_when_an_earlier_attempt_may_have_run():
+    world = World(ErrorKind.OUTCOME_UNKNOWN, *[ErrorKind.NO_OWNER] * 50)
+    error = await world.refused()
+    assert error.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+async def test_a_request_that_is_given_up_says_when_to_come_back():
+    world = World(*[ErrorKind.NO_OWNER] * 100)
+    error = await world.refused()
+    assert error.kind is ErrorKind.NO_OWNER
+    assert error.retry_after == RETRY_AFTER
+    assert world.clock.elapsed() <= TAKEOVER_PATIENCE
+
+
+async def test_a_key_in_a_zone_that_is_cut_off_is_refused_at_once():
+    world = World()
+    world.view.cut = {"entry-2"}
+    error = await world.refused()
+    assert error.kind is ErrorKind.OWNER_UNREACHABLE
+    assert world.clock.elapsed() == timedelta(0)
+    assert world.gates.asked == []
+
+
+async def test_retries_stay_within_their_budget():
+    budget = RetryBudget(share=0.0, reserve=2.0)
+    world = World(*[ErrorKind.SERVER_UNREACHABLE] * 50, budget=budget)
+    await world.refused()
+    assert len(world.gates.asked) == 3
+
+
+async def test_without_keys_near_servers_go_first_and_failing_ones_are_left_out():
+    world = World(keyed=False)
+    for _ in range(20):
+        await world.ask()
+    near = sum(server == "mesa-01" for _, server in world.gates.asked)
+    assert near > 15
+    world = World(*[ErrorKind.SERVER_UNREACHABLE] * 12, keyed=False)
+    for _ in range(30):
+        try:
+            await world.ask()
+        except RequestError:
+            continue
+    assert {server for _, server in world.gates.asked} == {"mesa-01", "mesa-02"}
