--- a/fireflylock/load_reports.py
+++ b/fireflylock/load_reports.py
@@ -17,8 +17,8 @@
 HOT_KEYS_REPORTED = 20
 # A report that is older says nothing about the present.
 REPORT_LIFETIME = timedelta(seconds=30)
-# Gates report every second, and at once when a session opens or ends.
-SESSION_LOST_AFTER = timedelta(milliseconds=2500)
+# Gates report every few seconds, and at once when a session opens or ends.
+SESSION_LOST_AFTER = timedelta(seconds=12)
 SECOND = timedelta(seconds=1)
 
 
@@ -201,11 +201,20 @@
         Keys that moved by choice with their hash slots.
     time_of_day : timedelta
         Since local midnight.
+    live : frozenset of str
+        Entry VMs that can be reached; a server whose gate is on another one gets nothing.
     """
 
     moving: frozenset[int] = frozenset()
     keys_moved_last_hour: float = 0.0
     time_of_day: timedelta = timedelta(0)
+    live: frozenset[str] = frozenset()
+
+
+def gate_is_live(assignment: Assignment, server: str, live: frozenset[str]) -> bool:
+    """Return whether the server has a gate on one of the entry VMs in `live`."""
+    record = assignment.gates.get(server)
+    return record is not None and record.member in live
 
 
 def load_view(
@@ -224,7 +233,8 @@
             float(service.concurrency_limit),
             reports.state(server),
             reports.cold_since(server.name),
-            reports.is_reachable(now, server.name),
+            gate_is_live(assignment, server.name, state.live)
+            and reports.is_reachable(now, server.name),
         )
         for server in configuration.servers_of(service.name)
     }
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -77,7 +77,6 @@
 GONE_PERIOD = timedelta(seconds=1)
 ZONE_PERIOD = timedelta(milliseconds=250)
 RIGHTS_PERIOD = timedelta(milliseconds=500)
-REPORT_PERIOD = timedelta(seconds=1)
 PAUSE_AFTER_FAILURE = timedelta(milliseconds=500)
 
 
@@ -365,7 +364,7 @@
         self.every(TAKEOVER_PERIOD, self.takeover.look)
         self.every(GONE_PERIOD, self.recovery.look_for_gone)
         self.every(TAKE_BACK_PERIOD, self.releases.take_back)
-        self.every(REPORT_PERIOD, as_coroutine(self.report_loads))
+        self.every(timing.plan, as_coroutine(self.report_loads))
         self.every(RIGHTS_PERIOD, as_coroutine(self.links.give_rights))
         self.every(ZONE_PERIOD, as_coroutine(self.zone_watch.look_at_gates))
         self.every(ZONE_PERIOD, self.zone_watch.look_at_zones)
--- a/fireflylock/rebalancer.py
+++ b/fireflylock/rebalancer.py
@@ -137,6 +137,7 @@
             moving=frozenset(self.mover.moving.get(service_name, ())),
             keys_moved_last_hour=self.keys_moved(service_name),
             time_of_day=self.time_of_day(),
+            live=frozenset(self.fleet.live_names()),
         )
         return load_view(
             self.clock.elapsed(),
