--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 
-.PHONY: install test lint format demo bench bounds explore mutants clean
+.PHONY: install test lint format demo stay bench bounds explore mutants clean
 
 install: $(VENV)/installed
 
@@ -26,6 +26,10 @@
 demo: install
 	$(PYTHON) -m demo
 
+# One deployment that runs until Ctrl-C, for trying things by hand.
+stay: install
+	$(PYTHON) -m demo --stay
+
 bench: install
 	$(PYTHON) -m bench load --json
 	$(PYTHON) -m bench cost --json
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -39,6 +39,8 @@
     for plan in PLANS:
         if options.only not in (None, plan.name):
             continue
+        if (folder / plan.name).exists():
+            raise DemoError(f"{folder / plan.name} exists already; name another folder to keep")
         run = Run(plan, folder / plan.name, options.seconds, options.rate, options.seed)
         if options.stay:
             await run.stay()
--- a/demo/run.py
+++ b/demo/run.py
@@ -84,21 +84,34 @@
         """Start everything and leave it running until interrupted."""
         try:
             await self.start()
-            vm = self.deployment.vms()[0]
-            service = self.deployment.configuration.services[min(self.plan.servers)]
-            host = vm.admin_address.rpartition(":")[0]
-            self.say(
-                f"\nCallers:   curl -H 'X-Key: molino' http://{host}:{CALLERS_PORT}"
-                f"{service.path_prefix}/state\n"
-                f"Operators: export FIREFLYLOCK_ADMIN={vm.admin_address} "
-                f"FIREFLYLOCK_TOKEN_FILE={self.deployment.token_file}\n"
-                "           fireflylock status\n"
-                "Ctrl-C ends everything."
-            )
+            self.say(self.invitation())
             await asyncio.Event().wait()
         finally:
             self.end()
 
+    def invitation(self) -> str:
+        """Return what callers and operators can type while everything runs."""
+        vm = self.deployment.vms()[0]
+        callers = f"http://{vm.admin_address.rpartition(':')[0]}:{CALLERS_PORT}"
+        services = self.deployment.configuration.services
+        few, many = sorted(self.plan.servers, key=self.plan.servers.__getitem__)
+        read = f"{callers}{services[few].path_prefix}"
+        order = f"{callers}{services[many].path_prefix}/orders"
+        return "\n".join(
+            (
+                "\nCallers:",
+                f"  curl -i -H 'X-Key: molino' {read}/state",
+                f"  curl -i -H 'X-Key: molino' -H 'Idempotency-Key: order-1' -d sacks {order}",
+                f"  curl -o /dev/null -H 'X-Key: molino' '{read}/blob?bytes=100000000'",
+                "Operators:",
+                f"  export PATH={Path(sys.executable).parent}:$PATH",
+                f"  export FIREFLYLOCK_ADMIN={vm.admin_address}",
+                f"  export FIREFLYLOCK_TOKEN_FILE={self.deployment.token_file}",
+                "  fireflylock status",
+                "Ctrl-C ends everything.",
+            )
+        )
+
     def end(self) -> None:
         """End everything that was started."""
         self.processes.stop(first=[vm.name for vm in self.deployment.vms()])
--- a/fireflylock/commands.py
+++ b/fireflylock/commands.py
@@ -156,7 +156,8 @@
             self.show(report, "\n".join(report["problems"]) + "\nNothing was applied.")
             return FAILED
         version = report["version"] if expected is None else expected
-        if not report["changes"]:
+        # An expected version that is not in force is left to the API, which refuses it.
+        if not report["changes"] and version == report["version"]:
             self.show(report, f"Nothing would change; version {version} stays.")
             return OK
         sheet = decode_sheet(Path(file).read_bytes())
--- a/fireflylock/gatekeeper.py
+++ b/fireflylock/gatekeeper.py
@@ -262,7 +262,7 @@
         task = asyncio.create_task(self.finish(gate))
         self.closing.add(task)
         task.add_done_callback(self.closing.discard)
-        LOG.info("gate_closed", server=server)
+        LOG.info("gate closed", server=server)
 
     async def finish(self, gate: Gate) -> None:
         """Let a gate's last requests end, then close its connections."""
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -125,6 +125,10 @@
         assert seen == {"entrada-1": True, "entrada-2": True, "entrada-3": False}
         assert await system.tool("sheet", "apply", str(sheet)) == cmdline.OK
         assert system.node.current.version == 8
+        # Nothing would change, but not for the version that the operator expects.
+        stale = ("sheet", "apply", str(sheet), "--expected-version", "7")
+        assert await system.tool(*stale) == cmdline.STALE
+        assert "version 8 is in force" in capsys.readouterr().err
 
 
 async def test_nothing_of_a_sheet_with_a_mistake_is_applied(tmp_path, capsys):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -79,3 +79,12 @@
     assert alerts == re.findall(r"^### (Fireflylock\w+)$", PAGE, re.MULTILINE)
     used = set(re.findall(r"\b(fireflylock_\w+)", ALERTS))
     assert {name.removesuffix("_bucket") for name in used} <= metric_names()
+
+
+@pytest.mark.parametrize(
+    "page", [*ROOT.glob("*.md"), *(ROOT / "docs").rglob("*.md")], ids=lambda page: page.name
+)
+def test_every_link_between_pages_leads_somewhere(page):
+    targets = re.findall(r"\]\(([^)#\s]+)", page.read_text("utf-8"))
+    local = [target for target in targets if "://" not in target]
+    assert [target for target in local if not (page.parent / target).exists()] == []
