An order's body is part of what makes it the same; short bodies are kept for every attempt

Cause: the fingerprint of an order covered method, target and body length, so that a second order under a used Idempotency-Key with another body of that length got the first one's answer (seen: '300 sacks', then '400 sacks'). Change: the router keeps the body of an order up to 64 KiB, which also lets an attempt that certainly did not run be repeated. Log events are words with spaces throughout.

--- a/fireflylock/assignments.py
+++ b/fireflylock/assignments.py
@@ -86,7 +86,7 @@
         try:
             assignment = decode(data, revision)
         except ProtocolError as error:
-            LOG.error("assignment_not_valid", key=key, revision=revision, reason=str(error))
+            LOG.error("assignment not valid", key=key, revision=revision, reason=str(error))
             return None
         present = self.assignments.get(assignment.service)
         if present is not None and present.revision >= revision:
--- a/fireflylock/gate.py
+++ b/fireflylock/gate.py
@@ -408,8 +408,7 @@
             ("gate_epoch", "{}.{}".format(*self.session.gate_epoch)),
             ("session", self.session.state.value),
             ("session_over", self.session.over(now)),
-            ("running", sum(self.running.values())),
-            ("waiting", len(self.waiting)),
+            ("in flight", sum(self.running.values())),
             ("closing", self.closing),
             ("stood_down", self.stood_down),
         ]
--- a/fireflylock/mover.py
+++ b/fireflylock/mover.py
@@ -143,7 +143,7 @@
 
     def on_refused(self, sender: str, message: ReleaseRefused) -> None:
         """Take the answer of a gate that did not release units."""
-        LOG.info("release_refused", server=message.server, reason=message.reason)
+        LOG.info("release refused", server=message.server, reason=message.reason)
         future = self.waiting.get((message.server, message.change_id))
         if future is not None and not future.done():
             future.set_result(None)
@@ -162,7 +162,7 @@
         try:
             await self.book.update(service, change)
         except PlatformError as error:
-            LOG.warning("moves_not_recorded", service=service, reason=str(error))
+            LOG.warning("moves not recorded", service=service, reason=str(error))
             return 0
         return changed
 
--- a/fireflylock/orders.py
+++ b/fireflylock/orders.py
@@ -180,8 +180,13 @@
 
 
 def fingerprint(request: Request) -> bytes:
-    """Return a digest of what makes two requests the same, apart from the body's bytes."""
-    parts = (request.method.encode(), request.target, str(request.body_length).encode())
+    """Return a digest of what makes two requests the same.
+
+    Of a body that is not in memory only the length counts.
+    """
+    body = request.body
+    content = body.data if isinstance(body, BytesBody) else b""
+    parts = (request.method.encode(), request.target, str(request.body_length).encode(), content)
     return xxhash.xxh3_128_digest(b"\0".join(parts))
 
 
--- a/fireflylock/rebalancer.py
+++ b/fireflylock/rebalancer.py
@@ -128,7 +128,7 @@
             await self.book.writer.refresh(self.book.key(service.name))
             await self.book.update(service.name, change)
         except PlatformError as error:
-            LOG.info("assignment_not_created", service=service.name, reason=str(error))
+            LOG.info("assignment not created", service=service.name, reason=str(error))
 
     def view(self, service_name: str, assignment: Assignment) -> LoadView:
         """Return what is known of a service's load."""
--- a/fireflylock/recovery.py
+++ b/fireflylock/recovery.py
@@ -149,14 +149,14 @@
         try:
             written = await self.book.update(service, change)
         except PlatformError as error:
-            LOG.info("recovery_not_recorded", server=server, reason=str(error))
+            LOG.info("recovery not recorded", server=server, reason=str(error))
             return False
         except InvariantError as error:
-            LOG.info("recovery_outdated", server=server, reason=str(error))
+            LOG.info("recovery outdated", server=server, reason=str(error))
             return True
         if written is not None:
             self.recovered += len(owners)
-            LOG.warning("units_recovered", server=server, units=len(owners))
+            LOG.warning("units recovered", server=server, units=len(owners))
         return True
 
     def new_owners(self, assignment: Assignment, server: str) -> dict[int, str]:
--- a/fireflylock/releases.py
+++ b/fireflylock/releases.py
@@ -150,4 +150,4 @@
         try:
             await self.book.update(gate.service.name, change)
         except (InvariantError, PlatformError) as error:
-            LOG.warning("units_not_taken_back", server=server, reason=str(error))
+            LOG.warning("units not taken back", server=server, reason=str(error))
--- a/fireflylock/router.py
+++ b/fireflylock/router.py
@@ -8,8 +8,8 @@
 
 from fireflylock.assignment import NO_SERVER, Assignment
 from fireflylock.clock import Clock
-from fireflylock.exceptions import ErrorKind, RequestError
-from fireflylock.exchange import Body, Handler, Request, Response
+from fireflylock.exceptions import BodyCutShortError, ErrorKind, RequestError
+from fireflylock.exchange import Body, BytesBody, Handler, Request, Response, read_all
 from fireflylock.model import Configuration, Service
 from fireflylock.retry import RetryBudget, may_retry
 from fireflylock.server_choice import ServerChoice
@@ -20,6 +20,8 @@
 FIRST_PAUSE = timedelta(milliseconds=10)
 LONGEST_PAUSE = timedelta(milliseconds=100)
 RETRY_AFTER = timedelta(seconds=1)
+# Bodies of orders up to this size are kept until their answer is there.
+KEPT_BODY_BYTES = 64 * 1024
 
 # Errors after which bytes may have reached the backend server.
 SENT_KINDS = frozenset({ErrorKind.SERVER_REFUSED, ErrorKind.OUTCOME_UNKNOWN})
@@ -89,6 +91,29 @@
         """Release the caller's body."""
         await self.body.close()
 
+    def fresh(self) -> Body:
+        """Return the body for the next attempt."""
+        return self
+
+
+class KeptBody:
+    """A request body that is held in memory for every attempt.
+
+    Parameters
+    ----------
+    data : bytes
+        All of it.
+    """
+
+    touched = False
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+
+    def fresh(self) -> Body:
+        """Return the body for the next attempt."""
+        return BytesBody(self.data)
+
 
 class Router(Handler):
     """Finds the gate for each request and tries again while it certainly did not run.
@@ -136,8 +161,7 @@
 
     async def handle(self, request: Request) -> Response:
         """Answer `request`; see `Handler.handle`."""
-        body = WatchedBody(request.body)
-        request.body = body
+        body = await self.replayable_body(request)
         budget = self.retries(request.service)
         budget.on_request()
         start = self.clock.elapsed()
@@ -146,6 +170,7 @@
         may_have_run = False
         while True:
             try:
+                request.body = body.fresh()
                 return await self.attempt(request)
             except RequestError as error:
                 may_have_run = may_have_run or not error.not_run
@@ -158,6 +183,21 @@
             await self.view.wait_for_change(pause)
             pause = min(pause * 2, LONGEST_PAUSE)
 
+    async def replayable_body(self, request: Request) -> "WatchedBody | KeptBody":
+        """Return the body in the form in which it can be given to several attempts.
+
+        The short body of an order is kept, so that it is part of what makes two orders the
+        same, and so that an attempt which certainly did not run costs no answer.
+        """
+        length = request.body_length
+        if not request.idempotency_key or length is None or length > KEPT_BODY_BYTES:
+            return WatchedBody(request.body)
+        try:
+            data = await read_all(request.body, KEPT_BODY_BYTES)
+        except BodyCutShortError as error:
+            raise RequestError(ErrorKind.BAD_REQUEST, str(error)) from None
+        return KeptBody(data or b"")
+
     def may_try_again(self, request: Request, error: RequestError, budget: RetryBudget) -> bool:
         """Return whether `request` may be tried once more after `error`."""
         sent = error.kind in SENT_KINDS
--- a/fireflylock/takeover.py
+++ b/fireflylock/takeover.py
@@ -204,11 +204,11 @@
         try:
             written = await self.book.update(service.name, change)
         except PlatformError as error:
-            LOG.info("takeover_not_recorded", service=service.name, reason=str(error))
+            LOG.info("takeover not recorded", service=service.name, reason=str(error))
             return
         if written is not None:
             self.taken += len(candidates)
-            LOG.info("gates_taken", servers=[found.server.name for found in candidates])
+            LOG.info("gates taken", servers=[found.server.name for found in candidates])
 
     async def candidate(
         self, service: Service, server: BackendServer, assignment: Assignment
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -167,3 +167,21 @@
         except RequestError:
             continue
     assert {server for _, server in world.gates.asked} == {"mesa-01", "mesa-02"}
+
+
+async def test_the_body_of_an_order_is_given_to_every_attempt():
+    world = World()
+    bodies = []
+
+    async def remote(member, request):
+        bodies.append(await request.body.read())
+        if len(bodies) == 1:
+            raise RequestError(ErrorKind.MOVED)
+        return Response(201)
+
+    world.router.remote = remote
+    deadline = world.clock.elapsed() + 10 * SECOND
+    body = BytesBody(b"300 sacks")
+    request = Request("r", "desk", "k", "k", "POST", b"/", [], body, 9, deadline, False, "o-1")
+    assert (await world.router.handle(request)).status == 201
+    assert bodies == [b"300 sacks"] * 2
