--- a/fireflylock/gate.py
+++ b/fireflylock/gate.py
@@ -10,7 +10,8 @@
 from fireflylock.backend import ServerPool
 from fireflylock.clock import Clock, Instant
 from fireflylock.exceptions import ErrorKind, RequestError
-from fireflylock.exchange import Body, Headers, Request, Response
+from fireflylock.exchange import Headers, Request, Response
+from fireflylock.finishing_body import FinishingBody
 from fireflylock.model import BackendServer, Service
 from fireflylock.session import GateSession, SessionState
 
@@ -27,58 +28,6 @@
 DRAIN_POLL = timedelta(milliseconds=5)
 
 
-class FinishingBody(Body):
-    """A response body that calls back exactly once when it ends, breaks or is closed.
-
-    Parameters
-    ----------
-    body : Body
-        The backend server's body.
-    on_end : callable
-        Called with True after a complete body, else with False.
-    """
-
-    def __init__(self, body: Body, on_end: Callable[[bool], None]) -> None:
-        self.body = body
-        self.on_end: Callable[[bool], None] | None = on_end
-
-    async def read(self) -> bytes:
-        """Return the next chunk."""
-        try:
-            chunk = await self.body.read()
-        except BaseException:
-            self.finish(False)
-            raise
-        if not chunk:
-            self.finish(True)
-        return chunk
-
-    def take_ready(self) -> bytes:
-        """Return what has come in so far."""
-        data = self.body.take_ready()
-        if self.body.at_end():
-            self.finish(True)
-        return data
-
-    def at_end(self) -> bool:
-        """Return whether the last byte was taken."""
-        return self.body.at_end()
-
-    async def close(self) -> None:
-        """Release the server's body; what was not read is abandoned."""
-        complete = self.body.at_end()
-        try:
-            await self.body.close()
-        finally:
-            self.finish(complete)
-
-    def finish(self, complete: bool) -> None:
-        """Call back, once."""
-        on_end, self.on_end = self.on_end, None
-        if on_end is not None:
-            on_end(complete)
-
-
 @dataclass(frozen=True)
 class Waiting:
     """A request that waits for the server's room.
--- /dev/null
+++ b/fireflylock/gate_messages.py
@@ -0,0 +1,257 @@
+"""Messages between gates, planners, standbys and witnesses."""
+
+from fireflylock.coverage import Mark
+from fireflylock.message import Message
+
+
+class ReleaseUnits(Message, frozen=True, tag=40):
+    """Asks a gate to release units of its server.
+
+    Attributes
+    ----------
+    service, server : str
+        Whose units.
+    gate_epoch : int
+        The gate epoch against which the release is asked for.
+    units : dict of int to int
+        Unit to epoch.
+    change_id : str
+        Id of the change that needs the release.
+    targets : dict of int to str
+        The next owner of each unit; of a hot unit that ends, the owner of its hash slot.
+    hot_targets : dict of str to str
+        The next owner of each key that leaves its hash slot.
+    ending : list of int
+        Hot units that end; their key returns to its hash slot.
+    """
+
+    service: str
+    server: str
+    gate_epoch: int
+    units: dict[int, int]
+    change_id: str
+    targets: dict[int, str] = {}
+    hot_targets: dict[str, str] = {}
+    ending: list[int] = []
+
+
+class UnitsReleased(Message, frozen=True, tag=41):
+    """The gate released units: nothing runs any more under these epochs."""
+
+    service: str
+    server: str
+    gate_epoch: int
+    units: dict[int, int]
+    change_id: str
+
+
+class ReleaseRefused(Message, frozen=True, tag=42):
+    """The gate did not release the units.
+
+    Attributes
+    ----------
+    service, server, change_id : str
+        As in the question.
+    reason : str
+        Why.
+    """
+
+    service: str
+    server: str
+    change_id: str
+    reason: str
+
+
+class LoadReport(Message, frozen=True, tag=43):
+    """The load of one backend server, from its gate.
+
+    Attributes
+    ----------
+    service, server : str
+        Whose load.
+    units : dict of int to float
+        Requests per second by unit.
+    hot_keys : list of (str, float)
+        Keys that stand out, with their requests per second.
+    queue, refused : int
+        Requests that wait now, and that were refused in the period.
+    period_ms : int
+        Length of the period.
+    session_open : bool
+        Whether the server accepts requests from its gate.
+    draining : bool
+        Whether the server itself refuses new requests.
+    """
+
+    service: str
+    server: str
+    units: dict[int, float]
+    hot_keys: list[tuple[str, float]]
+    queue: int
+    refused: int
+    period_ms: int
+    session_open: bool = True
+    draining: bool = False
+
+
+class StandbyRight(Message, frozen=True, tag=60):
+    """The gate's leave to claim its server without a write.
+
+    Attributes
+    ----------
+    service, server : str
+        Which server.
+    incarnation : str
+        The only process of the server that may be claimed.
+    gate_epoch : int
+        The recorded gate epoch.
+    process : str
+        The standby's process that has the leave.
+    """
+
+    service: str
+    server: str
+    incarnation: str
+    gate_epoch: int
+    process: str
+
+
+class StandbyPromiseRequest(Message, frozen=True, tag=62):
+    """Asks the standby never to claim the server under this gate epoch."""
+
+    service: str
+    server: str
+    gate_epoch: int
+
+
+class StandbyPromise(Message, frozen=True, tag=63):
+    """The standby's answer.
+
+    Attributes
+    ----------
+    service, server : str
+        Which server.
+    gate_epoch : int
+        The recorded gate epoch.
+    answer : str
+        Value of a `fireflylock.standby.PromiseAnswer`.
+    """
+
+    service: str
+    server: str
+    gate_epoch: int
+    answer: str
+
+
+class WindowCopy(Message, frozen=True, tag=64):
+    """Entries of the idempotency window, copied to the standby.
+
+    Attributes
+    ----------
+    service, server : str
+        Which server's gate.
+    gate_epoch : int
+        The recorded gate epoch.
+    number : int
+        Acknowledged by `WindowAck`; 0 asks for no acknowledgement.
+    first : bool
+        Whether the copies begin here; what was held before is forgotten.
+    units : dict of int to int
+        Units whose keys are all known with this message, and their epochs.
+    entries : list of bytes
+        Encoded entries.
+    """
+
+    service: str
+    server: str
+    gate_epoch: int
+    number: int
+    first: bool
+    units: dict[int, int]
+    entries: list[bytes]
+
+
+class WindowAck(Message, frozen=True, tag=65):
+    """The standby holds the copy with this number."""
+
+    service: str
+    server: str
+    gate_epoch: int
+    number: int
+
+
+class GateHandover(Message, frozen=True, tag=66):
+    """The gate hands its server over; nothing of its own runs any more.
+
+    Attributes
+    ----------
+    service, server : str
+        Which server.
+    gate_epoch : int
+        The recorded gate epoch that ends.
+    window : list of bytes
+        Entries of the idempotency window.
+    last : bool
+        Whether these are the last entries.
+    """
+
+    service: str
+    server: str
+    gate_epoch: int
+    window: list[bytes]
+    last: bool
+
+
+class WindowTransfer(Message, frozen=True, tag=67):
+    """Idempotency keys for the gate that serves units next.
+
+    Attributes
+    ----------
+    service : str
+        Whose keys.
+    number : int
+        Acknowledged by `WindowTransferAck`; unique per sender.
+    units : dict of int to Mark
+        Units whose keys are complete with this message, and the turns that begin.
+    hot_keys : dict of str to Mark
+        Keys that leave their hash slots and are complete with this message, and the
+        turns that begin.
+    entries : list of bytes
+        Encoded entries.
+    """
+
+    service: str
+    number: int
+    units: dict[int, Mark]
+    hot_keys: dict[str, Mark]
+    entries: list[bytes]
+
+
+class WindowTransferAck(Message, frozen=True, tag=68):
+    """The receiver holds the entries of the transfer with this number."""
+
+    number: int
+
+
+class WitnessQuestion(Message, frozen=True, tag=69):
+    """Asks a zone's witness whether the zone may go on.
+
+    Attributes
+    ----------
+    service, zone : str
+        Which zone, for which service.
+    number : int
+        The answer's; unique per sender.
+    """
+
+    service: str
+    zone: str
+    number: int
+
+
+class WitnessWord(Message, frozen=True, tag=70):
+    """The witness's word that it has not begun to mark the zone as cut off."""
+
+    service: str
+    zone: str
+    number: int
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -10,7 +10,6 @@
 from fireflylock.clock import Clock
 from fireflylock.config import Settings
 from fireflylock.config_fields import seed_contacts
-from fireflylock.debug import DumpSection
 from fireflylock.etcd import EtcdStore
 from fireflylock.exchange import Request
 from fireflylock.fleet import Fleet
@@ -413,56 +412,6 @@
         await self.store.close()
         self.peers.stop()
 
-    def dump(self) -> list[DumpSection]:
-        """Return the state of this process as titled (name, value) lists."""
-        sections = [
-            DumpSection("settings", self.settings.entries()),
-            DumpSection("frontend", self.frontend.state()),
-            DumpSection("peers", self.peers.state()),
-            DumpSection("relay", self.relay.state()),
-            DumpSection("platform", self.store.state()),
-            DumpSection("forwarding", self.forwarder.state()),
-            DumpSection("members", self.member_entries()),
-            DumpSection("assignments", self.assignment_entries()),
-        ]
-        for gate in self.gatekeeper.gates.values():
-            entries = [*gate.debug(), *gate.admission.state(), *gate.pool.state()]
-            sections.append(DumpSection(f"gate of {gate.server.name}", entries))
-        for service, orders in self.order_windows.orders.items():
-            entries = [
-                ("entries", len(orders.window.entries)),
-                ("stored bytes", orders.window.bytes),
-                ("units with unknown past", len(orders.window.lost)),
-                ("under way", len(orders.tasks)),
-            ]
-            sections.append(DumpSection(f"idempotency window of {service}", entries))
-        return sections
-
-    def member_entries(self) -> list[tuple[str, object]]:
-        """Return the members for the dump."""
-        entries: list[tuple[str, object]] = []
-        for view in self.fleet.known():
-            state = "alive" if view.alive else "lost"
-            if not view.reachable:
-                state = "in a zone that is cut off"
-            text = f"{state}, {view.zone}, {view.peer_address}, version {view.config_version}"
-            entries.append((view.name, text))
-        return entries
-
-    def assignment_entries(self) -> list[tuple[str, object]]:
-        """Return the assignments for the dump."""
-        entries: list[tuple[str, object]] = [
-            ("configuration version", self.configuration().version)
-        ]
-        for service, assignment in sorted(self.book.assignments.items()):
-            entries.append((f"{service} revision", assignment.revision))
-            entries.append((f"{service} hot keys", dict(assignment.hot_keys)))
-            for server, record in sorted(assignment.gates.items()):
-                units = len(assignment.units_of(server))
-                text = f"{units} units, gate {record.member} epoch {record.epoch}"
-                entries.append((f"{service} {server}", text))
-        return entries
-
 
 def as_coroutine(action: Callable[[], None]) -> Callable[[], Coroutine]:
     """Return `action` in a form that can be awaited."""
--- a/fireflylock/operators_view.py
+++ b/fireflylock/operators_view.py
@@ -17,6 +17,7 @@
 from fireflylock.exceptions import ErrorKind, RequestError
 from fireflylock.messages import DumpPull, DumpRows
 from fireflylock.model import Configuration, ServerState
+from fireflylock.node_dump import dump_of
 from fireflylock.nodeview import GateStatus, MemberStatus, NodeView, ServiceLoad
 from fireflylock.platform import Value
 
@@ -134,7 +135,7 @@
 
     def state(self) -> list[DumpSection]:
         """Return the state dump of this process."""
-        return self.node.dump()
+        return dump_of(self.node)
 
     async def peer_state(self, member: str) -> list[DumpSection]:
         """Return the state dump of another entry VM."""
