--- a/fireflylock/gate_messages.py
+++ b/fireflylock/gate_messages.py
@@ -156,6 +156,9 @@
         Acknowledged by `WindowAck`; 0 asks for no acknowledgement.
     first : bool
         Whether the copies begin here; what was held before is forgotten.
+    until_us : int
+        Until when the copies count as complete, on the standby's clock, in microseconds;
+        0 until one of its readings is known.
     units : dict of int to int
         Units whose keys are all known with this message, and their epochs.
     entries : list of bytes
@@ -167,17 +170,29 @@
     gate_epoch: int
     number: int
     first: bool
+    until_us: int
     units: dict[int, int]
     entries: list[bytes]
 
 
 class WindowAck(Message, frozen=True, tag=65):
-    """The standby holds the copy with this number."""
+    """The standby holds the copy with this number.
+
+    Attributes
+    ----------
+    service, server : str
+        Which server's gate.
+    gate_epoch, number : int
+        As in the copy.
+    reading_us : int
+        The standby's clock, in microseconds.
+    """
 
     service: str
     server: str
     gate_epoch: int
     number: int
+    reading_us: int
 
 
 class GateHandover(Message, frozen=True, tag=66):
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -73,6 +73,8 @@
 # A leaving server must get no new work within a few seconds.
 LEAVING_PERIOD = timedelta(milliseconds=250)
 TAKE_BACK_PERIOD = timedelta(milliseconds=250)
+# Some watcher reads the platform every second.
+PLATFORM_AWAY_AFTER = timedelta(seconds=3)
 GONE_PERIOD = timedelta(seconds=1)
 ZONE_PERIOD = timedelta(milliseconds=250)
 RIGHTS_PERIOD = timedelta(milliseconds=500)
@@ -217,7 +219,7 @@
             self.fleet,
             self.evidence,
             self.links,
-            lambda: self.relay.failed_readings > 0,
+            self.platform_is_away,
             self.configuration,
             self.clock,
             timing.call_timeout,
@@ -295,6 +297,11 @@
         """Return what is known here about who is over."""
         return Evidence(self.vm_history, self.configuration().gone, self.fleet.processes)
 
+    def platform_is_away(self) -> bool:
+        """Return whether nobody who is heard here has read the platform lately."""
+        age = self.membership.freshness(self.clock.elapsed())
+        return self.relay.failed_readings > 0 or age is None or age > PLATFORM_AWAY_AFTER
+
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the budget for retries of `service`."""
         return self.retry_budgets.setdefault(service, RetryBudget())
@@ -365,6 +372,7 @@
         self.every(TAKE_BACK_PERIOD, self.releases.take_back)
         self.every(timing.plan, as_coroutine(self.report_loads))
         self.every(RIGHTS_PERIOD, as_coroutine(self.links.give_rights))
+        self.every(RIGHTS_PERIOD, as_coroutine(self.order_windows.refresh_copies))
         self.every(ZONE_PERIOD, as_coroutine(self.zone_watch.look_at_gates))
         self.every(ZONE_PERIOD, self.zone_watch.look_at_zones)
         self.every(LEAVING_PERIOD, as_coroutine(self.plan_if_urgent))
--- a/fireflylock/order_windows.py
+++ b/fireflylock/order_windows.py
@@ -130,6 +130,11 @@
         assignment = self.book.get(service)
         return {} if assignment is None else assignment.units_of(server)
 
+    def refresh_copies(self) -> None:
+        """Let every standby go on taking its copies for complete."""
+        for copies in self.copies.values():
+            copies.refresh()
+
     def on_ack(self, sender: str, message: WindowAck) -> None:
         """Take a standby's acknowledgement."""
         copies = self.copies.get(message.server)
--- a/fireflylock/takeover.py
+++ b/fireflylock/takeover.py
@@ -40,11 +40,14 @@
         The next gate.
     proof : GateProof or None
         Why the present one is over; None when there is none.
+    present : GateRecord or None
+        The record that the proof was collected against.
     """
 
     server: BackendServer
     record: GateRecord
     proof: GateProof | None
+    present: GateRecord | None
 
 
 class Takeover:
@@ -150,7 +153,12 @@
         return gate.open and gate.service.keyed and self.needs_standby(server, record)
 
     def needs_standby(self, server: BackendServer, record: GateRecord) -> bool:
-        """Return whether the recorded standby is lost and another one can be had."""
+        """Return whether the recorded standby is lost and another one can be recorded.
+
+        Without the platform the attempt would hold requests back for nothing.
+        """
+        if self.platform_is_away():
+            return False
         if record.standby and self.fleet.is_live(record.standby):
             return False
         return self.standby_for(server) != record.standby
@@ -193,6 +201,8 @@
         def change(present: Assignment | None, change_id: str) -> Assignment | None:
             result = present
             for found in candidates:
+                if result.gates.get(found.server.name) != found.present:
+                    continue
                 try:
                     result = with_gate(
                         result, found.server.name, found.record, found.proof, change_id
@@ -228,16 +238,16 @@
         )
         present = assignment.gates.get(server.name)
         if present is None or not present.member:
-            return Successor(server, successor, None)
+            return Successor(server, successor, None, present)
         if self.links.has_claimed(server.name, present):
             proof = StandbyClaimed(server.name, present.epoch, self.gatekeeper.me)
-            return Successor(server, successor, proof)
+            return Successor(server, successor, proof, present)
         if reply is not None and self.platform_is_away() and present.standby == self.gatekeeper.me:
             self.links.claim(service, server, reply)
             return None
         handed_over = self.handed_over.get(server.name)
         proof = takeover_proof(server, present, successor, self.evidence(), reply, handed_over)
-        return None if proof is None else Successor(server, successor, proof)
+        return None if proof is None else Successor(server, successor, proof, present)
 
     async def hello(self, server: BackendServer) -> ControlReply | None:
         """Ask a server who its gate is; None when it does not answer."""
--- a/fireflylock/window_copies.py
+++ b/fireflylock/window_copies.py
@@ -3,6 +3,10 @@
 An order is sent to its backend server only after the standby has acknowledged that it knows
 the order's key.  A standby that takes the gate over therefore knows every key that may have
 run, and can run any other.
+
+What the standby holds counts as complete only for a time that the gate extends with each
+message (a reading lease).  When the standby cannot be reached and that time is over, the gate
+sends orders without it: a zone that is cut off goes on serving its own callers.
 """
 
 import asyncio
@@ -11,13 +15,20 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from fireflylock.clock import Clock
+from fireflylock.clock import Clock, Instant
 from fireflylock.exceptions import ErrorKind, ProtocolError, RequestError
 from fireflylock.idempotency import Entry, IdempotencyWindow, WindowLimits
 from fireflylock.messages import PeerMessage, WindowAck, WindowCopy
+from fireflylock.reading_lease import BEFORE_ALL, Reading, ReadingLease
 
 # Longer than a round trip between zones; an order that waits longer is answered "not run".
 ACK_TIMEOUT = timedelta(milliseconds=250)
+# How long copies count as complete after the standby's reading that they answer.  Longer
+# than a takeover takes, and as long as orders wait when the standby is lost.
+COMPLETE_FOR = timedelta(seconds=3)
+# A standby that did not answer, and need not, is tried again after so long.
+TRY_AGAIN = timedelta(seconds=1)
+MICROSECOND = timedelta(microseconds=1)
 # Entries per message, so that one message stays far below the transport's limit.
 BATCH_BYTES = 512 * 1024
 # A copy for settling an order is not acknowledged.
@@ -63,9 +74,13 @@
         ``send(member, message)`` to another entry VM.
     clock : Clock
         Time.
+    drift : float
+        Bound on the relative difference in rate between two clocks.
 
     Attributes
     ----------
+    lease : ReadingLease
+        Until when the standby may take its copies for complete.
     synced : dict of int to int
         Units whose earlier keys the standby has acknowledged, with their epochs.
     """
@@ -78,6 +93,7 @@
         export: Callable[[set[int]], list[bytes]],
         send: Send,
         clock: Clock,
+        drift: float = 0.001,
     ) -> None:
         self.target = target
         self.window = window
@@ -85,19 +101,26 @@
         self.export = export
         self.send = send
         self.clock = clock
+        self.lease = ReadingLease(COMPLETE_FOR, drift)
+        self.reading: Reading | None = None
+        self.alone_until: Instant = BEFORE_ALL
+        self.sent_at: dict[int, Instant] = {}
         self.synced: dict[int, int] = {}
         self.numbers = itertools.count(NO_ANSWER + 1)
         self.waiting: dict[int, asyncio.Future[None]] = {}
         self.lock = asyncio.Lock()
 
     async def begin(self, entry: Entry, unit: int, epoch: int) -> None:
-        """Return once the standby knows that the order of `entry` may run.
+        """Return once the order of `entry` may run.
 
         Raises
         ------
         RequestError
-            The standby does not answer; nothing was sent to the backend server.
+            The standby does not answer and may still take its copies for complete; nothing
+            was sent to the backend server.
         """
+        if self.clock.elapsed() < self.alone_until:
+            return
         try:
             if self.synced.get(unit) != epoch:
                 await self.sync(unit, epoch)
@@ -105,10 +128,28 @@
         except TimeoutError:
             # A standby that was restarted holds nothing and acknowledges nothing.
             self.synced.clear()
+            if self.lease.is_over(self.clock.elapsed()):
+                self.alone_until = self.clock.elapsed() + TRY_AGAIN
+                return
             raise RequestError(
                 ErrorKind.MOVED, f"the standby {self.target.standby} does not answer"
             ) from None
 
+    def refresh(self) -> None:
+        """Let the standby go on taking its copies for complete, when they are."""
+        if not self.synced:
+            return
+        number = next(self.numbers)
+        self.note_sent(number)
+        self.send(self.target.standby, self.message(number, {}, []))
+
+    def note_sent(self, number: int) -> None:
+        """Remember when a message was sent whose answer carries a reading."""
+        now = self.clock.elapsed()
+        self.sent_at[number] = now
+        for old in [old for old, at in self.sent_at.items() if now - at > COMPLETE_FOR]:
+            del self.sent_at[old]
+
     def settle(self, entry: Entry) -> None:
         """Let the standby know how an order ended; losing this costs only the answer."""
         data = self.window.export_entry(self.clock.elapsed(), entry)
@@ -136,6 +177,7 @@
         number = next(self.numbers)
         future = asyncio.get_running_loop().create_future()
         self.waiting[number] = future
+        self.note_sent(number)
         try:
             self.send(self.target.standby, self.message(number, units, entries, first))
             async with asyncio.timeout(ACK_TIMEOUT.total_seconds()):
@@ -148,12 +190,26 @@
     ) -> WindowCopy:
         """Return the message that carries entries."""
         target = self.target
+        until_us = 0
+        if self.reading is not None:
+            until_us = self.lease.renewal(self.reading) // MICROSECOND
         return WindowCopy(
-            target.service, target.server, target.gate_epoch, number, first, units, entries
+            target.service,
+            target.server,
+            target.gate_epoch,
+            number,
+            first,
+            until_us,
+            units,
+            entries,
         )
 
     def on_ack(self, message: WindowAck) -> None:
-        """Take the standby's acknowledgement."""
+        """Take the standby's acknowledgement, with the reading of its clock."""
+        sent_at = self.sent_at.pop(message.number, None)
+        if sent_at is not None:
+            value = message.reading_us * MICROSECOND
+            self.reading = Reading(value, sent_at, self.clock.elapsed())
         future = self.waiting.get(message.number)
         if future is not None and not future.done():
             future.set_result(None)
@@ -169,12 +225,15 @@
         The recorded gate epoch under which it was copied.
     window : IdempotencyWindow
         The entries.
+    complete_until : timedelta
+        Until when nothing can be missing, on this entry VM's clock.
     units : dict of int to int
         Units whose keys are all known, with their epochs.
     """
 
     gate_epoch: int
     window: IdempotencyWindow
+    complete_until: Instant = BEFORE_ALL
     units: dict[int, int] = field(default_factory=dict)
 
 
@@ -209,11 +268,13 @@
         except ProtocolError:
             return
         replica.units.update(message.units)
-        if message.number != NO_ANSWER:
-            self.send(
-                sender,
-                WindowAck(message.service, message.server, message.gate_epoch, message.number),
-            )
+        until = message.until_us * MICROSECOND
+        replica.complete_until = max(replica.complete_until, until)
+        if message.number == NO_ANSWER:
+            return
+        reading_us = self.clock.elapsed() // MICROSECOND
+        place = (message.service, message.server, message.gate_epoch)
+        self.send(sender, WindowAck(*place, message.number, reading_us))
 
     def replica(self, message: WindowCopy) -> WindowReplica | None:
         """Return where the entries belong, or None when they cannot be held completely.
@@ -235,11 +296,15 @@
         return held
 
     def take(self, server: str, gate_epoch: int) -> WindowReplica | None:
-        """Return and forget what is held for the gate epoch that has just ended."""
+        """Return and forget what is held for the gate epoch that has just ended.
+
+        None when it is not complete: the gate may have gone on without this standby.
+        """
         held = self.replicas.get(server)
         if held is None or held.gate_epoch != gate_epoch:
             return None
-        return self.replicas.pop(server)
+        del self.replicas[server]
+        return held if self.clock.elapsed() < held.complete_until else None
 
 
 def split(entries: list[bytes]) -> list[list[bytes]]:
--- a/tests/test_window_copies.py
+++ b/tests/test_window_copies.py
@@ -9,7 +9,7 @@
 from fireflylock.exceptions import ErrorKind, RequestError
 from fireflylock.idempotency import IdempotencyWindow, Run, StoredResponse, WindowLimits
 from fireflylock.messages import WindowAck, WindowCopy
-from fireflylock.window_copies import CopyHolder, CopySender, CopyTarget
+from fireflylock.window_copies import COMPLETE_FOR, CopyHolder, CopySender, CopyTarget
 
 SERVICE, SERVER, UNIT, EPOCH, GATE_EPOCH = "desk", "mesa-01", 3, 5, 7
 
@@ -64,12 +64,14 @@
     await pair.sender.begin(pair.order("new"), UNIT, EPOCH)
     assert pair.known() == {"old", "new"}
     replica = pair.holder.take(SERVER, GATE_EPOCH)
+    assert replica is not None
     assert replica.units == {UNIT: EPOCH}
     assert pair.holder.take(SERVER, GATE_EPOCH) is None
 
 
 async def test_without_an_acknowledgement_the_order_is_not_run():
     pair = Pair()
+    await pair.sender.begin(pair.order("before"), UNIT, EPOCH)
     pair.cut = True
     with pytest.raises(RequestError) as caught:
         await pair.sender.begin(pair.order("lost"), UNIT, EPOCH)
@@ -110,7 +112,7 @@
 async def test_copies_of_an_earlier_gate_epoch_are_ignored():
     pair = Pair()
     await pair.sender.begin(pair.order("one"), UNIT, EPOCH)
-    late = WindowCopy(SERVICE, SERVER, GATE_EPOCH - 1, 1, True, {UNIT: EPOCH}, [])
+    late = WindowCopy(SERVICE, SERVER, GATE_EPOCH - 1, 1, True, 0, {UNIT: EPOCH}, [])
     pair.holder.on_copy("entry-0", late)
     assert pair.holder.replicas[SERVER].gate_epoch == GATE_EPOCH
     assert pair.holder.take(SERVER, GATE_EPOCH - 1) is None
@@ -125,3 +127,34 @@
     pair.clock.advance(timedelta(seconds=1))
     held = pair.holder.replicas[SERVER].window.entries[SERVICE, "molino", "one"]
     assert held.response == StoredResponse(201, [], b"sacks")
+
+
+async def test_a_gate_goes_on_alone_only_when_the_standby_knows_that_it_may_miss_orders():
+    pair = Pair()
+    await pair.sender.begin(pair.order("before"), UNIT, EPOCH)
+    pair.cut = True
+    pair.clock.advance(COMPLETE_FOR)
+    with pytest.raises(RequestError):
+        await pair.sender.begin(pair.order("too early"), UNIT, EPOCH)
+    pair.clock.advance(COMPLETE_FOR / 100)
+    await pair.sender.begin(pair.order("alone"), UNIT, EPOCH)
+    assert pair.holder.take(SERVER, GATE_EPOCH) is None
+
+
+async def test_refreshing_keeps_the_copies_complete_without_orders():
+    pair = Pair()
+    await pair.sender.begin(pair.order("one"), UNIT, EPOCH)
+    for _ in range(10):
+        pair.clock.advance(COMPLETE_FOR / 2)
+        pair.sender.refresh()
+        await asyncio.sleep(0)
+    assert pair.holder.take(SERVER, GATE_EPOCH) is not None
+
+
+async def test_a_late_message_does_not_make_old_copies_complete_again():
+    pair = Pair()
+    await pair.sender.begin(pair.order("one"), UNIT, EPOCH)
+    held_back = pair.sender.message(0, {}, [])
+    pair.clock.advance(2 * COMPLETE_FOR)
+    pair.holder.on_copy("entry-1", held_back)
+    assert pair.holder.take(SERVER, GATE_EPOCH) is None
