--- a/fireflylock/mover.py
+++ b/fireflylock/mover.py
@@ -16,6 +16,8 @@
 
 # A little longer than a gate waits for requests in flight.
 ANSWER_TIMEOUT = timedelta(seconds=11)
+# Answers that come so soon after one another are recorded in one write.
+GATHER = timedelta(milliseconds=50)
 
 LOG = logger("mover")
 
@@ -71,11 +73,33 @@
         moving = self.moving.setdefault(service, set())
         moving.update(wanted)
         try:
-            proofs = await self.collect(assignment, batch, wanted)
-            return await self.record(service, batch, proofs)
+            return await self.record_in_turn(service, assignment, batch, wanted)
         finally:
             moving.difference_update(wanted)
 
+    async def record_in_turn(
+        self, service: str, assignment: Assignment, batch: Batch, wanted: dict[int, str]
+    ) -> int:
+        """Record what is released, without letting one slow gate hold up the others' units."""
+        questions = self.questions(assignment, batch, wanted)
+        if not questions:
+            return await self.record(service, batch, [])
+        pending = {
+            asyncio.create_task(self.ask(gate_of(assignment, question.server), question))
+            for question in questions
+        }
+        changed = 0
+        while pending:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            if pending:
+                more, pending = await asyncio.wait(pending, timeout=GATHER.total_seconds())
+                done |= more
+            answers = [task.result() for task in done]
+            proofs = [proof for proof in answers if proof is not None]
+            if proofs:
+                changed += await self.record(service, batch, proofs)
+        return changed
+
     def units_to_release(self, assignment: Assignment, batch: Batch) -> dict[int, str]:
         """Return the units that have to be released, with the next owner of their keys."""
         units = dict(batch.moves)
@@ -90,10 +114,10 @@
             units.setdefault(unit, owner(assignment, slot))
         return units
 
-    async def collect(
+    def questions(
         self, assignment: Assignment, batch: Batch, wanted: dict[int, str]
-    ) -> list[Released]:
-        """Ask every old owner's gate for release and return what was released."""
+    ) -> list[ReleaseUnits]:
+        """Return what to ask the gates of the old owners."""
         by_server: dict[str, dict[int, int]] = {}
         for unit in wanted:
             ownership = assignment.units.get(unit)
@@ -116,9 +140,8 @@
                     if key in assignment.hot_keys
                 ],
             )
-            questions.append(self.ask(gate_of(assignment, server), question))
-        answers = await asyncio.gather(*questions)
-        return [proof for proof in answers if proof is not None]
+            questions.append(question)
+        return questions
 
     async def ask(self, member: str, question: ReleaseUnits) -> Released | None:
         """Ask the gate on `member` for release."""
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -72,7 +72,7 @@
 TAKEOVER_PERIOD = timedelta(milliseconds=50)
 # A leaving server must get no new work within a few seconds.
 LEAVING_PERIOD = timedelta(milliseconds=250)
-TAKE_BACK_PERIOD = timedelta(milliseconds=250)
+TAKE_BACK_PERIOD = timedelta(milliseconds=100)
 # Some watcher reads the platform every second.
 PLATFORM_AWAY_AFTER = timedelta(seconds=3)
 GONE_PERIOD = timedelta(seconds=1)
--- a/fireflylock/releases.py
+++ b/fireflylock/releases.py
@@ -18,6 +18,11 @@
 
 # Longest wait for the requests in flight of the units that are given up.
 RELEASE_TIMEOUT = timedelta(seconds=10)
+# A planner records what was released within milliseconds; without a record after so long its
+# write is not coming, or its proof was overtaken.
+RECORD_PATIENCE = timedelta(milliseconds=500)
+# Units that were released do not wait longer for those that have requests in flight.
+PARTIAL_AFTER = timedelta(milliseconds=300)
 POLL = timedelta(milliseconds=5)
 
 LOG = logger("releases")
@@ -61,6 +66,10 @@
         if gate is None or gate.session.gate_epoch[0] != message.gate_epoch:
             self.refuse(sender, message, "not the gate under this epoch")
             return
+        if not gate.open:
+            # The server could not confirm that nothing of the units runs any more.
+            self.refuse(sender, message, "there is no session with the server")
+            return
         task = asyncio.create_task(self.release(sender, message, gate))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -74,8 +83,9 @@
     async def release(self, sender: str, message: ReleaseUnits, gate: Gate) -> None:
         """Give units up and report them; `take_back` takes them when nobody else does."""
         session = gate.session
-        gate.release(message.units)
-        released = await self.wait(gate, message.units)
+        units = releasable(gate, message.units)
+        gate.release(units)
+        released = await self.wait(gate, units)
         if gate.session is not session:
             self.refuse(sender, message, "the gate epoch changed")
             return
@@ -91,17 +101,33 @@
                     message.change_id,
                 ),
             )
+            await self.clock.sleep(RECORD_PATIENCE)
+            await self.take_back_unrecorded(gate, released)
             return
         self.refuse(sender, message, "requests of these units did not end in time")
 
+    async def take_back_unrecorded(self, gate: Gate, released: dict[int, int]) -> None:
+        """Take back what was released and then not recorded elsewhere in time."""
+        assignment = self.book.get(gate.service.name)
+        if assignment is None or not gate.open:
+            return
+        units = assignment.units_of(gate.server.name)
+        due = {unit: epoch for unit, epoch in released.items() if units.get(unit) == epoch}
+        if due:
+            LOG.info("released units not recorded", server=gate.server.name, units=len(due))
+            await self.record_again(gate, due)
+
     async def wait(self, gate: Gate, units: dict[int, int]) -> dict[int, int]:
         """Return the units of which nothing runs any more, at the latest after the timeout."""
         give_up_at = self.clock.elapsed() + RELEASE_TIMEOUT
+        patient_until = self.clock.elapsed() + PARTIAL_AFTER
         while True:
             released = gate.released()
             done = {unit: epoch for unit, epoch in units.items() if released.get(unit) == epoch}
             if len(done) == len(units) or self.clock.elapsed() >= give_up_at:
                 return done
+            if done and self.clock.elapsed() >= patient_until:
+                return done
             await self.clock.sleep(POLL)
 
     async def hand_on(self, message: ReleaseUnits, released: dict[int, int]) -> None:
@@ -151,3 +177,16 @@
             await self.book.update(gate.service.name, change)
         except (InvariantError, PlatformError) as error:
             LOG.warning("units not taken back", server=server, reason=str(error))
+
+
+def releasable(gate: Gate, units: dict[int, int]) -> dict[int, int]:
+    """Return the units that the gate holds under the epochs that the planner knows.
+
+    A planner with an older assignment must not stop what it does not know of.
+    """
+    session = gate.session
+    return {
+        unit: epoch
+        for unit, epoch in units.items()
+        if epoch in (session.wanted.get(unit), session.releasing.get(unit))
+    }
