--- a/fireflylock/gate_messages.py
+++ b/fireflylock/gate_messages.py
@@ -204,17 +204,11 @@
         Which server.
     gate_epoch : int
         The recorded gate epoch that ends.
-    window : list of bytes
-        Entries of the idempotency window.
-    last : bool
-        Whether these are the last entries.
     """
 
     service: str
     server: str
     gate_epoch: int
-    window: list[bytes]
-    last: bool
 
 
 class WindowTransfer(Message, frozen=True, tag=67):
--- a/fireflylock/handover.py
+++ b/fireflylock/handover.py
@@ -97,7 +97,7 @@
         except (PlatformError, TimeoutError) as error:
             LOG.info("handover not recorded", server=server, reason=repr(error))
             # The next gate can record itself when the platform answers it.
-            message = GateHandover(gate.service.name, server, epoch, [], True)
+            message = GateHandover(gate.service.name, server, epoch)
             self.node.peers.send(successor.member, message)
         except InvariantError as error:
             LOG.info("handover outdated", server=server, reason=str(error))
--- a/fireflylock/recovery.py
+++ b/fireflylock/recovery.py
@@ -74,7 +74,6 @@
         self.configuration = configuration
         self.clock = clock
         self.tasks: dict[str, asyncio.Task[None]] = {}
-        self.recovered = 0
 
     def on_progress(self, gate: Gate) -> None:
         """Look at a gate after each step of its session."""
@@ -155,7 +154,6 @@
             LOG.info("recovery outdated", server=server, reason=str(error))
             return True
         if written is not None:
-            self.recovered += len(owners)
             LOG.warning("units recovered", server=server, units=len(owners))
         return True
 
--- a/fireflylock/takeover.py
+++ b/fireflylock/takeover.py
@@ -98,7 +98,6 @@
         self.call_timeout = call_timeout
         self.asked_at: dict[str, Instant] = {}
         self.handed_over: dict[str, HandedOver] = {}
-        self.taken = 0
 
     async def look(self) -> None:
         """Take over what this entry VM should take over now, service by service."""
@@ -217,7 +216,6 @@
             LOG.info("takeover not recorded", service=service.name, reason=str(error))
             return
         if written is not None:
-            self.taken += len(candidates)
             LOG.info("gates taken", servers=[found.server.name for found in candidates])
 
     async def candidate(
