--- a/bench/site.py
+++ b/bench/site.py
@@ -15,7 +15,7 @@
 from fireflylock.membership import Membership
 from fireflylock.messages import PeerMessage, decode, encode
 from fireflylock.model import EntryVM, PlatformVM, VMList
-from fireflylock.platform import Store, Value
+from fireflylock.store import Store, Value
 from fireflylock.relay import StateRelay
 from fireflylock.state import StateCache
 
--- a/fireflylock/assignments.py
+++ b/fireflylock/assignments.py
@@ -9,7 +9,7 @@
 from fireflylock.assignment_codec import decode, encode
 from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
 from fireflylock.log import logger
-from fireflylock.platform import Value
+from fireflylock.store import Value
 
 # After so many lost races the change is left to the next look at the world.
 MAX_RACES = 8
--- a/fireflylock/etcd.py
+++ b/fireflylock/etcd.py
@@ -12,7 +12,7 @@
 from fireflylock.clock import Clock
 from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
 from fireflylock.http_client import HTTPClient
-from fireflylock.platform import (
+from fireflylock.store import (
     FLEET_READS_PER_SECOND,
     FLEET_WRITES_PER_SECOND,
     MAX_VALUE_BYTES,
--- a/fireflylock/operators_view.py
+++ b/fireflylock/operators_view.py
@@ -19,7 +19,7 @@
 from fireflylock.model import Configuration, ServerState
 from fireflylock.node_dump import dump_of
 from fireflylock.nodeview import GateStatus, MemberStatus, NodeView, ServiceLoad
-from fireflylock.platform import Value
+from fireflylock.store import Value
 
 if TYPE_CHECKING:
     from fireflylock.node import Node
--- a/fireflylock/platform_writer.py
+++ b/fireflylock/platform_writer.py
@@ -4,7 +4,7 @@
 
 from fireflylock.assignments import StateWriter
 from fireflylock.clock import Clock
-from fireflylock.platform import Store, Value, write_with_change_id
+from fireflylock.store import Store, Value, write_with_change_id
 from fireflylock.relay import StateRelay
 
 
--- a/fireflylock/relay.py
+++ b/fireflylock/relay.py
@@ -21,7 +21,7 @@
 from fireflylock.messages import StatePull, StateValue, StateValues
 from fireflylock.model import VMList
 from fireflylock.peers import Peers
-from fireflylock.platform import Store, Value
+from fireflylock.store import Store, Value
 from fireflylock.spreading import WATCHER, Spreader
 from fireflylock.state import StateCache
 from fireflylock.vm_list import VMListReader
--- a/fireflylock/state.py
+++ b/fireflylock/state.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from fireflylock.platform import Value
+from fireflylock.store import Value
 
 
 @dataclass
--- a/fireflylock/vm_list.py
+++ b/fireflylock/vm_list.py
@@ -8,7 +8,7 @@
 from fireflylock.exceptions import PlatformError, ProtocolError
 from fireflylock.http_client import HTTPAnswer, HTTPClient
 from fireflylock.model import PlatformVM, VMList
-from fireflylock.platform import CallCounts
+from fireflylock.store import CallCounts
 
 VERSION_HEADER = "x-list-version"
 LEAVING = "leaving"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,7 @@
 from fireflylock.clock import SystemClock
 from fireflylock.etcd import EtcdStore
 from fireflylock.exceptions import PlatformError, VersionConflictError
-from fireflylock.platform import TokenBucket, Value, write_with_change_id
+from fireflylock.store import TokenBucket, Value, write_with_change_id
 from fireflylock.vm_list import VMListReader
 from standins.platform import PlatformStandIn
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fireflylock.platform import Value
+from fireflylock.store import Value
 from fireflylock.state import StateCache
 
 
