VMs that start together find each other: an entry is written before the others are listed

Cause: two VMs each listed before the other had written, so one never heard where keys had moved; 1,700 requests of its callers were late. Ruled out: lost datagrams (it never sent to or got from the placing VM).

--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -1,6 +1,7 @@
 """Which VM places keys, and what it does for all keyed services."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 
 import structlog
@@ -55,6 +56,8 @@
         What requests are sent by.
     bounds : Bounds
         The deployment's bounds.
+    on_owners : callable
+        Called when the owners of keys may have changed.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         table: ServerTable,
         view: OwnershipView,
         bounds: Bounds,
+        on_owners: Callable[[], None],
     ) -> None:
         self.vm = vm
         self.store = store
@@ -78,6 +82,7 @@
         self.table = table
         self.view = view
         self.bounds = bounds
+        self.on_owners = on_owners
         self.routes: RouteTable | None = None
         self.placers: dict[str, Placer] = {}
         self.placing_vm = ""
@@ -137,7 +142,7 @@
         if self.changed or now - self.told_at >= TELL_EVERY:
             self.tell(now)
 
-    def begin(self, work) -> asyncio.Task:
+    def begin(self, work: Coroutine) -> asyncio.Task:
         """Run a call of the store beside everything else."""
         return asyncio.get_running_loop().create_task(work)
 
@@ -167,8 +172,8 @@
         self.changed = True
         self.maps_told_until = now + TELL_MAPS
         for placer in self.placers.values():
-            if placer.map is not None:
-                self.view.set_map(placer.map)
+            if placer.map is not None and self.view.set_map(placer.map):
+                self.on_owners()
         if self.right.is_held(now):
             self.tell(now)
 
@@ -185,12 +190,10 @@
             revisions[name] = placer.map.revision
             if now < self.maps_told_until:
                 maps[name] = encode_map(placer.map)
-        self.view_changed(self.view.take_moving(now, moving))
+        if self.view.take_moving(now, moving):
+            self.on_owners()
         self.gossip.send(Placing(self.vm, moving, revisions, maps))
 
-    def view_changed(self, changed: bool) -> None:
-        """Take note that owners may have changed; set by whoever cares."""
-
     def stop_placing(self, reason: str) -> None:
         """Place no keys any more."""
         log.info("placing of keys stops here", reason=reason)
@@ -227,7 +230,8 @@
         for name, data in message.maps.items():
             changed |= self.view.take_map(data, message.revisions.get(name, 0))
         changed |= self.view.take_moving(now, message.moving)
-        self.view_changed(changed)
+        if changed:
+            self.on_owners()
         behind = False
         for name, revision in message.revisions.items():
             known = self.view.maps.get(name)
@@ -255,7 +259,8 @@
                 value = await self.store.get(MAPS_PREFIX + name)
                 if value is not None:
                     changed |= self.view.take_map(value.data, value.revision)
-            self.view_changed(changed)
+            if changed:
+                self.on_owners()
         except PlatformError as error:
             log.warning("maps of keys not read", error=str(error))
         finally:
--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -203,6 +203,12 @@
             self.sent += 1
             self.transport.sendto(data, peer.address)
 
+    def greet_silent(self, now: Instant, hello: Hello) -> None:
+        """Greet VMs that are not heard: the greeting before may have been lost."""
+        for vm, peer in self.peers.items():
+            if now - peer.heard_at >= PEER_LIFETIME:
+                self.send(hello, only=vm)
+
     def alive(self, now: Instant) -> list[str]:
         """Return the other VMs that were heard lately."""
         return [vm for vm, peer in self.peers.items() if now - peer.heard_at < PEER_LIFETIME]
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -137,8 +137,8 @@
             self.table,
             self.view,
             place.bounds,
+            lambda: self.admission.owners_changed(self.clock.elapsed()),
         )
-        self.duty.view_changed = self.on_owners
         self.status = StatusServer(
             {surroundings.readiness_path: self.readiness, "/metrics": self.scrape}
         )
@@ -196,11 +196,6 @@
         self.admission.tick(now)
         self.duty.step(now)
 
-    def on_owners(self, changed: bool) -> None:
-        """Let waiting requests follow the owners of their keys."""
-        if changed:
-            self.admission.owners_changed(self.clock.elapsed())
-
     # Configuration and servers.
 
     def regained(self, now: Instant) -> None:
@@ -279,21 +274,29 @@
             await self.clock.sleep(timedelta(seconds=1))
 
     async def join(self) -> None:
-        """Write this VM's entry, and greet the others."""
+        """Write this VM's entry, and greet the others.
+
+        The entry is written before the others are listed: of two VMs that start together, at
+        least the later one sees the other.
+        """
         store = self.surroundings.store
+        self.member_lease = await store.grant_lease(MEMBER_LIFETIME)
+        host, port = self.place.peer
+        entry = msgspec.json.encode(Member(self.place.vm, host, port))
+        key = MEMBERS_PREFIX + self.place.vm
+        try:
+            await store.put(key, entry, 0, lease=self.member_lease)
+        except VersionConflictError:
+            # The entry of the process before this one; its lease may not have ended yet.
+            known = await store.get(key)
+            revision = 0 if known is None else known.revision
+            await store.put(key, entry, revision, lease=self.member_lease)
         values, _ = await store.list(MEMBERS_PREFIX)
-        mine = 0
         for value in values:
             member = msgspec.json.decode(value.data, type=Member)
-            if member.vm == self.place.vm:
-                mine = value.revision
-                continue
-            self.gossip.add(member.vm, (member.host, member.port))
+            if member.vm != self.place.vm:
+                self.gossip.add(member.vm, (member.host, member.port))
         self.gossip.send(Hello(self.place.vm, self.boot))
-        self.member_lease = await store.grant_lease(MEMBER_LIFETIME)
-        host, port = self.place.peer
-        entry = msgspec.json.encode(Member(self.place.vm, host, port))
-        await store.put(MEMBERS_PREFIX + self.place.vm, entry, mine, lease=self.member_lease)
 
     def on_message(self, message: Message) -> None:
         """Take what another VM has sent."""
@@ -347,6 +350,7 @@
         """Forget what is no longer needed."""
         self.sender.close_unused_pools()
         self.gossip.forget(now)
+        self.gossip.greet_silent(now, Hello(self.place.vm, self.boot))
         alive = self.gossip.alive(now)
         for vm in list(self.admission.waiting_elsewhere):
             if vm not in alive:
