New connections to the store have a time limit of their own; keys move by loads over two times

Ruled out: the keep-alive (it ended the old connection 3 s after the cut). Cause of 200 ranges: one average over 1.2 s took chance for hot keys. Change: 1 s for a connection; a long average for steady differences, a short one with a higher trigger; cuts at the ends of ranges; small ranges join a neighbour's owner.

--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -249,7 +249,7 @@
         for name, work in report.key_loads.items():
             placer = self.placers.get(name)
             if placer is not None:
-                placer.loads.add(now, work)
+                placer.count_work(now, work)
 
     async def fetch_maps(self) -> None:
         """Read the maps from the store."""
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -20,8 +20,16 @@
     encode_map,
     read_record,
 )
-from fireflylock.direct.model import ServerEntry
-from fireflylock.direct.planner import Capacity, KeyLoads, Move, first_map, plan, spread
+from fireflylock.direct.planner import (
+    LONG_AGE,
+    SHORT_AGE,
+    Capacity,
+    KeyLoads,
+    Move,
+    first_map,
+    plan,
+    spread,
+)
 from fireflylock.direct.right import PlacingRight
 from fireflylock.direct.servers import Server, ServerTable
 from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
@@ -153,7 +161,8 @@
         self.longest_hold = longest_hold
         self.on_change = on_change
         self.holdings = Holdings(longest_hold, right.won_at)
-        self.loads = KeyLoads(right.won_at)
+        self.short = KeyLoads(right.won_at, SHORT_AGE)
+        self.long = KeyLoads(right.won_at, LONG_AGE)
         self.map: RangeMap | None = None
         self.loaded = False
         self.departures: list[Departure] = []
@@ -451,11 +460,18 @@
         if now - self.planned_at < PLAN_EVERY or self.departures or self.writing is not None:
             return
         self.planned_at = now
-        self.loads.decay(now)
-        judge = self.loads.is_warm(now)
-        for move in plan(self.map, self.loads.loads, self.capacities(now), judge):
+        for loads in (self.short, self.long):
+            loads.decay(now)
+        short = self.short.loads if self.short.is_warm(now) else None
+        long = self.long.loads if self.long.is_warm(now) else None
+        for move in plan(self.map, self.capacities(now), short, long):
             self.begin_move(now, move)
 
+    def count_work(self, now: Instant, work: dict[int, float]) -> None:
+        """Take in what callers asked for, in seconds of work by key."""
+        self.short.add(now, work)
+        self.long.add(now, work)
+
     def begin_move(self, now: Instant, move: Move) -> None:
         """Begin one move."""
         for part in self.map.pieces(move.first, move.last):
@@ -493,13 +509,13 @@
         oldest = min(d.since for d in free)
         if waiting and now - oldest < GATHER:
             return
-        self.loads.decay(now)
+        self.long.decay(now)
         servers = self.capacities(now)
         known = {server.owner for server in servers}
         homeless = [d for d in free if d.target not in known]
         targets = {
             (move.first, move.last): move.target
-            for move in spread([d.part for d in homeless], self.map, self.loads.loads, servers)
+            for move in spread([d.part for d in homeless], self.map, self.long.loads, servers)
         }
         epoch = self.map.next_epoch
         changes = []
@@ -543,8 +559,3 @@
             if part.epoch == self.map.next_epoch - 1 and not self.is_failing(part.owner):
                 found.append(Moving(self.service, part.first, part.last, 0))
         return found
-
-
-def same_place(owner: Owner, entry: ServerEntry) -> bool:
-    """Return whether an entry names the owner's address."""
-    return (entry.host, entry.port) == (owner.host, owner.port)
--- a/fireflylock/direct/planner.py
+++ b/fireflylock/direct/planner.py
@@ -6,6 +6,7 @@
 its keys far more, so moves are few and each one counts.
 """
 
+import math
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -13,17 +14,31 @@
 from fireflylock.direct.keyranges import KeyRange, Owner, RangeMap
 from fireflylock.direct.model import KEYS
 
-# Loads are averaged over this time: short enough to see hot keys within half a second, long
-# enough that a few requests more do not look like them.
-LOAD_AGE = timedelta(seconds=1.2)
+# Loads are averaged over two times.  The short one sees hot keys within half a second, but a
+# few requests more look like them; the long one tells steady differences from such chance.
+SHORT_AGE = timedelta(seconds=1)
+LONG_AGE = timedelta(seconds=5)
 # A key whose load is below this many seconds of work a second is forgotten.
 LEAST_LOAD = 0.0005
-# A server is relieved when it is busier than this, and than this many times the mean.
-BUSY = 0.7
-BUSY_FACTOR = 1.35
-# Up to this it is filled, or this many times the mean if that is more.
+# A server is relieved when it is busier than this over the long time, and than this many
+# times the mean; and likewise over the short time.
+BUSY = 0.68
+BUSY_FACTOR = 1.3
+SUDDENLY_BUSY = 0.95
+SUDDEN_FACTOR = 1.6
+# Up to this a server is filled, or this many times the mean if that is more.
 FILL = 0.5
 FILL_FACTOR = 1.08
+# Moves of less than this part of a server's work are lost in the noise of the loads.
+LEAST_RELIEF = 0.06
+# Keys are cut out of the middle of a range only where they are this many times denser than
+# those at its ends: that leaves one range more.
+MIDDLE_FACTOR = 4.0
+# With more ranges than this for each server, small ones go to a neighbour's owner.
+TIDY_RANGES = 5
+# Ranges with less than this part of a server's work are small, and so many go at a time.
+SMALL_RANGE = 0.02
+MOST_TIDIED = 4
 # A server without keys gets this part of a mean server's work.
 JOIN_SHARE = 0.7
 # Moves in one round at most.
@@ -33,9 +48,18 @@
 
 
 class KeyLoads:
-    """The work that the keys of one service ask for, averaged over a short time."""
+    """The work that the keys of one service ask for, averaged over some time.
 
-    def __init__(self, now: Instant) -> None:
+    Parameters
+    ----------
+    now : timedelta
+        Present instant.
+    age : timedelta
+        Mean age of what counts.
+    """
+
+    def __init__(self, now: Instant, age: timedelta) -> None:
+        self.age = age
         self.loads: dict[int, float] = {}
         self.at = now
         self.began = now
@@ -43,7 +67,7 @@
     def add(self, now: Instant, work: dict[int, float]) -> None:
         """Take in what was asked for, in seconds of work by key."""
         self.decay(now)
-        age = LOAD_AGE.total_seconds()
+        age = self.age.total_seconds()
         for key, seconds in work.items():
             if 0 <= key < KEYS:
                 self.loads[key] = self.loads.get(key, 0.0) + seconds / age
@@ -51,17 +75,17 @@
     def decay(self, now: Instant) -> None:
         """Let what was taken in before count less."""
         passed = now - self.at
-        if passed < timedelta(milliseconds=20):
+        if passed < self.age / 50:
             return
         self.at = now
-        left = 0.5 ** (passed / LOAD_AGE * 1.4427)
+        left = math.exp(-(passed / self.age))
         self.loads = {
             key: load * left for key, load in self.loads.items() if load * left > LEAST_LOAD
         }
 
     def is_warm(self, now: Instant) -> bool:
         """Return whether it has seen enough time to be judged by."""
-        return now - self.began >= LOAD_AGE
+        return now - self.began >= self.age
 
 
 @dataclass(frozen=True)
@@ -177,8 +201,31 @@
     return RangeMap(service, tuple(ranges), next_epoch=2)
 
 
+@dataclass(frozen=True)
+class Trigger:
+    """How busy a server must be before it is relieved.
+
+    Attributes
+    ----------
+    busy : float
+        Part of its time that it is asked to work.
+    factor : float
+        The same, as a multiple of the mean.
+    """
+
+    busy: float
+    factor: float
+
+
+STEADY = Trigger(BUSY, BUSY_FACTOR)
+SUDDEN = Trigger(SUDDENLY_BUSY, SUDDEN_FACTOR)
+
+
 def plan(
-    range_map: RangeMap, loads: dict[int, float], servers: list[Capacity], judge: bool
+    range_map: RangeMap,
+    servers: list[Capacity],
+    short: dict[int, float] | None,
+    long: dict[int, float] | None,
 ) -> list[Move]:
     """Return the moves that are worth making now.
 
@@ -186,20 +233,25 @@
     ----------
     range_map : RangeMap
         Who owns what.
-    loads : dict of int to float
-        Seconds of work a second, by key.
     servers : list of Capacity
         Servers that may own keys and get more of them.
-    judge : bool
-        Whether the loads may be judged by; else only empty servers are filled.
+    short, long : dict of int to float, or None
+        Seconds of work a second by key, averaged over the short and the long time; None
+        where that time has not passed yet.
     """
     if len(servers) < 2:
         return []
-    board = Board(range_map, loads, servers)
     moves: list[Move] = []
+    board = Board(range_map, long or short or {}, servers)
     fill_empty(board, moves)
-    if judge:
-        relieve_busy(board, moves)
+    if moves:
+        return moves[:MOST_MOVES]
+    if short is not None:
+        relieve_busy(Board(range_map, short, servers), moves, SUDDEN)
+    if long is not None and not moves:
+        relieve_busy(board, moves, STEADY)
+    if not moves:
+        tidy(board, range_map, moves)
     return moves[:MOST_MOVES]
 
 
@@ -227,47 +279,92 @@
         board.pieces[owner] = [Piece(KeyRange(first, last, owner, 0))]
 
 
-def relieve_busy(board: Board, moves: list[Move]) -> None:
+def relieve_busy(board: Board, moves: list[Move], trigger: Trigger) -> None:
     """Move keys away from servers that are too busy."""
-    limit = max(BUSY, BUSY_FACTOR * board.mean)
+    limit = max(trigger.busy, trigger.factor * board.mean)
     level = max(FILL, FILL_FACTOR * board.mean)
     for source in sorted(board.capacity, key=board.busyness, reverse=True):
         while board.busyness(source) > limit and len(moves) < MOST_MOVES:
             target = board.idlest(exclude=source)
-            if target is None:
-                return
             room = board.room(target, level)
-            excess = -board.room(source, level)
-            cut = cut_load(board.pieces.get(source, []), min(room, excess))
-            if cut is None or room <= 0:
+            wanted = min(room, -board.room(source, level))
+            if wanted < LEAST_RELIEF * board.capacity[target]:
+                break
+            cut = cut_load(board.pieces.get(source, []), wanted)
+            if cut is None:
                 break
             first, last, load = cut
-            before = board.busyness(source)
-            if (board.load[target] + load) / board.capacity[target] >= before:
+            after = (board.load[target] + load) / board.capacity[target]
+            if after >= board.busyness(source):
                 break
             moves.append(Move(first, last, target, load, "busy"))
             take_out(board.pieces[source], first, last)
             board.moved(source, target, load)
 
 
+def tidy(board: Board, range_map: RangeMap, moves: list[Move]) -> None:
+    """Give small ranges to the owner of a neighbour, so that there are fewer of them."""
+    if len(range_map.ranges) <= TIDY_RANGES * len(board.capacity):
+        return
+    loads = {}
+    for owner, pieces in board.pieces.items():
+        for piece in pieces:
+            loads[piece.part.first] = (owner, piece.load)
+    parts = range_map.ranges
+    taken = set()
+    for before, part, after in zip(parts, parts[1:], parts[2:], strict=False):
+        if len(moves) >= MOST_TIDIED:
+            return
+        owner, load = loads[part.first]
+        capacity = board.capacity.get(owner)
+        if capacity is None or load > SMALL_RANGE * capacity or before.first in taken:
+            continue
+        neighbour = before if len(before) >= len(after) else after
+        if neighbour.owner not in board.capacity or neighbour.owner == owner:
+            continue
+        moves.append(Move(part.first, part.last, neighbour.owner, load, "tidy"))
+        taken.add(part.first)
+
+
 def cut_load(pieces: list[Piece], wanted: float) -> tuple[int, int, float] | None:
     """Return neighbouring keys that carry about `wanted`: first, last and their load.
 
-    They are cut from the end of the range where the load lies most densely, so that few
-    keys move; a range is never emptied for less than it carries.
+    They are cut from an end of a range, or from the middle of one where the load lies far
+    more densely there.
     """
     loaded = [piece for piece in pieces if piece.keys]
     if not loaded or wanted <= 0:
         return None
     best = None
     for piece in loaded:
-        cut = densest(piece, wanted)
-        density = cut[2] / (cut[1] - cut[0] + 1)
-        if best is None or density > best[0]:
-            best = (density, cut)
+        for cut, factor in ((densest(piece, wanted), 1.0), *ends(piece, wanted)):
+            density = factor * cut[2] / (cut[1] - cut[0] + 1)
+            if best is None or density > best[0]:
+                best = (density, cut)
     return best[1]
 
 
+def ends(piece: Piece, wanted: float) -> list[tuple[tuple[int, int, float], float]]:
+    """Return the runs at both ends of a range that carry about `wanted`, and their weight."""
+    part = piece.part
+    runs = []
+    for keys, from_start in ((piece.keys, True), (piece.keys[::-1], False)):
+        total = 0.0
+        for key, load in keys:
+            if total and total + load - wanted > wanted - total:
+                break
+            total += load
+            edge = key
+            if total >= wanted:
+                break
+        run = (part.first, edge, total) if from_start else (edge, part.last, total)
+        # Keys without load at the end come along for nothing; only the loaded stretch counts.
+        loaded = abs(edge - keys[0][0]) + 1
+        factor = MIDDLE_FACTOR * (run[1] - run[0] + 1) / loaded
+        runs.append((run, factor))
+    return runs
+
+
 def densest(piece: Piece, wanted: float) -> tuple[int, int, float]:
     """Return the shortest run of keys in a range that carries about `wanted`.
 
--- a/fireflylock/http_client.py
+++ b/fireflylock/http_client.py
@@ -13,6 +13,9 @@
 from fireflylock.sockets import detect_silence, reset_on_close
 
 READ_BYTES = 64 * 1024
+# Longest wait for a new connection.  A first packet that was lost is sent again only after a
+# second, and then less and less often: a fresh try gets through sooner once a cut has healed.
+CONNECT_TIMEOUT = timedelta(seconds=1)
 
 
 class NotSentError(ProtocolError):
@@ -169,7 +172,7 @@
         """
         end = asyncio.get_running_loop().time() + timeout.total_seconds()
         try:
-            async with asyncio.timeout_at(end):
+            async with asyncio.timeout(min(timeout, CONNECT_TIMEOUT).total_seconds()):
                 connection = await self._connection()
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"no connection to {self.host}: {error!r}") from error
