--- a/fireflylock/direct/holdings.py
+++ b/fireflylock/direct/holdings.py
@@ -19,7 +19,7 @@
 
 @dataclass
 class Holdings:
-    """The latest end of each owner's hold, and of orders that may still be carried out.
+    """The latest end of each owner's hold.
 
     Attributes
     ----------
@@ -29,16 +29,13 @@
         When the right to grant was won: all orders of others arrived before.
     ends : dict of Owner to timedelta
         Latest end of an owner's hold by the orders of this process.
-    late : dict of Owner to timedelta
-        Until when an unanswered order to an owner may have an effect.
     """
 
     longest: timedelta
     started: Instant
     ends: dict[Owner, Instant] = field(default_factory=dict)
-    late: dict[Owner, Instant] = field(default_factory=dict)
 
-    def granted(self, now: Instant, owner: Owner, hold: timedelta, answered: bool) -> None:
+    def granted(self, now: Instant, owner: Owner, hold: timedelta) -> None:
         """Note a grant that has just ended, with an answer or without.
 
         Parameters
@@ -49,13 +46,9 @@
             Whom it went to.
         hold : timedelta
             How long the owner may hold the keys, from the arrival.
-        answered : bool
-            Whether the owner answered.
         """
         end = now + self.end_of(hold)
         self.ends[owner] = max(end, self.ends.get(owner, end))
-        if not answered:
-            self.late[owner] = max(end, self.late.get(owner, end))
 
     def end_of(self, hold: timedelta) -> timedelta:
         """Return how long after its arrival a grant has surely ended."""
@@ -65,7 +58,3 @@
         """Return from when on an owner surely holds nothing, if it is granted nothing more."""
         others = self.started + self.end_of(self.longest)
         return max(others, self.ends.get(owner, others))
-
-    def settled_at(self, owner: Owner) -> Instant:
-        """Return from when on no order to an owner can have an effect any more."""
-        return self.late.get(owner, timedelta(0))
--- a/fireflylock/direct/keyranges.py
+++ b/fireflylock/direct/keyranges.py
@@ -68,7 +68,7 @@
         return self.first <= last and first <= self.last
 
     def same_ownership(self, other: "KeyRange") -> bool:
-        """Return whether both were granted as one."""
+        """Return whether owner, epoch and handover are the same."""
         mine = (self.owner, self.epoch, self.handover)
         return mine == (other.owner, other.epoch, other.handover)
 
@@ -112,9 +112,9 @@
             index += 1
         return found
 
-    def owners(self) -> set[Owner]:
-        """Return everybody who owns keys."""
-        return {part.owner for part in self.ranges}
+    def owners(self) -> list[Owner]:
+        """Return everybody who owns keys, in the order of their first keys."""
+        return list(dict.fromkeys(part.owner for part in self.ranges))
 
     def reassigned(self, changes: list[KeyRange], next_epoch: int) -> "RangeMap":
         """Return the map with some keys given to other owners; neighbours are joined.
@@ -149,13 +149,18 @@
 
 
 def join_neighbours(parts: list[KeyRange]) -> tuple[KeyRange, ...]:
-    """Return sorted ranges with those joined that were granted as one."""
+    """Return sorted ranges with the neighbours of one owner joined.
+
+    The higher epoch holds for both: nobody else has had keys of the other range since the
+    owner got them, so it is above all that others had them with.
+    """
     joined: list[KeyRange] = []
     for part in parts:
-        if joined and joined[-1].same_ownership(part) and joined[-1].last + 1 == part.first:
-            joined[-1] = replace(joined[-1], last=part.last)
+        if not joined or joined[-1].owner != part.owner:
+            joined.append(part)
             continue
-        joined.append(part)
+        newer = max(joined[-1], part, key=lambda one: one.epoch)
+        joined[-1] = replace(newer, first=joined[-1].first, last=part.last)
     return tuple(joined)
 
 
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -329,8 +329,7 @@
             finally:
                 now = self.clock.elapsed()
                 if outcome in (GrantOutcome.GRANTED, GrantOutcome.UNANSWERED):
-                    answered = outcome is GrantOutcome.GRANTED
-                    self.holdings.granted(now, part.owner, hold, answered)
+                    self.holdings.granted(now, part.owner, hold)
         self.note_outcome(now, part, state, outcome)
         return outcome
 
@@ -340,6 +339,8 @@
             return False
         if any(part.overlaps(d.part.first, d.part.last) for d in self.departures):
             return False
+        if self.table.is_replaced(part.owner):
+            return False
         present = self.map.range_of(part.first)
         return present.same_ownership(part) and present.last >= part.last
 
@@ -386,7 +387,11 @@
         departure.task = self.begin(self.release(departure))
 
     async def release(self, departure: Departure) -> None:
-        """Ask the owner again and again to give the keys back, until they are free."""
+        """Ask the owner again and again to give the keys back, until they are free.
+
+        The release carries the next epoch, so that an older grant which is carried out late
+        is refused: the server has seen a higher one.
+        """
         owner = departure.part.owner
         state = self.owners.setdefault(owner, OwnerState())
         while not departure.free and not self.closed:
@@ -412,23 +417,11 @@
             state = self.owners.get(owner)
             if state is not None and state.lock.locked():
                 continue
-            if not self.is_proved_dead(owner) and now < self.holdings.free_at(owner):
+            if not self.table.is_replaced(owner) and now < self.holdings.free_at(owner):
                 continue
             departure.free = True
             log.info("keys are free", service=self.service, owner=owner.name)
 
-    def is_proved_dead(self, owner: Owner) -> bool:
-        """Return whether another process registered under the owner's name or address."""
-        for server in self.table.servers.values():
-            entry = server.entry
-            if entry.name == owner.name:
-                if entry.born > owner.born:
-                    return True
-                continue
-            if (entry.host, entry.port) == (owner.host, owner.port) and entry.born > owner.born:
-                return True
-        return False
-
     def leave_bad_owners(self, now: Instant) -> None:
         """Let all keys leave owners that leave, are lost, or were started again."""
         bad = [owner for owner in self.map.owners() if self.trouble(now, owner)]
@@ -440,11 +433,10 @@
 
     def trouble(self, now: Instant, owner: Owner) -> str:
         """Return why an owner should have no keys, or ""."""
+        if self.table.is_replaced(owner):
+            return "another process has taken its place"
         server = self.table.life(owner)
         if server is None:
-            known = self.table.servers.get(owner.name)
-            if known is not None:
-                return "server started again"
             if now - self.right.won_at < SETTLING or now < self.table.missing_counts_from:
                 return ""
             return "server not registered"
@@ -502,7 +494,7 @@
         """Record new owners of the keys that are free."""
         if self.writing is not None:
             return
-        free = [d for d in self.departures if d.free and self.settled(now, d)]
+        free = [d for d in self.departures if d.free]
         if not free:
             return
         waiting = [d for d in self.departures if not d.free]
@@ -533,10 +525,6 @@
             new = self.map.reassigned(changes, epoch + 1)
             self.writing = self.begin(self.record(new, done))
 
-    def settled(self, now: Instant, departure: Departure) -> bool:
-        """Return whether no old order can bring the keys back to their owner."""
-        return True
-
     # What the other VMs are told.
 
     def moving(self, now: Instant) -> list[Moving]:
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -200,6 +200,11 @@
         now = self.clock.elapsed()
 
         def settle(server: Server | None, error: RequestError | None) -> None:
+            if future.done():
+                # The caller has left; the task that waits is cancelled, but has not run yet.
+                if server is not None:
+                    server.running.pop(request.request_id, None)
+                return
             if error is not None:
                 future.set_exception(error)
                 return
--- a/fireflylock/direct/servers.py
+++ b/fireflylock/direct/servers.py
@@ -131,6 +131,8 @@
     def __init__(self, drain: timedelta) -> None:
         self.drain = drain
         self.servers: dict[str, Server] = {}
+        # The life that registered last, by address.
+        self.addresses: dict[tuple[str, int], ServerEntry] = {}
         self.speeds = Speeds()
         # Registrations that are missing while their absence proves nothing.
         self.missing: set[str] = set()
@@ -165,6 +167,30 @@
             known.leaving_since = None
         elif known.leaving_since is None:
             known.leaving_since = now
+        self.take_address(now, entry)
+
+    def take_address(self, now: Instant, entry: ServerEntry) -> None:
+        """Note whose process has an address; the life that began last has it."""
+        place = (entry.host, entry.port)
+        latest = self.addresses.get(place)
+        if latest is None or latest.name == entry.name:
+            self.addresses[place] = entry
+            return
+        if latest.born > entry.born:
+            self.replaced(now, entry.name)
+            return
+        self.addresses[place] = entry
+        self.replaced(now, latest.name)
+
+    def replaced(self, now: Instant, name: str) -> None:
+        """Note that another process has a server's address, so that it is gone for certain."""
+        server = self.servers.get(name)
+        if server is None:
+            return
+        self.missing.discard(name)
+        server.gone = True
+        if server.leaving_since is None:
+            server.leaving_since = now
 
     def remove(self, now: Instant, name: str) -> None:
         """Note that a registration is gone; at once, or once its absence counts."""
@@ -194,6 +220,9 @@
             if server.gone and not server.running and now - server.leaving_since > GONE_MEMORY:
                 del self.servers[name]
                 self.speeds.forget(name)
+                place = (server.entry.host, server.entry.port)
+                if self.addresses.get(place) == server.entry:
+                    del self.addresses[place]
 
     def of_service(self, service: str) -> list[Server]:
         """Return the servers of a service whose registrations stand."""
@@ -207,6 +236,17 @@
             return None
         return server
 
+    def is_replaced(self, owner: Owner) -> bool:
+        """Return whether another process has an owner's name or address, which proves its end.
+
+        An older life that registers late proves nothing.
+        """
+        named = self.servers.get(owner.name)
+        if named is not None and named.entry.born > owner.born:
+            return True
+        placed = self.addresses.get((owner.host, owner.port))
+        return placed is not None and placed.name != owner.name and placed.born > owner.born
+
     def expected_seconds(self, server: Server, route: str, crowd: float) -> float:
         """Return how long a request of `route` should take at `server`."""
         alone = self.speeds.cost(route) * self.speeds.slowness(server.name)
--- a/fireflylock/http_client.py
+++ b/fireflylock/http_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from urllib.parse import urlsplit
@@ -151,6 +151,7 @@
         timeout: timedelta,
         body: bytes = b"",
         still_allowed: Callable[[], bool] | None = None,
+        headers: Sequence[tuple[str, str]] = (),
     ) -> HTTPAnswer:
         """Return the answer to one call.
 
@@ -162,6 +163,8 @@
             Longest wait for the whole answer; then the connection is reset.
         still_allowed : callable or None
             Asked in the same synchronous step that hands the first bytes over.
+        headers : sequence of (str, str)
+            Sent besides those that every call has.
 
         Raises
         ------
@@ -180,7 +183,7 @@
             async with asyncio.timeout_at(end):
                 if still_allowed is not None and not still_allowed():
                     raise NotSentError("the call was no longer allowed")
-                await connection.send(self._request(method, path, body), body)
+                await connection.send(self._request(method, path, body, headers), body)
                 answer = await self._read_head(connection)
                 answer.body = await connection.read_body(self.answer_limit)
         except BaseException:
@@ -218,9 +221,12 @@
         while self.idle:
             self.idle.pop().close()
 
-    def _request(self, method: str, path: str, body: bytes) -> h11.Request:
+    def _request(
+        self, method: str, path: str, body: bytes, more: Sequence[tuple[str, str]] = ()
+    ) -> h11.Request:
         """Return the head of a request."""
         headers = [("Host", f"{self.host}:{self.port}"), ("Content-Length", str(len(body)))]
+        headers += more
         if body:
             headers.append(("Content-Type", "application/json"))
         target = (self.path + path or "/") + self.query
--- a/fireflylock/platform/grants.py
+++ b/fireflylock/platform/grants.py
@@ -10,7 +10,13 @@
 from fireflylock.direct.keyranges import KeyRange, Owner
 from fireflylock.exceptions import ProtocolError
 from fireflylock.http_client import HTTPAnswer, HTTPClient, NotSentError
-from fireflylock.platform.wire import GRANT_PATH, HANDOVER, RELEASE_PATH, duration_text
+from fireflylock.platform.wire import (
+    EXPECTED_SERVER,
+    GRANT_PATH,
+    HANDOVER,
+    RELEASE_PATH,
+    duration_text,
+)
 
 # Longest wait for the answer to a grant, which a server gives at once.
 GRANT_TIMEOUT = timedelta(milliseconds=800)
@@ -18,8 +24,8 @@
 KEPT_CONNECTIONS = 3
 
 GRANTED = 200
-# The server has seen a higher epoch on one of the keys.
-FENCED = 409
+# Another server has the address; it took nothing.
+MISDIRECTED = 421
 
 log = structlog.get_logger()
 
@@ -46,6 +52,9 @@
             return GrantOutcome.UNANSWERED
         if answer.status == GRANTED:
             return GrantOutcome.GRANTED
+        if answer.status == MISDIRECTED:
+            log.warning("grant reached another server", server=part.owner.name)
+            return GrantOutcome.UNSENT
         log.warning("grant refused", server=part.owner.name, status=answer.status)
         return GrantOutcome.REFUSED
 
@@ -80,7 +89,9 @@
             )
             self.clients[place] = client
         body = msgspec.json.encode(content)
-        return await client.call("POST", path, timeout, body, still_allowed)
+        # The address may belong to another server by now, which must not take the order.
+        headers = [(EXPECTED_SERVER.decode(), owner.name)]
+        return await client.call("POST", path, timeout, body, still_allowed, headers)
 
     def forget(self, owner: Owner) -> None:
         """Close the connections to an owner that is no longer used."""
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -20,6 +20,8 @@
     path: str
     query: dict[str, str]
     body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
+    target: str = ""
 
     def json(self) -> dict:
         """Return the decoded body."""
@@ -109,7 +111,10 @@
         if isinstance(event, h11.EndOfMessage):
             parts = urlsplit(head.target.decode())
             query = dict(parse_qsl(parts.query))
-            return Call(head.method.decode(), parts.path, query, b"".join(body))
+            headers = {name.decode(): value.decode() for name, value in head.headers}
+            method = head.method.decode()
+            target = head.target.decode()
+            return Call(method, parts.path, query, b"".join(body), headers, target)
         return None
 
 
--- /dev/null
+++ b/standins/operators_store.py
@@ -0,0 +1,178 @@
+"""Stands in for the store of the users' platform, by its published calls."""
+
+import asyncio
+import base64
+import time
+
+from fireflylock.platform import wire
+from standins.http_server import Call, DropConnectionError, HTTPServer, Reply
+from standins.key_values import Change, KeyValues, Row
+
+PAGE = 500
+OK = 200
+
+
+class OperatorsStore:
+    """The store, and what may go wrong with it.
+
+    Attributes
+    ----------
+    content : KeyValues
+        What it holds.
+    away : bool
+        Whether connections are closed without an answer.
+    refusing : int
+        Status with which all calls are answered; 0 for none.
+    losing : int
+        How many of the next changes are made, but not answered.
+    forgotten : int
+        Oldest revision from which watches can start.
+    calls : list of str
+        Paths of the calls, in order.
+    """
+
+    def __init__(self) -> None:
+        self.content = KeyValues()
+        self.away = False
+        self.refusing = 0
+        self.losing = 0
+        self.forgotten = 0
+        self.calls: list[str] = []
+        self.server = HTTPServer(self.answer)
+        self.page = PAGE
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> tuple[str, int]:
+        """Listen, and return the address."""
+        return host, await self.server.start(host, port)
+
+    async def close(self) -> None:
+        """Stop."""
+        await self.server.close()
+
+    def write(self, key: str, data: bytes) -> None:
+        """Write as the operator or a server does."""
+        self.content.write([(key.encode(), base64.b64encode(data), 0)])
+
+    def remove(self, key: str) -> None:
+        """Remove as the operator or a server does."""
+        self.content.delete([key.encode()])
+
+    def read(self, key: str) -> bytes | None:
+        """Return the value of a key."""
+        row = self.content.rows.get(key.encode())
+        return None if row is None else base64.b64decode(row.value)
+
+    async def answer(self, call: Call) -> Reply:
+        """Answer one call."""
+        if self.away:
+            raise DropConnectionError
+        self.calls.append(call.path)
+        if self.refusing:
+            return Reply(self.refusing)
+        self.content.expire(time.monotonic())
+        if call.path == wire.STORE_ITEM:
+            return self.item(call.query["key"])
+        if call.path == wire.STORE_ITEMS:
+            return self.items(call.query["prefix"], call.query.get("after", ""))
+        if call.path == wire.STORE_WATCH:
+            return await self.watch(call.query)
+        if call.path == wire.STORE_CHANGE:
+            return self.change(call.json())
+        if call.path == wire.STORE_LEASE:
+            return self.lease(call.json())
+        if call.path.startswith(wire.STORE_RENEW):
+            return self.renew(int(call.path.removeprefix(wire.STORE_RENEW)))
+        if call.path.startswith(wire.STORE_END_LEASE):
+            self.content.end_lease(int(call.path.removeprefix(wire.STORE_END_LEASE)))
+            return Reply.of({})
+        return Reply(404)
+
+    def item(self, key: str) -> Reply:
+        """Return one item."""
+        row = self.content.rows.get(key.encode())
+        if row is None:
+            return Reply(404)
+        return Reply.of(row_item(row) | {"asOf": self.content.revision})
+
+    def items(self, prefix: str, after: str) -> Reply:
+        """Return a page of items."""
+        names = sorted(
+            name
+            for name in self.content.rows
+            if name.startswith(prefix.encode()) and name > after.encode()
+        )
+        page = [row_item(self.content.rows[name]) for name in names[: self.page]]
+        more = len(names) > self.page
+        return Reply.of({"items": page, "hasMore": more, "asOf": self.content.revision})
+
+    async def watch(self, query: dict[str, str]) -> Reply:
+        """Wait for changes, and return them."""
+        prefix = query["prefix"].encode()
+        after = int(query["after"])
+        end = time.monotonic() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.forgotten:
+                return Reply(410)
+            found = [
+                change
+                for change in self.content.history
+                if change.row.key.startswith(prefix) and change.row.mod_revision > after
+            ]
+            if found or time.monotonic() >= end:
+                events = [change_event(change) for change in found]
+                return Reply.of({"events": events, "asOf": self.content.revision})
+            try:
+                async with asyncio.timeout(end - time.monotonic()):
+                    await self.content.changed.wait()
+            except TimeoutError:
+                continue
+
+    def change(self, wanted: dict) -> Reply:
+        """Make a change if its conditions hold."""
+        for row in wanted["expect"]:
+            known = self.content.rows.get(row["key"].encode())
+            if (0 if known is None else known.mod_revision) != row["revision"]:
+                return Reply.of({"items": []}, 412)
+        puts = wanted["puts"]
+        if any(put["lease"] and put["lease"] not in self.content.leases for put in puts):
+            return Reply(404)
+        self.content.write(
+            [(put["key"].encode(), put["value"].encode(), put["lease"]) for put in puts]
+        )
+        self.content.delete([key.encode() for key in wanted["remove"]])
+        if self.losing:
+            self.losing -= 1
+            raise DropConnectionError
+        return Reply.of({"revision": self.content.revision})
+
+    def lease(self, wanted: dict) -> Reply:
+        """Grant a lease."""
+        seconds = wire.duration(wanted["ttl_time"]).total_seconds()
+        number = self.content.grant(seconds, time.monotonic())
+        return Reply.of({"lease": number, "ttl_time": wanted["ttl_time"]})
+
+    def renew(self, lease: int) -> Reply:
+        """Renew a lease."""
+        left = self.content.keep_alive(lease, time.monotonic())
+        if not left:
+            return Reply(404)
+        return Reply.of({"ttl_time": f"{left}s"})
+
+
+def row_item(row: Row) -> dict:
+    """Return an item as calls answer it."""
+    return {
+        "key": row.key.decode(),
+        "value": row.value.decode(),
+        "revision": row.mod_revision,
+        "createdRev": row.create_revision,
+        "lease": row.lease,
+    }
+
+
+def change_event(change: Change) -> dict:
+    """Return a change as watches tell it."""
+    if not change.deleted:
+        return row_item(change.row)
+    row = change.row
+    return {"key": row.key.decode(), "revision": row.mod_revision, "deleted": True}
--- /dev/null
+++ b/standins/routed_server.py
@@ -0,0 +1,123 @@
+"""Stands in for a backend server of the users' platform, with grants and signed answers."""
+
+import asyncio
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from fireflylock.clock import Clock
+from fireflylock.platform import wire
+from standins.http_server import Call, DropConnectionError, HTTPServer, Reply
+from standins.key_holder import KeyHolder
+
+NOT_RUN = ((wire.NOT_RUN.decode(), "1"),)
+
+
+@dataclass
+class Run:
+    """One request that the server has run."""
+
+    request_id: str
+    method: str
+    target: str
+    body: bytes
+    key: int | None
+
+
+@dataclass
+class RoutedServer:
+    """One life of a server.
+
+    Attributes
+    ----------
+    name, service, zone : str
+        What it registers.
+    clock : Clock
+        Its clock.
+    keyed : bool
+        Whether it runs only requests for keys that it holds.
+    work : timedelta
+        How long a request takes.
+    runs : list of Run
+        Requests that it has run.
+    shedding : int
+        How many of the next requests it refuses.
+    cutting : int
+        How many of the next requests it runs without an answer.
+    unsigned : bool
+        Whether its answers lack the signature.
+    """
+
+    name: str
+    service: str
+    zone: str
+    clock: Clock
+    keyed: bool = True
+    work: timedelta = timedelta(0)
+    born: int = 1
+    slots: int = 4
+    runs: list[Run] = field(default_factory=list)
+    shedding: int = 0
+    cutting: int = 0
+    unsigned: bool = False
+    status: int = 200
+    address: str = ""
+
+    def __post_init__(self) -> None:
+        self.holder = KeyHolder(self.name, self.clock)
+        self.server = HTTPServer(self.answer)
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        port = await self.server.start("127.0.0.1", 0)
+        self.address = f"127.0.0.1:{port}"
+
+    async def close(self) -> None:
+        """Stop."""
+        await self.server.close()
+
+    def registration(self, state: str = "ready") -> dict:
+        """Return what it writes into the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "coldRemaining": "0ms",
+            "sequence": 1,
+            "born": self.born,
+        }
+
+    async def answer(self, call: Call) -> Reply:
+        """Answer one call."""
+        if call.path in (wire.GRANT_PATH, wire.RELEASE_PATH):
+            return self.order(call)
+        expected = call.headers.get(wire.EXPECTED_SERVER.decode(), self.name)
+        key = call.headers.get(wire.KEY.decode())
+        number = None if key is None else int(key)
+        if expected != self.name or (self.keyed and not self.holder.holds_key(number)):
+            return Reply(421, headers=list(NOT_RUN))
+        if self.shedding:
+            self.shedding -= 1
+            return Reply(503, headers=list(NOT_RUN))
+        request_id = call.headers.get(wire.REQUEST_ID.decode(), "")
+        self.runs.append(Run(request_id, call.method, call.target, call.body, number))
+        await asyncio.sleep(self.work.total_seconds())
+        if self.cutting:
+            self.cutting -= 1
+            raise DropConnectionError
+        headers = [(wire.REQUEST_ID.decode(), request_id)]
+        if not self.unsigned:
+            headers.append((wire.SIGNATURE.decode(), f"signed by {self.name}"))
+        return Reply(self.status, f"{self.name} {call.target}".encode(), headers)
+
+    def order(self, call: Call) -> Reply:
+        """Take a grant or a release."""
+        content = call.json()
+        first, last, epoch = content["from"], content["target"], content["fence"]
+        if call.path == wire.RELEASE_PATH:
+            token = self.holder.release(first, last, epoch)
+            return Reply(200, headers=[(wire.HANDOVER.decode(), token)])
+        hold = wire.duration(content["hold_time"])
+        return Reply(200 if self.holder.grant(first, last, epoch, hold) else 409)
--- /dev/null
+++ b/tests/placing_world.py
@@ -0,0 +1,409 @@
+"""A world in which entry VMs place keys: servers, a store, links, and what goes wrong.
+
+Time is a fake clock; every choice comes from one seed.  After each step the world checks that
+no key is held by two lives of servers, and at each grant that the epoch is new for that key.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from fireflylock.clock import FakeClock, Instant
+from fireflylock.direct.duty import PlacingDuty
+from fireflylock.direct.gossip import Placing
+from fireflylock.direct.keycontrol import GrantOutcome, KeyControl, Release
+from fireflylock.direct.keyranges import KeyRange, Owner
+from fireflylock.direct.model import (
+    KEYS,
+    Bounds,
+    CallerLimits,
+    RouteTable,
+    ServerEntry,
+    ServiceSpec,
+)
+from fireflylock.direct.ownership_view import OwnershipView
+from fireflylock.direct.right import Holder, PlacingRight
+from fireflylock.direct.servers import ServerTable
+from fireflylock.exceptions import PlatformError, VersionConflictError
+from fireflylock.store import Store, Value
+from standins.key_holder import KeyHolder
+
+SERVICE = "orders"
+STEP = timedelta(milliseconds=20)
+ORDER_TIME = timedelta(milliseconds=3)
+ORDER_TIMEOUT = timedelta(milliseconds=800)
+LIMITS = CallerLimits(1000, 1000, timedelta(seconds=1), timedelta(seconds=1))
+ROUTES = RouteTable(1, (), {SERVICE: ServiceSpec(SERVICE, "/", 10, True)}, LIMITS)
+WATCHED = tuple(range(0, KEYS, 1489))
+
+
+@dataclass
+class Life:
+    """One life of a server."""
+
+    entry: ServerEntry
+    holder: KeyHolder
+    alive: bool = True
+
+
+@dataclass
+class Row:
+    """A value of the store."""
+
+    data: bytes
+    revision: int
+    lease: int = 0
+
+
+class SharedStore:
+    """What the store holds for all VMs."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        self.clock = clock
+        self.rows: dict[str, Row] = {}
+        self.revision = 1
+        self.leases: dict[int, tuple[timedelta, Instant]] = {}
+        self.next_lease = 1
+        self.away = False
+
+    def expire(self) -> None:
+        """End leases whose time is over."""
+        now = self.clock.elapsed()
+        for lease, (_, ends_at) in list(self.leases.items()):
+            if ends_at <= now:
+                self.end(lease)
+
+    def end(self, lease: int) -> None:
+        """End a lease and remove its keys."""
+        self.leases.pop(lease, None)
+        self.rows = {key: row for key, row in self.rows.items() if row.lease != lease or not lease}
+
+    def put(self, key: str, data: bytes, expected: int, lease: int) -> int | None:
+        """Write if the revision is as expected; None when it is not."""
+        row = self.rows.get(key)
+        if (0 if row is None else row.revision) != expected:
+            return None
+        self.revision += 1
+        self.rows[key] = Row(data, self.revision, lease)
+        return self.revision
+
+
+class StoreLink(Store):
+    """One VM's way to the store."""
+
+    def __init__(self, world: "World", vm: str) -> None:
+        self.world = world
+        self.vm = vm
+        self.shared = world.store
+
+    async def travel(self) -> None:
+        """Let a call take its time, or fail."""
+        await self.world.clock.sleep(timedelta(milliseconds=5))
+        if self.shared.away or self.vm in self.world.cut_from_store:
+            await self.world.clock.sleep(timedelta(milliseconds=500))
+            raise PlatformError("no answer")
+        self.shared.expire()
+
+    async def get(self, key: str) -> Value | None:
+        """Return a value."""
+        await self.travel()
+        row = self.shared.rows.get(key)
+        return None if row is None else Value(key, row.revision, row.data)
+
+    async def put(self, key, data, expected_revision, also=None, lease=0) -> int:
+        """Write; the answer may get lost, and the write may be made later."""
+        await self.travel()
+        chance = self.world.rng.random()
+        if chance < self.world.lost_writes / 2:
+            self.world.later(lambda: self.shared.put(key, data, expected_revision, lease))
+            raise PlatformError("no answer, done later")
+        revision = self.shared.put(key, data, expected_revision, lease)
+        if chance < self.world.lost_writes:
+            raise PlatformError("no answer")
+        if revision is None:
+            raise VersionConflictError(key, expected_revision)
+        return revision
+
+    async def list(self, prefix, since_revision=0):
+        """Not needed here."""
+        raise NotImplementedError
+
+    def watch(self, prefix, from_revision):
+        """Not needed here."""
+        raise NotImplementedError
+
+    async def grant_lease(self, ttl: timedelta) -> int:
+        """Return a new lease."""
+        arrived = self.world.clock.elapsed()
+        await self.travel()
+        lease = self.shared.next_lease
+        self.shared.next_lease += 1
+        self.shared.leases[lease] = (ttl, max(arrived, self.world.clock.elapsed()) + ttl)
+        return lease
+
+    async def keep_alive(self, lease: int) -> timedelta:
+        """Renew a lease."""
+        await self.travel()
+        known = self.shared.leases.get(lease)
+        if known is None:
+            return timedelta(0)
+        self.shared.leases[lease] = (known[0], self.world.clock.elapsed() + known[0])
+        return known[0]
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease."""
+        await self.travel()
+        self.shared.end(lease)
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+class LinkControl(KeyControl):
+    """One VM's orders to servers."""
+
+    def __init__(self, world: "World", vm: str) -> None:
+        self.world = world
+        self.vm = vm
+
+    async def grant(self, part, hold, still_allowed) -> GrantOutcome:
+        """Grant keys."""
+        world = self.world
+        await world.clock.sleep(ORDER_TIME)
+        if not still_allowed():
+            return GrantOutcome.UNSENT
+        if (self.vm, part.owner.name) in world.cut_links:
+            await world.clock.sleep(ORDER_TIMEOUT)
+            return GrantOutcome.UNANSWERED
+        life = world.process_at(part.owner)
+        if life is None or life.entry.name != part.owner.name:
+            return GrantOutcome.UNSENT
+        arrived = world.clock.elapsed()
+        if world.rng.random() < world.late_orders:
+            world.later(lambda: world.take_grant(life, part, hold, arrived))
+            await world.clock.sleep(ORDER_TIMEOUT)
+            return GrantOutcome.UNANSWERED
+        taken = world.take_grant(life, part, hold, arrived)
+        return GrantOutcome.GRANTED if taken else GrantOutcome.REFUSED
+
+    async def release(self, part, epoch, timeout) -> Release:
+        """Take keys back."""
+        world = self.world
+        await world.clock.sleep(ORDER_TIME)
+        life = world.process_at(part.owner)
+        if (self.vm, part.owner.name) in world.cut_links or life is None:
+            await world.clock.sleep(timeout)
+            return Release(answered=False)
+        if world.rng.random() < world.late_orders:
+            world.later(lambda: life.holder.release(part.first, part.last, epoch))
+            await world.clock.sleep(timeout)
+            return Release(answered=False)
+        return Release(True, life.holder.release(part.first, part.last, epoch))
+
+    def forget(self, owner: Owner) -> None:
+        """Do nothing."""
+
+
+class Links:
+    """Stands in for the gossip between VMs."""
+
+    def __init__(self, world: "World", vm: str) -> None:
+        self.world = world
+        self.vm = vm
+
+    def alive(self, now: Instant) -> list[str]:
+        """Return the other VMs that run."""
+        return [vm for vm in self.world.vms if vm != self.vm]
+
+    def send(self, message: Placing, only: str = "") -> None:
+        """Hand a message to the other VMs."""
+        if not isinstance(message, Placing):
+            return
+        now = self.world.clock.elapsed()
+        for name, vm in self.world.vms.items():
+            if name != self.vm and (self.vm, name) not in self.world.cut_links:
+                vm.duty.heard(now, message)
+
+
+@dataclass
+class VM:
+    """One process that may place keys."""
+
+    table: ServerTable
+    view: OwnershipView
+    duty: PlacingDuty
+    frozen: bool = False
+
+
+@dataclass
+class World:
+    """Everything, from one seed."""
+
+    seed: int
+    clock: FakeClock = field(default_factory=lambda: FakeClock(timedelta(seconds=1000)))
+    late_orders: float = 0.0
+    lost_writes: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.store = SharedStore(self.clock)
+        self.lives: list[Life] = []
+        self.vms: dict[str, VM] = {}
+        self.cut_from_store: set[str] = set()
+        self.cut_links: set[tuple[str, str]] = set()
+        self.due: list[tuple[Instant, object]] = []
+        self.boots = 0
+        self.problems: list[str] = []
+        # By key: the highest epoch that each owner was granted it with.
+        self.epochs: dict[int, dict[Owner, int]] = {key: {} for key in WATCHED}
+
+    # Servers.
+
+    def add_server(self, name: str, port: int, born: int | None = None) -> Life:
+        """Start a server and let it register."""
+        born = len(self.lives) + 1 if born is None else born
+        entry = ServerEntry(name, born, SERVICE, "zone", "10.0.0.1", port, 4, False, timedelta(0))
+        drift = self.rng.choice((0.0, 0.02))
+        life = Life(entry, KeyHolder(f"{name}.{born}", self.clock, drift, watched=WATCHED))
+        self.lives.append(life)
+        for vm in self.vms.values():
+            vm.table.register(self.clock.elapsed(), entry)
+        return life
+
+    def crash(self, life: Life, registered: bool = True) -> None:
+        """End a server's process; its registration lapses some time later."""
+        life.alive = False
+        if not registered:
+            self.unregister(life)
+
+    def unregister(self, life: Life) -> None:
+        """Let a registration lapse."""
+        for vm in self.vms.values():
+            known = vm.table.servers.get(life.entry.name)
+            if known is not None and known.entry.born == life.entry.born:
+                vm.table.remove(self.clock.elapsed(), life.entry.name)
+
+    def process_at(self, owner: Owner) -> Life | None:
+        """Return the living process at an owner's address."""
+        for life in self.lives:
+            if life.alive and (life.entry.host, life.entry.port) == (owner.host, owner.port):
+                return life
+        return None
+
+    def take_grant(self, life: Life, part: KeyRange, hold: timedelta, arrived: Instant) -> bool:
+        """Let a process take a grant, and check its epoch against all that others had."""
+        if not life.alive:
+            return False
+        if not life.holder.grant(part.first, part.last, part.epoch, hold, arrived):
+            return False
+        owner = Owner.of(life.entry)
+        for key in WATCHED:
+            if not part.first <= key <= part.last:
+                continue
+            known = self.epochs[key]
+            others = [epoch for other, epoch in known.items() if other != owner]
+            if max(others, default=0) >= part.epoch and known.get(owner, 0) < part.epoch:
+                self.problems.append(f"key {key}: epoch {part.epoch} is not above {known}")
+            known[owner] = max(part.epoch, known.get(owner, 0))
+        return True
+
+    # VMs.
+
+    def start_vm(self, name: str) -> VM:
+        """Start a process that may place keys."""
+        self.boots += 1
+        table = ServerTable(timedelta(seconds=2))
+        now = self.clock.elapsed()
+        for life in self.lives:
+            if life.alive:
+                table.register(now, life.entry)
+        view = OwnershipView(table)
+        store = StoreLink(self, name)
+        right = PlacingRight(store, self.clock, Holder(name, self.boots))
+        duty = PlacingDuty(
+            name,
+            store,
+            LinkControl(self, name),
+            self.clock,
+            right,
+            Links(self, name),
+            table,
+            view,
+            Bounds(),
+            lambda: None,
+        )
+        duty.routes = ROUTES
+        vm = VM(table, view, duty)
+        self.vms[name] = vm
+        return vm
+
+    def kill_vm(self, name: str) -> None:
+        """End a process at once: nothing is given up, calls under way are reset."""
+        vm = self.vms.pop(name)
+        vm.duty.stopped = True
+        for placer in vm.duty.placers.values():
+            placer.close()
+        vm.duty.placers.clear()
+        vm.duty.right.lose("killed")
+
+    def placing(self) -> str:
+        """Return the name of the VM that places keys, or ""."""
+        now = self.clock.elapsed()
+        for name, vm in self.vms.items():
+            if vm.duty.right.is_held(now):
+                return name
+        return ""
+
+    # Time.
+
+    def later(self, action) -> None:
+        """Carry something out 2 to 12 seconds from now."""
+        delay = timedelta(seconds=self.rng.uniform(2, 12))
+        self.due.append((self.clock.elapsed() + delay, action))
+
+    async def run(self, seconds: float, check: bool = True) -> None:
+        """Let time pass."""
+        end = self.clock.elapsed() + timedelta(seconds=seconds)
+        while self.clock.elapsed() < end:
+            self.clock.advance(STEP)
+            now = self.clock.elapsed()
+            for at, action in [item for item in self.due if item[0] <= now]:
+                self.due.remove((at, action))
+                action()
+            for vm in list(self.vms.values()):
+                vm.table.tick(now)
+                if not vm.frozen:
+                    vm.duty.step(now)
+            for _ in range(12):
+                await asyncio.sleep(0)
+            if check:
+                self.check()
+
+    def holders(self, key: int) -> list[Life]:
+        """Return the living processes that would run requests for a key."""
+        return [life for life in self.lives if life.alive and life.holder.holds_key(key)]
+
+    def check(self) -> None:
+        """Note every key that two processes hold."""
+        for key in WATCHED:
+            holders = self.holders(key)
+            if len(holders) > 1:
+                names = [life.holder.name for life in holders]
+                at = self.clock.elapsed() - timedelta(seconds=1000)
+                self.problems.append(f"at {at}: key {key} is held by {names}")
+
+    def unheld(self) -> int:
+        """Return how many of the watched keys nobody holds."""
+        return sum(not self.holders(key) for key in WATCHED)
+
+
+async def settled_world(seed: int = 1, vms: int = 3, servers: int = 6) -> World:
+    """Return a world whose keys are all held."""
+    world = World(seed)
+    for number in range(servers):
+        world.add_server(f"s{number}", 8000 + number)
+    for number in range(vms):
+        world.start_vm(f"vm{number}")
+    await world.run(5)
+    return world
--- /dev/null
+++ b/tests/test_direct_budget.py
@@ -0,0 +1,58 @@
+"""Tests of the budget for repeated sendings."""
+
+import random
+from datetime import timedelta
+
+from fireflylock.direct.budget import SharedRetryBudget
+
+WINDOW = timedelta(seconds=10)
+START = timedelta(seconds=100)
+
+
+def test_a_new_process_has_only_what_its_requests_earn():
+    budget = SharedRetryBudget(START, 0.2, 60, WINDOW)
+    assert not budget.try_spend(START, 4)
+    for _ in range(100):
+        budget.count_request(START)
+    spent = sum(budget.try_spend(START, 4) for _ in range(100))
+    assert 10 <= spent <= 20
+
+
+def test_the_fixed_part_is_divided_by_the_vms():
+    later = START + WINDOW
+    alone = SharedRetryBudget(START, 0.2, 60, WINDOW)
+    shared = SharedRetryBudget(START, 0.2, 60, WINDOW)
+    assert sum(alone.try_spend(later, 1) for _ in range(100)) == 45
+    assert sum(shared.try_spend(later, 4) for _ in range(100)) == 11
+
+
+def test_what_left_the_window_can_be_spent_again():
+    budget = SharedRetryBudget(START, 0.0, 60, WINDOW)
+    later = START + WINDOW
+    while budget.try_spend(later, 1):
+        pass
+    assert not budget.try_spend(later + WINDOW * 0.9, 1)
+    assert budget.try_spend(later + WINDOW * 1.1, 1)
+
+
+def test_vms_together_keep_the_bound_in_every_window():
+    """A storm of failures at four VMs, one of which starts again in between."""
+    rng = random.Random(5)
+    vms = [SharedRetryBudget(START, 0.2, 60, WINDOW) for _ in range(4)]
+    requests, repeats = [], []
+    now = START
+    for step in range(4000):
+        now += timedelta(milliseconds=10)
+        if step == 2000:
+            vms[0] = SharedRetryBudget(now, 0.2, 60, WINDOW)
+        vm = rng.choice(vms)
+        vm.count_request(now)
+        requests.append(now)
+        for _ in range(2):
+            if vm.try_spend(now, 4):
+                repeats.append(now)
+    assert len(repeats) > 400
+    for at in repeats:
+        inside = sum(at - WINDOW < other <= at for other in repeats)
+        asked = sum(at - WINDOW < other <= at for other in requests)
+        assert inside <= 0.2 * asked + 60
--- /dev/null
+++ b/tests/test_direct_keyranges.py
@@ -0,0 +1,94 @@
+"""Tests of the map of key ranges and its record."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fireflylock.direct.keyranges import (
+    KeyRange,
+    Owner,
+    RangeMap,
+    decode_map,
+    encode_map,
+    read_record,
+)
+from fireflylock.direct.model import KEYS
+from fireflylock.exceptions import ProtocolError
+
+A = Owner("a", 1, "10.0.0.1", 80)
+B = Owner("b", 1, "10.0.0.2", 80)
+
+
+def whole(owner=A):
+    return RangeMap("s", (KeyRange(0, KEYS - 1, owner, 1),), 2, 7)
+
+
+def test_each_key_has_one_range():
+    split = whole().reassigned([KeyRange(10, 19, B, 2)], 3)
+    assert [(p.first, p.last, p.owner.name) for p in split.ranges] == [
+        (0, 9, "a"),
+        (10, 19, "b"),
+        (20, KEYS - 1, "a"),
+    ]
+    assert [split.range_of(key).owner.name for key in (0, 9, 10, 19, 20)] == list("aabba")
+
+
+def test_neighbours_of_one_owner_are_joined_under_the_higher_epoch():
+    split = whole().reassigned([KeyRange(10, 19, B, 2, "old")], 3)
+    again = split.reassigned([KeyRange(20, 29, B, 3, "new")], 4)
+    assert [(p.first, p.last) for p in again.ranges] == [(0, 9), (10, 29), (30, KEYS - 1)]
+    assert (again.ranges[1].epoch, again.ranges[1].handover) == (3, "new")
+
+
+def test_lives_of_one_server_are_not_joined():
+    reborn = Owner(A.name, 2, A.host, A.port)
+    split = whole().reassigned([KeyRange(10, 19, reborn, 2)], 3)
+    assert len(split.ranges) == 3
+
+
+def test_pieces_are_cut_at_both_ends():
+    split = whole().reassigned([KeyRange(10, 19, B, 2)], 3)
+    assert [(p.first, p.last) for p in split.pieces(5, 12)] == [(5, 9), (10, 12)]
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, KEYS - 1), st.integers(0, 300), st.sampled_from([A, B])),
+        max_size=25,
+    )
+)
+def test_maps_stay_whole_and_survive_their_record(changes):
+    known = whole()
+    owners = {}
+    for epoch, (first, length, owner) in enumerate(changes, start=2):
+        last = min(KEYS - 1, first + length)
+        known = known.reassigned([KeyRange(first, last, owner, epoch)], epoch + 1)
+        for key in (first, last):
+            owners[key] = (owner, epoch)
+        for key in list(owners):
+            if first <= key <= last:
+                owners[key] = (owner, epoch)
+    edges = [0] + [part.last + 1 for part in known.ranges]
+    assert edges[-1] == KEYS
+    assert edges[:-1] == [part.first for part in known.ranges]
+    for key, (owner, epoch) in owners.items():
+        part = known.range_of(key)
+        assert part.owner == owner
+        assert part.epoch >= epoch
+    assert decode_map(encode_map(known), known.revision) == known
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"{}",
+        b'{"service":"s","next_epoch":1,"change":"","owners":[],"ranges":[[65535,0,1,""]]}',
+        b'{"service":"s","next_epoch":1,"change":"","owners":[["a",1,"h",1]],"ranges":[[9,0,1]]}',
+        b'{"service":"s","next_epoch":1,"change":"","owners":[["a",1,"h",1]],'
+        b'"ranges":[[9,0,1],[5,0,1],[65535,0,1]]}',
+    ],
+)
+def test_a_damaged_record_is_refused_whole(data):
+    with pytest.raises(ProtocolError):
+        read_record(data)
--- /dev/null
+++ b/tests/test_direct_placing.py
@@ -0,0 +1,187 @@
+"""Tests of who owns keys: one scenario a fault, then random histories of all of them."""
+
+import random
+
+import pytest
+
+from fireflylock.direct.placer import HOLD
+from tests.placing_world import WATCHED, World, settled_world
+
+
+def assert_sound(world: World) -> None:
+    assert world.problems[:5] == []
+
+
+async def test_all_keys_get_an_owner_and_keep_it():
+    world = await settled_world()
+    assert world.unheld() == 0
+    first = {key: world.holders(key)[0].entry.name for key in WATCHED}
+    await world.run(20)
+    assert world.unheld() == 0
+    assert {key: world.holders(key)[0].entry.name for key in WATCHED} == first
+    assert_sound(world)
+
+
+async def test_only_one_vm_places_keys():
+    world = await settled_world()
+    assert sum(bool(vm.duty.placers) for vm in world.vms.values()) == 1
+
+
+async def test_a_leaving_servers_keys_go_on_within_the_drain_period():
+    world = await settled_world()
+    life = world.lives[0]
+    for vm in world.vms.values():
+        vm.table.remove(world.clock.elapsed(), life.entry.name)
+    await world.run(1.2)
+    assert world.unheld() == 0
+    assert not any(life in world.holders(key) for key in WATCHED)
+    assert_sound(world)
+
+
+async def test_a_crashed_servers_keys_wait_for_the_end_of_its_hold():
+    world = await settled_world()
+    world.crash(world.lives[0])
+    await world.run(1)
+    assert world.unheld() > 0
+    await world.run(HOLD.total_seconds() + 1.5)
+    assert world.unheld() == 0
+    assert_sound(world)
+
+
+async def test_a_server_that_starts_again_is_proof_that_its_last_life_ended():
+    world = await settled_world()
+    dead = world.lives[0]
+    world.crash(dead)
+    await world.run(0.5)
+    world.add_server(dead.entry.name, dead.entry.port)
+    await world.run(1)
+    assert world.unheld() == 0
+    assert_sound(world)
+
+
+async def test_a_server_that_cannot_be_reached_keeps_its_keys_until_its_hold_ends():
+    """Only the placing VM is cut off from it; others may still send requests there."""
+    world = await settled_world()
+    life = world.lives[0]
+    world.cut_links.add((world.placing(), life.entry.name))
+    await world.run(12)
+    assert world.unheld() == 0
+    assert not any(life in world.holders(key) for key in WATCHED)
+    assert_sound(world)
+
+
+async def test_another_vm_takes_over_before_any_hold_ends():
+    world = await settled_world()
+    world.kill_vm(world.placing())
+    for _ in range(40):
+        await world.run(0.1)
+        assert world.unheld() == 0
+    assert world.placing()
+    assert_sound(world)
+
+
+async def test_a_vm_that_is_cut_off_from_the_store_stops_before_another_one_begins():
+    world = await settled_world()
+    old = world.placing()
+    world.cut_from_store.add(old)
+    await world.run(6)
+    assert world.placing() not in ("", old)
+    assert world.unheld() == 0
+    assert_sound(world)
+
+
+async def test_servers_keep_their_keys_while_the_store_is_away():
+    world = await settled_world()
+    world.store.away = True
+    for _ in range(90):
+        await world.run(0.1)
+        assert world.unheld() == 0
+    world.store.away = False
+    await world.run(4)
+    assert world.unheld() == 0
+    assert_sound(world)
+
+
+async def test_a_write_that_arrives_after_a_takeover_changes_nothing():
+    world = await settled_world()
+    world.lost_writes = 1.0
+    leaving = world.lives[0]
+    world.unregister(leaving)
+    await world.run(0.3)
+    world.kill_vm(world.placing())
+    world.lost_writes = 0.0
+    await world.run(16)
+    assert world.unheld() == 0
+    assert_sound(world)
+
+
+async def test_orders_that_are_carried_out_late_bring_no_second_owner():
+    world = await settled_world()
+    world.late_orders = 0.5
+    world.unregister(world.lives[0])
+    await world.run(4)
+    world.unregister(world.lives[1])
+    await world.run(16)
+    world.late_orders = 0.0
+    await world.run(14)
+    assert world.unheld() == 0
+    assert_sound(world)
+
+
+def random_step(world: World, rng: random.Random) -> None:
+    """Let one thing go wrong, or mend one."""
+    alive = [life for life in world.lives if life.alive]
+    choice = rng.randrange(12)
+    if choice == 0 and len(alive) > 3:
+        world.crash(rng.choice(alive), registered=rng.random() < 0.5)
+    elif choice == 1 and len(alive) > 3:
+        world.unregister(rng.choice(alive))
+    elif choice == 2:
+        dead = [life for life in world.lives if not life.alive]
+        if dead:
+            old = rng.choice(dead).entry
+            in_use = {life.entry.port for life in alive}
+            if old.port not in in_use:
+                name = old.name if rng.random() < 0.5 else f"{old.name}x"
+                if not any(life.entry.name == name for life in alive):
+                    world.add_server(name, old.port)
+    elif choice == 3 and len(alive) < 9:
+        world.add_server(f"n{len(world.lives)}", 9000 + len(world.lives))
+    elif choice == 4 and len(world.vms) > 1:
+        world.kill_vm(rng.choice(sorted(world.vms)))
+    elif choice == 5 and len(world.vms) < 3:
+        world.start_vm(f"v{world.boots}")
+    elif choice == 6 and world.placing():
+        world.cut_from_store.add(world.placing())
+    elif choice == 7:
+        world.cut_from_store.clear()
+        world.cut_links.clear()
+    elif choice == 8 and world.vms:
+        world.cut_links.add((rng.choice(sorted(world.vms)), rng.choice(alive).entry.name))
+    elif choice == 9:
+        world.store.away = not world.store.away
+    elif choice == 10:
+        world.late_orders = rng.choice((0.0, 0.3))
+    elif choice == 11:
+        world.lost_writes = rng.choice((0.0, 0.4))
+
+
+@pytest.mark.parametrize("seed", range(24))
+async def test_random_histories_never_give_a_key_two_owners(seed):
+    world = await settled_world(seed)
+    rng = random.Random(seed * 1000 + 7)
+    for _ in range(40):
+        random_step(world, rng)
+        await world.run(rng.choice((0.1, 0.4, 1.0, 2.5)))
+        assert_sound(world)
+    # Once nothing goes wrong any more, all keys are served again.
+    world.store.away = False
+    world.cut_from_store.clear()
+    world.cut_links.clear()
+    world.late_orders = world.lost_writes = 0.0
+    if not world.vms:
+        world.start_vm("last")
+    world.add_server("last", 9999)
+    await world.run(30)
+    assert world.unheld() == 0
+    assert_sound(world)
--- /dev/null
+++ b/tests/test_direct_planner.py
@@ -0,0 +1,148 @@
+"""Tests of the moves of keys, by the loads that they answer."""
+
+import random
+
+import pytest
+
+from fireflylock.direct.keyranges import KeyRange, Owner, RangeMap
+from fireflylock.direct.model import KEYS
+from fireflylock.direct.planner import Board, Capacity, first_map, plan, spread
+
+
+def owner(number):
+    return Owner(f"s{number:02}", 1, f"10.0.0.{number}", 80)
+
+
+def servers(count, work=4.0):
+    return [Capacity(owner(number), work) for number in range(count)]
+
+
+def background(rng, work, keys=3000):
+    """Return loads of keys all over the range that add up to `work`."""
+    loads = {}
+    for _ in range(keys):
+        key = rng.randrange(KEYS)
+        loads[key] = loads.get(key, 0.0) + work / keys
+    return loads
+
+
+def after(range_map, moves):
+    """Return the map once the moves are made."""
+    for move in moves:
+        epoch = range_map.next_epoch
+        new = KeyRange(move.first, move.last, move.target, epoch)
+        range_map = range_map.reassigned([new], epoch + 1)
+    return range_map
+
+
+def busiest(range_map, loads, capacities):
+    board = Board(range_map, loads, capacities)
+    return max(board.busyness(server.owner) for server in capacities)
+
+
+def test_the_first_map_gives_equal_shares():
+    first = first_map("s", servers(18))
+    keys = {}
+    for part in first.ranges:
+        keys[part.owner] = keys.get(part.owner, 0) + len(part)
+    assert sum(keys.values()) == KEYS
+    assert max(keys.values()) - min(keys.values()) <= 2
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize(("count", "share"), [(200, 0.45), (60, 0.40)])
+def test_hot_neighbouring_keys_are_spread_at_once(seed, count, share):
+    """200 or 60 neighbouring keys get nearly half of a service's requests."""
+    rng = random.Random(seed)
+    capacities = servers(18)
+    total = 0.5 * 18 * 4.0
+    loads = background(rng, total * (1 - share))
+    start = rng.randrange(KEYS - count)
+    for _ in range(1000):
+        key = start + rng.randrange(count)
+        loads[key] = loads.get(key, 0.0) + total * share / 1000
+    known = first_map("s", capacities)
+    assert busiest(known, loads, capacities) > 3.0
+    moves = plan(known, capacities, loads, None)
+    moved = sum(move.last - move.first + 1 for move in moves)
+    assert busiest(after(known, moves), loads, capacities) < 0.95
+    assert moved < 2000
+
+
+def test_chance_moves_nothing():
+    """Steady load with the noise of one second's requests."""
+    capacities = servers(18)
+    known = first_map("s", capacities)
+    quiet = 0
+    for seed in range(20):
+        rng = random.Random(seed)
+        loads = background(rng, 0.5 * 18 * 4.0, keys=550)
+        quiet += not plan(known, capacities, loads, None)
+    assert quiet >= 18
+
+
+def test_slow_servers_get_less():
+    capacities = [Capacity(owner(n), 2.0 if n % 4 == 0 else 4.0) for n in range(16)]
+    loads = background(random.Random(1), 0.5 * 14 * 4.0)
+    known = first_map("s", capacities)
+    before = busiest(known, loads, capacities)
+    for _ in range(4):
+        known = after(known, plan(known, capacities, None, loads))
+    assert before > 0.8
+    assert busiest(known, loads, capacities) < 0.72
+
+
+def test_an_empty_server_gets_work():
+    capacities = servers(6)
+    loads = background(random.Random(2), 8.0)
+    known = first_map("s", capacities[:5])
+    moves = plan(known, capacities, loads, loads)
+    assert {move.target for move in moves} == {capacities[5].owner}
+    board = Board(after(known, moves), loads, capacities)
+    assert 0.4 * board.mean < board.busyness(capacities[5].owner) < 1.2 * board.mean
+
+
+def test_an_empty_server_gets_keys_when_nobody_asks_for_any():
+    known = first_map("s", servers(5))
+    moves = plan(known, servers(6), None, None)
+    assert [move.target for move in moves] == [owner(5)]
+
+
+def test_a_single_hot_key_is_not_sent_around():
+    capacities = servers(4)
+    known = first_map("s", capacities)
+    loads = {1000: 5.0}
+    for _ in range(5):
+        moves = plan(known, capacities, loads, loads)
+        known = after(known, moves)
+    assert plan(known, capacities, loads, loads) == []
+
+
+def test_many_small_ranges_are_joined():
+    capacities = servers(4)
+    known = first_map("s", capacities)
+    rng = random.Random(3)
+    for number in range(60):
+        first = rng.randrange(KEYS - 20)
+        change = KeyRange(first, first + 5, owner(number % 4), number + 2)
+        known = known.reassigned([change], number + 3)
+    before = len(known.ranges)
+    for _ in range(60):
+        known = after(known, plan(known, capacities, {}, {}))
+    assert before > 80
+    assert len(known.ranges) <= 22
+
+
+def test_keys_of_a_leaving_server_go_to_the_idlest():
+    capacities = servers(3)
+    known = first_map("s", [*capacities, Capacity(owner(9), 4.0)])
+    parts = [part for part in known.ranges if part.owner == owner(9)]
+    loads = {part.first: 1.0 for part in known.ranges if part.owner == owner(0)}
+    moves = spread(parts, known, loads, capacities)
+    assert {(m.first, m.last) for m in moves} == {(p.first, p.last) for p in parts}
+    assert owner(0) not in {move.target for move in moves}
+
+
+def test_nothing_is_planned_for_one_server():
+    known = RangeMap("s", (KeyRange(0, KEYS - 1, owner(0), 1),), 2)
+    assert plan(known, servers(1), {1: 9.0}, {1: 9.0}) == []
--- /dev/null
+++ b/tests/test_direct_routes.py
@@ -0,0 +1,71 @@
+"""Tests of route matching and of split routes."""
+
+from collections import Counter
+from datetime import timedelta
+
+import pytest
+
+from fireflylock.direct.model import CallerLimits, Repeat, Route, RouteTable, ServiceSpec, Share
+from fireflylock.direct.routes import RouteMatcher, SplitCounter
+from fireflylock.exceptions import ErrorKind, RequestError
+
+LIMITS = CallerLimits(1000, 1000, timedelta(seconds=1), timedelta(seconds=1))
+
+
+def route(name, prefix, *shares, host="a.example"):
+    return Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        repeat=Repeat.IDEMPOTENT,
+        timeout=timedelta(seconds=1),
+        target=timedelta(milliseconds=200),
+        priority=1,
+        attempts=2,
+        shares=shares or (Share("s", 1.0),),
+    )
+
+
+def table(*routes):
+    return RouteTable(1, routes, {"s": ServiceSpec("s", "/", 10, False)}, LIMITS)
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    matcher = RouteMatcher(
+        table(
+            route("all", "/"),
+            route("a", "/a/"),
+            route("ab", "/a/b/"),
+            route("o", "/a/b/", host="b"),
+        )
+    )
+    assert matcher.match("a.example", "/a/b/c").name == "ab"
+    assert matcher.match("a.example", "/a/b").name == "a"
+    assert matcher.match("a.example", "/a/").name == "a"
+    assert matcher.match("a.example", "/ab/").name == "all"
+    assert matcher.match("b", "/a/b/").name == "o"
+
+
+def test_what_no_route_matches_is_not_found():
+    matcher = RouteMatcher(table(route("a", "/a/")))
+    for host, path in (("a.example", "/b/"), ("a.example", "/a"), ("other", "/a/")):
+        with pytest.raises(RequestError) as caught:
+            matcher.match(host, path)
+        assert caught.value.kind is ErrorKind.NO_SUCH_SERVICE
+
+
+def test_a_split_keeps_its_proportions_over_short_spans():
+    split = route("r", "/", Share("a", 90), Share("b", 10), Share("off", 0))
+    counter = SplitCounter()
+    chosen = [counter.choose(split) for _ in range(200)]
+    assert Counter(chosen) == {"a": 180, "b": 20}
+    for start in range(0, 200, 10):
+        assert Counter(chosen[start : start + 10])["b"] == 1
+
+
+def test_new_weights_count_from_the_next_request_on():
+    counter = SplitCounter()
+    for _ in range(5):
+        counter.choose(route("r", "/", Share("a", 1), Share("b", 1)))
+    chosen = [counter.choose(route("r", "/", Share("a", 0), Share("b", 1))) for _ in range(5)]
+    assert set(chosen) == {"b"}
