Tests of the whole path over sockets and of the adapter; a released server takes orders

Found by the new histories: when every owner had missed an order, none could get keys any more, since only a grant cleared the mark and all keys were on their way out: an answered release clears it too. Stand-ins: the store, keyed servers.

--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -31,6 +31,8 @@
 # does not try again for the second figure.
 REACHED_SHARE = 0.4
 REST = timedelta(seconds=3)
+# It does so once in this time: when it gets the right back, the others reach no more.
+RESIGN_EVERY = timedelta(seconds=15)
 # A map that is known to be newer is read from the store when nobody has sent it for this long.
 MAP_PATIENCE = timedelta(milliseconds=250)
 
@@ -91,6 +93,7 @@
         self.trying: asyncio.Task | None = None
         self.renewing: asyncio.Task | None = None
         self.fetching: asyncio.Task | None = None
+        self.resigned_at: Instant = -RESIGN_EVERY
         self.told_at: Instant = timedelta(0)
         self.maps_told_until: Instant = timedelta(0)
         self.behind_since: Instant | None = None
@@ -136,6 +139,7 @@
             placer.step(now)
         if self.reaches_too_few(now):
             self.try_at = now + REST
+            self.resigned_at = now
             self.stop_placing("too few servers are reached")
             self.begin(self.right.give_up("too few servers are reached"))
             return
@@ -155,6 +159,8 @@
 
     def reaches_too_few(self, now: Instant) -> bool:
         """Return whether most owners take no orders from here, while others may reach them."""
+        if now - self.resigned_at < RESIGN_EVERY:
+            return False
         owners = [
             (placer, owner)
             for placer in self.placers.values()
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -405,6 +405,7 @@
             if answer.answered:
                 departure.handover = answer.handover
                 departure.free = True
+                state.failing_since = None
                 return
             await self.clock.sleep(RELEASE_PAUSE)
 
--- a/fireflylock/http_client.py
+++ b/fireflylock/http_client.py
@@ -225,7 +225,9 @@
         self, method: str, path: str, body: bytes, more: Sequence[tuple[str, str]] = ()
     ) -> h11.Request:
         """Return the head of a request."""
-        headers = [("Host", f"{self.host}:{self.port}"), ("Content-Length", str(len(body)))]
+        headers = [("Content-Length", str(len(body)))]
+        if not any(name.lower() == "host" for name, _ in more):
+            headers.append(("Host", f"{self.host}:{self.port}"))
         headers += more
         if body:
             headers.append(("Content-Type", "application/json"))
--- a/tests/placing_world.py
+++ b/tests/placing_world.py
@@ -84,6 +84,8 @@
         row = self.rows.get(key)
         if (0 if row is None else row.revision) != expected:
             return None
+        if lease and lease not in self.leases:
+            return None
         self.revision += 1
         self.rows[key] = Row(data, self.revision, lease)
         return self.revision
--- /dev/null
+++ b/tests/test_direct_path.py
@@ -0,0 +1,188 @@
+"""Tests of the whole path: callers, entry VMs, the store and servers, over sockets."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from fireflylock.http_client import HTTPClient
+from fireflylock.platform import wire
+from tests.direct_site import Site, config
+
+SIGNED = wire.SIGNATURE.decode()
+
+
+@pytest.fixture
+async def site():
+    async with Site() as made:
+        for number in range(3):
+            await made.add_server(f"o{number}")
+        await made.add_server("f0", "files")
+        yield made
+
+
+async def ready(site):
+    node = await site.add_node()
+    await site.all_granted()
+    return node
+
+
+async def test_requests_reach_the_owner_of_their_key(site):
+    node = await ready(site)
+    for key in (0, 20000, 40000, 65535):
+        answer = await site.ask(node, "/read/a?b=c", f"read-{key}", key)
+        owners = [s for s in site.servers.values() if s.keyed and s.holder.holds_key(key)]
+        assert answer.status == 200
+        assert answer.body == f"{owners[0].name} /read/a?b=c".encode()
+        assert answer.headers[SIGNED] == f"signed by {owners[0].name}"
+        assert answer.headers[wire.REQUEST_ID.decode()] == f"read-{key}"
+    runs = [run.request_id for s in site.servers.values() for run in s.runs]
+    assert sorted(runs) == sorted(f"read-{key}" for key in (0, 20000, 40000, 65535))
+
+
+async def test_an_order_arrives_whole(site):
+    node = await ready(site)
+    answer = await site.ask(node, "/place/x", "order", 7, "POST", b"sacks" * 9000)
+    assert answer.status == 200
+    runs = [run for s in site.servers.values() for run in s.runs]
+    assert [(run.method, run.body) for run in runs] == [("POST", b"sacks" * 9000)]
+
+
+async def test_a_service_without_keys_is_served(site):
+    node = await ready(site)
+    answer = await site.ask(node, "/plain/x")
+    assert (answer.status, answer.body) == (200, b"f0 /plain/x")
+
+
+async def test_unknown_routes_are_not_found(site):
+    node = await ready(site)
+    assert (await site.ask(node, "/nowhere/")).status == 404
+
+
+async def test_bad_requests_are_refused_and_run_nothing(site):
+    node = await ready(site)
+    assert (await site.ask(node, "/read/", left="soon")).status == 400
+    assert (await site.ask(node, "/read/", key=70000)).status == 400
+    assert (await site.ask(node, "/read/")).status == 400
+    assert not any(server.runs for server in site.servers.values())
+
+
+async def test_a_refused_order_is_sent_again(site):
+    node = await ready(site)
+    for server in site.servers.values():
+        server.shedding = 1
+    for _ in range(40):
+        node.sender.budget("orders").count_request(site.clock.elapsed())
+    answer = await site.ask(node, "/place/x", "order", 7, "POST", b"x")
+    assert answer.status == 200
+    assert sum(len(server.runs) for server in site.servers.values()) == 1
+
+
+async def test_an_order_without_an_answer_is_not_sent_again(site):
+    node = await ready(site)
+    for server in site.servers.values():
+        server.cutting = 1
+    answer = await site.ask(node, "/place/x", "order", 7, "POST", b"x")
+    assert answer.status == 502
+    assert "retry-after" not in answer.headers
+    assert sum(len(server.runs) for server in site.servers.values()) == 1
+
+
+async def test_a_read_without_an_answer_is_sent_again(site):
+    node = await ready(site)
+    for server in site.servers.values():
+        server.cutting = 1
+    for _ in range(40):
+        node.sender.budget("orders").count_request(site.clock.elapsed())
+    answer = await site.ask(node, "/read/x", "read", 7)
+    assert answer.status == 200
+
+
+async def test_a_success_without_a_signature_is_not_passed_on(site):
+    node = await ready(site)
+    for server in site.servers.values():
+        server.unsigned = True
+    answer = await site.ask(node, "/place/x", "order", 7, "POST", b"x")
+    assert answer.status == 502
+
+
+async def test_a_slow_server_is_given_up_at_the_deadline(site):
+    node = await ready(site)
+    for server in site.servers.values():
+        server.work = timedelta(seconds=3)
+    started = asyncio.get_running_loop().time()
+    answer = await site.ask(node, "/place/x", "order", 7, "POST", b"x", left="300")
+    assert answer.status == 504
+    assert asyncio.get_running_loop().time() - started < 2
+
+
+async def test_a_new_configuration_comes_into_force_and_an_older_one_does_not(site):
+    node = await ready(site)
+    row = ["new", "shop.example", "/new/", "safe", "2000ms", "500ms", 2, "files", 2, None]
+    site.store.write(wire.CONFIG_KEY, config(9, routes=[row]))
+    await site.until(lambda: node.routes.version == 9)
+    assert (await site.ask(node, "/new/")).status == 200
+    assert (await site.ask(node, "/plain/")).status == 404
+    site.store.write(wire.CONFIG_KEY, config(8))
+    site.store.write(wire.CONFIG_KEY, b"{damaged")
+    site.store.write(wire.CONFIG_KEY, config(10, routes=[row, row]))
+    await site.until(lambda: node.routes.version == 10)
+
+
+async def test_a_leaving_servers_keys_move_without_a_failed_request(site):
+    node = await ready(site)
+    site.register(site.servers["o0"], "draining")
+    statuses = []
+    for number in range(60):
+        answer = await site.ask(node, "/read/", f"r{number}", number * 1000)
+        statuses.append(answer.status)
+    assert set(statuses) == {200}
+    await site.until(lambda: not any(o.name == "o0" for o in node.view.maps["orders"].owners()))
+
+
+async def test_requests_are_served_while_the_store_is_away(site):
+    node = await ready(site)
+    site.store.away = True
+    assert (await site.ask(node, "/read/", "r", 7)).status == 200
+    assert node.is_ready()
+
+
+async def test_two_vms_share_the_owners_and_the_second_takes_over(site):
+    first = await ready(site)
+    second = await site.add_node("vm-2")
+    assert (await site.ask(second, "/read/", "r1", 7)).status == 200
+    await first.duty.stop()
+    await site.until(lambda: bool(second.duty.placers))
+    await site.until(lambda: second.duty.placers["orders"].loaded)
+    site.register(site.servers["o0"], "draining")
+    await site.until(lambda: not any(o.name == "o0" for o in second.view.maps["orders"].owners()))
+    assert (await site.ask(first, "/read/", "r2", 7)).status == 200
+    assert (await site.ask(second, "/read/", "r3", 7)).status == 200
+
+
+async def test_a_stop_finishes_what_was_begun(site):
+    node = await ready(site)
+    for server in site.servers.values():
+        server.work = timedelta(seconds=1)
+    running = asyncio.create_task(site.ask(node, "/place/x", "order", 7, "POST", b"x", "5000"))
+    await site.until(lambda: any(server.runs for server in site.servers.values()))
+    stopping = asyncio.create_task(node.stop())
+    assert (await running).status == 200
+    assert not node.is_ready()
+    await stopping
+
+
+async def test_readiness_and_metrics_are_served(site):
+    node = await ready(site)
+    host, port = node.place.status
+    client = HTTPClient(f"http://{host}:{port}")
+    try:
+        patience = timedelta(seconds=2)
+        assert (await client.call("GET", wire.READINESS_PATH, patience)).status == 200
+        await site.ask(node, "/read/", "r", 7)
+        metrics = await client.call("GET", "/metrics", patience)
+        assert b"fireflylock_requests_total" in metrics.body
+        node.stopping = True
+        assert (await client.call("GET", wire.READINESS_PATH, patience)).status == 503
+    finally:
+        client.close()
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,302 @@
+"""Tests of the adapter to the users' platform: formats, headers, and the store's calls."""
+
+import json
+import re
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from fireflylock.clock import SystemClock
+from fireflylock.direct.keyranges import Owner
+from fireflylock.direct.model import Place, Repeat, Share
+from fireflylock.exceptions import (
+    ErrorKind,
+    HistoryGoneError,
+    PlatformError,
+    ProtocolError,
+    RequestError,
+    SettingsError,
+    VersionConflictError,
+)
+from fireflylock.http1 import Framing
+from fireflylock.platform import cmdline, wire
+from fireflylock.platform.dialect import PlatformCallers, PlatformServers
+from fireflylock.platform.kv_store import KeyValueStore
+from fireflylock.platform.operator_config import decode_config
+from fireflylock.platform.registrations import decode_registration
+from fireflylock.platform.settings import PlatformSettings, read_settings
+from standins.operators_store import OperatorsStore
+from tests.direct_site import config
+
+SETTINGS = """
+grants = "call"
+[self]
+node = "front-a-1"
+zone = "a"
+ipAddress = "10.1.0.35"
+somethingNew = 3
+[self.limits]
+fileDescriptors = 8200
+[network]
+internalPorts = [7660, 7675]
+[network.listen]
+front = "10.1.0.35:8144"
+ready = "10.1.0.35:8140"
+[platform]
+heartbeat = "870ms"
+[platform.platform]
+address = "10.200.1.7:8142"
+writesPerS = 400
+readsPerS = 2000
+minTtl = "1000ms"
+[terms.bounds]
+drain = "2.5s"
+grace = "6s"
+maxHold = "10000ms"
+retryBudgetRatio = 0.2
+budgetWindow = "10s"
+budgetExtraAttempts = 60
+"""
+
+
+def settings_file(tmp_path, text=SETTINGS):
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    return path
+
+
+def test_settings_are_read_into_the_products_terms(tmp_path):
+    settings = read_settings(settings_file(tmp_path), 7670)
+    place = settings.place
+    assert (place.vm, place.zone, place.front) == ("front-a-1", "a", ("10.1.0.35", 8144))
+    assert place.status == ("10.1.0.35", 8140)
+    assert place.peer == ("10.1.0.35", 7660)
+    assert place.metrics == ("10.1.0.35", 7670)
+    assert place.bounds.drain == timedelta(seconds=2.5)
+    assert place.bounds.retry_extra == 60
+    assert settings.store == ("10.200.1.7", 8142)
+
+
+def test_all_mistakes_of_the_settings_are_named_at_once(tmp_path, capsys):
+    text = SETTINGS.replace('"10.1.0.35:8144"', '"nowhere"').replace('"2.5s"', '"2.5 hours"')
+    text = text.replace('node = "front-a-1"', "node = 3").replace("10.200.1.7:8142", "10.200.1.7")
+    path = settings_file(tmp_path, text)
+    with pytest.raises(SettingsError) as caught:
+        read_settings(path)
+    named = "\n".join(caught.value.problems)
+    for part in ("node", "listen.front", "terms.bounds", "platform.platform"):
+        assert part in named
+    assert cmdline.main(["--settings", str(path)]) == cmdline.BAD_SETTINGS
+    assert "listen.front" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("text", ["", "= 3", "[self]"])
+def test_settings_that_say_nothing_are_refused(tmp_path, text):
+    assert cmdline.main(["--settings", str(settings_file(tmp_path, text))]) == 2
+    assert cmdline.main(["--settings", str(tmp_path / "absent")]) == 2
+
+
+@pytest.mark.parametrize(
+    ("text", "value"),
+    [
+        ("1500ms", timedelta(seconds=1.5)),
+        ("2.5s", timedelta(seconds=2.5)),
+        ("0ms", timedelta(0)),
+    ],
+)
+def test_durations(text, value):
+    assert wire.duration(text) == value
+
+
+@pytest.mark.parametrize("text", ["", "5", "5m", "-5ms", "5 ms", "ms", "1e3ms"])
+def test_odd_durations_are_refused(text):
+    with pytest.raises(ValueError, match="is not a number followed by"):
+        wire.duration(text)
+
+
+def test_a_configuration_is_decoded_whole():
+    row = ["s", "Shop.example", "/s/", "download", "1s", "250ms", 0, None, 1]
+    split = [{"service": "orders", "weight": 90}, {"service": "files", "weight": 10}]
+    table = decode_config(config(7, routes=[[*row, split]]))
+    route = table.routes[0]
+    assert table.version == 7
+    assert (route.host, route.repeat) == ("shop.example", Repeat.IDEMPOTENT)
+    assert route.shares == (Share("orders", 90.0), Share("files", 10.0))
+    assert table.services["orders"].keyed
+    assert not table.services["files"].keyed
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda c: c.pop("limits"),
+        lambda c: c["routes"]["rows"][0].pop(),
+        lambda c: c["routes"]["rows"][0].__setitem__(3, "odd"),
+        lambda c: c["routes"]["rows"][0].__setitem__(4, "long"),
+        lambda c: c["routes"]["rows"][0].__setitem__(7, "unknown"),
+        lambda c: c["routes"]["rows"][0].__setitem__(2, "/open"),
+        lambda c: c["routes"]["rows"][0].__setitem__(9, [{"service": "orders", "weight": 0}]),
+        lambda c: c.__setitem__("version", "7"),
+    ],
+)
+def test_a_configuration_with_any_mistake_is_refused_whole(change):
+    content = json.loads(config())
+    change(content)
+    with pytest.raises(ProtocolError):
+        decode_config(json.dumps(content).encode())
+
+
+REGISTRATION = {
+    "service": "orders",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "draining",
+    "coldRemaining": "1500ms",
+    "sequence": 4,
+    "born": 1776033103227,
+}
+
+
+def test_a_registration_is_decoded():
+    entry = decode_registration("servers/i-1", json.dumps(REGISTRATION).encode())
+    assert (entry.name, entry.born, entry.host, entry.port) == (
+        "i-1",
+        1776033103227,
+        "10.0.0.9",
+        8080,
+    )
+    assert entry.leaving
+    assert entry.cold_for == timedelta(seconds=1.5)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"slots": "4"},
+        {"slots": 0},
+        {"address": "10.0.0.9"},
+        {"address": None},
+        {"born": "now"},
+        {"coldRemaining": 5},
+    ],
+)
+def test_odd_registrations_are_refused(change):
+    with pytest.raises(ProtocolError):
+        decode_registration("servers/i-1", json.dumps(REGISTRATION | change).encode())
+    with pytest.raises(ProtocolError):
+        decode_registration("servers/i-1", b"\xff\x00")
+
+
+def test_headers_towards_a_server():
+    callers = PlatformCallers()
+    headers = [(wire.TIME_LEFT, b"800"), (wire.REQUEST_ID, b"x"), (b"host", b"h")]
+    assert callers.time_left(headers) == timedelta(milliseconds=800)
+    assert callers.forwarded(headers) == headers[1:]
+    owner = Owner("i-1", 1, "10.0.0.1", 80)
+    added = callers.added(None, owner, timedelta(milliseconds=640.9))
+    assert added == [(wire.TIME_LEFT, b"640"), (wire.EXPECTED_SERVER, b"i-1")]
+
+
+def test_only_the_servers_own_word_says_that_it_did_not_run():
+    servers = PlatformServers()
+    assert servers.refusal(503, Framing([])) is None
+    assert servers.refusal(429, Framing([])) is None
+    refused = servers.refusal(503, Framing([(wire.NOT_RUN, b"1")]))
+    assert isinstance(refused, RequestError)
+    assert refused.kind is ErrorKind.SERVER_REFUSED
+    assert servers.refusal(421, Framing([])).kind is ErrorKind.MOVED
+
+
+@pytest.fixture
+async def store():
+    standin = OperatorsStore()
+    address = await standin.start()
+    place = Place("vm", "a", "127.0.0.1", ("", 1), ("", 1), ("", 1))
+    settings = PlatformSettings(
+        place, address, 2000.0, 400.0, timedelta(seconds=1), timedelta(seconds=1)
+    )
+    client = KeyValueStore(settings, SystemClock())
+    client.standin = standin
+    yield client
+    await client.close()
+    await standin.close()
+
+
+async def test_the_store_writes_by_compare_and_swap(store):
+    assert await store.get("a/b c") is None
+    revision = await store.put("a/b c", b"\x00one", 0)
+    value = await store.get("a/b c")
+    assert (value.data, value.revision) == (b"\x00one", revision)
+    with pytest.raises(VersionConflictError):
+        await store.put("a/b c", b"two", 0)
+    assert await store.put("a/b c", b"two", revision) > revision
+
+
+async def test_a_listing_reads_all_pages(store):
+    store.standin.page = 3
+    for number in range(8):
+        store.standin.write(f"p/{number}", b"x")
+    values, revision = await store.list("p/")
+    assert [value.key for value in values] == [f"p/{number}" for number in range(8)]
+    assert revision == store.standin.content.revision
+
+
+async def test_a_watch_tells_changes_and_removals(store):
+    _, revision = await store.list("p/")
+    store.standin.write("p/1", b"x")
+    changes = store.watch("p/", revision + 1)
+    first = await anext(changes)
+    assert [(value.key, value.data) for value in first] == [("p/1", b"x")]
+    store.standin.remove("p/1")
+    second = await anext(changes)
+    assert [(value.key, value.data) for value in second] == [("p/1", b"")]
+    await changes.aclose()
+
+
+async def test_a_history_that_is_gone_is_told_apart(store):
+    store.standin.forgotten = 100
+    with pytest.raises(HistoryGoneError):
+        await anext(store.watch("p/", 5))
+
+
+async def test_a_lease_takes_its_keys_along(store):
+    lease = await store.grant_lease(timedelta(seconds=5))
+    await store.put("k", b"x", 0, lease=lease)
+    assert await store.keep_alive(lease) == timedelta(seconds=5)
+    await store.revoke_lease(lease)
+    assert await store.get("k") is None
+    assert await store.keep_alive(lease) == timedelta(0)
+    with pytest.raises(PlatformError):
+        await store.put("k", b"x", 0, lease=lease)
+
+
+async def test_refusals_and_silence_are_failures(store):
+    store.standin.refusing = 503
+    with pytest.raises(PlatformError):
+        await store.get("k")
+    store.standin.refusing = 0
+    store.standin.away = True
+    with pytest.raises(PlatformError):
+        await store.get("k")
+
+
+# Headers, calls and fields that the platform has named.
+WIRE_NAMES = re.compile(
+    r"x-fireflylock|/-/|kv-|op/config|servers/|trafficSplit|targetLatency|sharded|hold_time"
+    r"|ipAddress|internalPorts|FIREFLYLOCK_SETTINGS|maxHold|retryBudget|coldRemaining|ttl_time"
+    r"|waitMs|asOf|createdRev|hasMore|healthCheckPath|maxConnections|serverSignature",
+    re.IGNORECASE,
+)
+
+
+def test_the_platforms_names_stand_in_the_adapter_only():
+    package = Path(cmdline.__file__).parents[1]
+    for path in sorted(package.rglob("*.py")):
+        if path.parent.name == "platform":
+            continue
+        found = WIRE_NAMES.findall(path.read_text())
+        assert not found, f"{path.name}: {found}"
