Large answers wait for the own zone; shorter holds, fewer watches

Ruled out: refusing less (waits were too long for servers that work at full load). Change: hold 3.2 s, lease of the right 1.5 s; requests with large answers wait for the own zone while that keeps the latency target, small answers go wherever they are done first; watches at most every 0.4 s.

--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -8,6 +8,7 @@
 """
 
 import itertools
+import math
 from abc import ABC, abstractmethod
 from bisect import insort
 from collections.abc import Callable, Iterable
@@ -26,9 +27,13 @@
 LATE_PATIENCE = 0.25
 # Longest wait while keys change their owner; a release, a write and a grant take less.
 MOVE_PATIENCE = timedelta(milliseconds=400)
-# A server in another zone is used where one in the own zone would take more than this share
-# of the latency target.
-NEAR_SHARE = 0.6
+# Answers from this many bytes on stay within the zone where that costs nobody the latency
+# target; what they cost between zones is far more than what a small answer does.
+HEAVY_BYTES = 16 * 1024
+# Share of the time to the latency target within which a server in the own zone should be done.
+NEAR_SHARE = 0.8
+# Requests of one line that are looked at when a server has room again.
+LOOKED_AT = 40
 # Weight of a server's recent failures against its speed.
 FAILURE_COST = 4.0
 # Bounds of Retry-After; a caller honours a third of the time it has left.
@@ -62,6 +67,8 @@
         When it came.
     late : bool
         Whether its latency target can't be met any more.
+    keeps_near : bool
+        Whether it waits for a server of the own zone although others have room.
     """
 
     request_id: str
@@ -74,6 +81,7 @@
     arrived: Instant
     tried: set[str] = field(default_factory=set)
     late: bool = False
+    keeps_near: bool = False
     number: int = field(default_factory=_numbers.__next__)
 
     @property
@@ -121,7 +129,8 @@
         """Start, queue or refuse a new request."""
         place, servers = self.candidates(ticket)
         line = self.lines.get(place, [])
-        if not line or ticket.order < line[0].order:
+        order = ticket.order
+        if all(waiting.keeps_near or order < waiting.order for waiting in line):
             chosen = self.choose(now, ticket, servers)
             if chosen is not None:
                 self.start(now, ticket, chosen)
@@ -178,10 +187,31 @@
                 continue
             if near is None or seconds < near_seconds:
                 near, near_seconds = server, seconds
-        target = ticket.route.target.total_seconds()
-        if near is not None and near_seconds <= max(NEAR_SHARE * target, best_seconds):
-            return near
-        return best
+        ticket.keeps_near = False
+        if best is None or self.table.speeds.size(route) < HEAVY_BYTES:
+            return best
+        patience = NEAR_SHARE * (ticket.target_at - now).total_seconds()
+        if near is not None:
+            return near if near_seconds <= max(patience, best_seconds) else best
+        ticket.keeps_near = self.near_wait(now, ticket, staying) <= patience
+        return None if ticket.keeps_near else best
+
+    def near_wait(self, now: Instant, ticket: Ticket, servers: list[Server]) -> float:
+        """Return in how many seconds a server of the own zone would be done."""
+        route = ticket.route.name
+        ahead = sum(
+            waiting.keeps_near and waiting.order < ticket.order
+            for waiting in self.lines.get((ticket.service, ""), ())
+        )
+        rate = 0.0
+        first = math.inf
+        for server in servers:
+            if server.entry.zone != self.zone or not self.is_usable(now, server, route):
+                continue
+            seconds = self.table.expected_seconds(server, route, server.crowd(now) + 1)
+            first = min(first, seconds)
+            rate += server.entry.slots / self.table.expected_seconds(server, route, 1.0)
+        return first if not rate else first + ahead / rate
 
     def refusal(
         self, now: Instant, ticket: Ticket, place: tuple[str, str], servers: list[Server]
@@ -264,13 +294,21 @@
         """Start whatever can start in some lines."""
         for place in places:
             line = self.lines.get(place)
-            while line:
-                ticket = line[0]
+            if not line:
+                self.lines.pop(place, None)
+                continue
+            started = []
+            for ticket in line[:LOOKED_AT]:
                 _, servers = self.candidates(ticket)
                 chosen = self.choose(now, ticket, servers)
-                if chosen is None:
+                if chosen is not None:
+                    started.append((ticket, chosen))
+                    # Counted at once, so that the next one sees it.
+                    chosen.running[ticket.request_id] = now
+                elif not ticket.keeps_near:
                     break
-                del line[0]
+            for ticket, chosen in started:
+                line.remove(ticket)
                 self.start(now, ticket, chosen)
             if not line:
                 self.lines.pop(place, None)
--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -23,7 +23,7 @@
 # Maps are told again for so long after a change.
 TELL_MAPS = timedelta(milliseconds=400)
 # Nobody has placed keys for this long: the right may be free.
-SILENCE = timedelta(milliseconds=600)
+SILENCE = timedelta(milliseconds=450)
 # Pause after a vain try to win the right; VMs are put apart by their place in the list.
 TRY_PAUSE = timedelta(milliseconds=300)
 TRY_STAGGER = timedelta(milliseconds=80)
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -39,12 +39,12 @@
 
 # How long servers may hold keys while the store answers: the keys of a lost server wait for
 # the end, and a lost holder of the right must be replaced before it.
-HOLD = timedelta(seconds=5)
-RENEW_EVERY = timedelta(milliseconds=1250)
+HOLD = timedelta(seconds=3.2)
+RENEW_EVERY = timedelta(milliseconds=800)
 # Servers register over some seconds; keys are first dealt out when none has for this long.
 SETTLING = timedelta(milliseconds=1200)
 # A server that has taken no order for this long is taken to be lost.
-LOST_AFTER = timedelta(milliseconds=900)
+LOST_AFTER = timedelta(milliseconds=600)
 # Wait for the answer to a release: the requests that run have to end first.
 RELEASE_TIMEOUT = timedelta(seconds=1)
 RELEASE_PAUSE = timedelta(milliseconds=150)
--- a/fireflylock/direct/right.py
+++ b/fireflylock/direct/right.py
@@ -16,8 +16,8 @@
 RIGHT_KEY = "fireflylock/placing"
 # Time to live of the lease: the keys of a lost server wait for it when the holder is lost
 # too, and each renewal is a call.
-LIFETIME = timedelta(seconds=2)
-RENEW_EVERY = timedelta(milliseconds=500)
+LIFETIME = timedelta(seconds=1.5)
+RENEW_EVERY = timedelta(milliseconds=375)
 # Taken off the lifetime: clocks run at slightly different speeds, and an order that was
 # checked still has to leave this VM.
 SAFETY = timedelta(milliseconds=300)
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -262,6 +262,8 @@
                 seconds = (now_answered - now).total_seconds()
                 self.table.speeds.answered(request.route.name, server.name, seconds, crowd)
             length = response.body_length
+            if length is not None:
+                self.table.speeds.answer_size(request.route.name, length)
             response.headers = [p for p in response.headers if p[0] != self.callers.id_header]
             if length is None or length <= WHOLE_ANSWER_BYTES:
                 response.body = await read_ahead(response.body, WHOLE_ANSWER_BYTES)
--- a/fireflylock/direct/servers.py
+++ b/fireflylock/direct/servers.py
@@ -21,8 +21,9 @@
 LEAST_SILENCE = timedelta(milliseconds=700)
 # Weight of one answer in a server's share of failures.
 FAILURE_WEIGHT = 0.1
-# How long before the end of the drain period a leaving server gets its last request.
-DRAIN_MARGIN = timedelta(milliseconds=700)
+# How long before the end of the drain period a leaving server gets its last request: the
+# period begins when the store knows, and this VM learns of it up to half a second later.
+DRAIN_MARGIN = timedelta(milliseconds=900)
 # How long a server is remembered after it has left, so that its keys can still be taken back.
 GONE_MEMORY = timedelta(seconds=30)
 # After the store was away, registrations that lapsed meanwhile are back within two seconds;
--- a/fireflylock/direct/speeds.py
+++ b/fireflylock/direct/speeds.py
@@ -45,6 +45,8 @@
     def __init__(self) -> None:
         self.routes: dict[str, Average] = {}
         self.servers: dict[str, Average] = {}
+        # Mean size of the answers, in bytes, by route.
+        self.sizes: dict[str, Average] = {}
 
     def cost(self, route: str) -> float:
         """Return the seconds that a request of `route` takes at an average server."""
@@ -75,6 +77,15 @@
         slowness.add(ratio, SERVER_WEIGHT)
         cost.add(alone, ROUTE_WEIGHT)
 
+    def size(self, route: str) -> float:
+        """Return the mean size of the answers to a route's requests, in bytes."""
+        known = self.sizes.get(route)
+        return 0.0 if known is None else known.value
+
+    def answer_size(self, route: str, size: int) -> None:
+        """Learn from the size of one answer, in bytes."""
+        self.sizes.setdefault(route, Average(float(size))).add(size, ROUTE_WEIGHT)
+
     def forget(self, server: str) -> None:
         """Forget a server that is gone."""
         self.servers.pop(server, None)
--- a/fireflylock/platform/grants.py
+++ b/fireflylock/platform/grants.py
@@ -18,8 +18,9 @@
     duration_text,
 )
 
-# Longest wait for the answer to a grant, which a server gives at once.
-GRANT_TIMEOUT = timedelta(milliseconds=800)
+# Longest wait for the answer to a grant, which a server gives at once; a packet that was lost
+# is sent again within it.
+GRANT_TIMEOUT = timedelta(milliseconds=500)
 # Connections for orders that are kept to one server: one for renewals, some for releases.
 KEPT_CONNECTIONS = 3
 
--- a/fireflylock/platform/kv_store.py
+++ b/fireflylock/platform/kv_store.py
@@ -47,7 +47,8 @@
 # What a watch may take beyond its wait.
 WATCH_SLACK = timedelta(seconds=3)
 # Least time between two watches of one prefix: changes that come closer are read together.
-WATCH_PAUSE = timedelta(milliseconds=120)
+# Each watch is paid for, and the bounds on leaving servers and configurations are two seconds.
+WATCH_PAUSE = timedelta(milliseconds=400)
 
 # Statuses of the store that have a meaning of their own.
 OK = 200
--- a/tests/placing_world.py
+++ b/tests/placing_world.py
@@ -32,7 +32,7 @@
 SERVICE = "orders"
 STEP = timedelta(milliseconds=20)
 ORDER_TIME = timedelta(milliseconds=3)
-ORDER_TIMEOUT = timedelta(milliseconds=800)
+ORDER_TIMEOUT = timedelta(milliseconds=500)
 LIMITS = CallerLimits(1000, 1000, timedelta(seconds=1), timedelta(seconds=1))
 ROUTES = RouteTable(1, (), {SERVICE: ServiceSpec(SERVICE, "/", 10, True)}, LIMITS)
 WATCHED = tuple(range(0, KEYS, 1489))
