Loads are told through one VM of each zone, map changes in place of whole maps; log lines are bounded

Ruled out: downloads (same number crossed). Change: above 8 VMs each reports to its zone's speaker, speakers tell sums; the placing VM sends steps between revisions. Log lines about requests: 10 a second answered, 40 failed, rare kinds always, each with the owner, epoch, map revision and age that decided.

--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -103,6 +103,10 @@
     def unowned_for(self, service: str, key: int, now: Instant) -> timedelta:
         """Return how long it will take at least until the key has an owner."""
 
+    def describe(self, service: str, key: int | None, now: Instant) -> dict[str, object]:
+        """Return what is known of a key's owner, and how old that is, for the log."""
+        return {}
+
 
 class Admission:
     """Lets requests wait for servers, and starts or refuses them.
--- a/fireflylock/direct/budget.py
+++ b/fireflylock/direct/budget.py
@@ -66,6 +66,12 @@
         self.repeats += 1
         return True
 
+    def left(self, now: Instant, vms: int) -> float:
+        """Return how many repeats the budget still allows."""
+        self.current_step(now)
+        fixed = self.extra / max(1, vms) if now >= self.full_from else 0.0
+        return round(MARGIN * (self.ratio * self.requests + fixed) - self.repeats, 1)
+
     def current_step(self, now: Instant) -> list:
         """Return the counters of the present step, and forget what left the window."""
         while self.steps and now - self.steps[0][0] >= self.step * STEPS:
--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -7,9 +7,8 @@
 import structlog
 
 from fireflylock.clock import Clock, Instant
-from fireflylock.direct.gossip import Gossip, Placing, Report
+from fireflylock.direct.gossip import Gossip, Hello, MapChange, Placing
 from fireflylock.direct.keycontrol import KeyControl
-from fireflylock.direct.keyranges import encode_map
 from fireflylock.direct.model import Bounds, RouteTable
 from fireflylock.direct.ownership_view import OwnershipView
 from fireflylock.direct.placer import MAPS_PREFIX, Placer
@@ -20,8 +19,8 @@
 
 # The others are told at least this often, so that a lost datagram does not matter.
 TELL_EVERY = timedelta(milliseconds=100)
-# Maps are told again for so long after a change.
-TELL_MAPS = timedelta(milliseconds=400)
+# Changes of maps are told again for so long.
+TELL_CHANGES = timedelta(milliseconds=400)
 # Nobody has placed keys for this long: the right may be free.
 SILENCE = timedelta(milliseconds=450)
 # Pause after a vain try to win the right; VMs are put apart by their place in the list.
@@ -34,7 +33,7 @@
 # It does so once in this time: when it gets the right back, the others reach no more.
 RESIGN_EVERY = timedelta(seconds=15)
 # A map that is known to be newer is read from the store when nobody has sent it for this long.
-MAP_PATIENCE = timedelta(milliseconds=250)
+MAP_PATIENCE = timedelta(milliseconds=120)
 
 log = structlog.get_logger()
 
@@ -44,8 +43,8 @@
 
     Parameters
     ----------
-    vm : str
-        Name of this VM.
+    me : Hello
+        This process, as it is made known to the others.
     store, control, clock : Store, KeyControl, Clock
         What is needed for it.
     right : PlacingRight
@@ -64,7 +63,7 @@
 
     def __init__(
         self,
-        vm: str,
+        me: Hello,
         store: Store,
         control: KeyControl,
         clock: Clock,
@@ -75,7 +74,7 @@
         bounds: Bounds,
         on_owners: Callable[[], None],
     ) -> None:
-        self.vm = vm
+        self.me = me
         self.store = store
         self.control = control
         self.clock = clock
@@ -95,7 +94,7 @@
         self.fetching: asyncio.Task | None = None
         self.resigned_at: Instant = -RESIGN_EVERY
         self.told_at: Instant = timedelta(0)
-        self.maps_told_until: Instant = timedelta(0)
+        self.changes: list[tuple[Instant, MapChange]] = []
         self.behind_since: Instant | None = None
         self.changed = False
         self.stopped = False
@@ -176,8 +175,10 @@
         """Tell the others, and take over here, what has changed."""
         now = self.clock.elapsed()
         self.changed = True
-        self.maps_told_until = now + TELL_MAPS
         for placer in self.placers.values():
+            if placer.last_change is not None:
+                self.changes.append((now, placer.last_change))
+                placer.last_change = None
             if placer.map is not None and self.view.set_map(placer.map):
                 self.on_owners()
         if self.right.is_held(now):
@@ -188,17 +189,17 @@
         self.changed = False
         self.told_at = now
         moving = [move for placer in self.placers.values() for move in placer.moving(now)]
-        maps = {}
-        revisions = {}
-        for name, placer in self.placers.items():
-            if placer.map is None:
-                continue
-            revisions[name] = placer.map.revision
-            if now < self.maps_told_until:
-                maps[name] = encode_map(placer.map)
+        revisions = {
+            name: placer.map.revision
+            for name, placer in self.placers.items()
+            if placer.map is not None
+        }
+        self.changes = [item for item in self.changes if now - item[0] < TELL_CHANGES]
         if self.view.take_moving(now, moving):
             self.on_owners()
-        self.gossip.send(Placing(self.vm, moving, revisions, maps))
+        me = self.me
+        changes = [change for _, change in self.changes]
+        self.gossip.send(Placing(me.vm, me.zone, me.boot, moving, revisions, changes))
 
     def stop_placing(self, reason: str) -> None:
         """Place no keys any more."""
@@ -211,8 +212,8 @@
         """Try to win the right if nobody seems to have it."""
         if now - self.placing_heard_at < SILENCE:
             return
-        names = sorted([self.vm, *self.gossip.alive(now)])
-        self.try_at = now + TRY_PAUSE + TRY_STAGGER * names.index(self.vm)
+        names = sorted([self.me.vm, *self.gossip.alive(now)])
+        self.try_at = now + TRY_PAUSE + TRY_STAGGER * names.index(self.me.vm)
         self.trying = self.begin(self.try_to_win())
 
     async def try_to_win(self) -> None:
@@ -233,8 +234,8 @@
         self.placing_vm = message.vm
         self.placing_heard_at = now
         changed = False
-        for name, data in message.maps.items():
-            changed |= self.view.take_map(data, message.revisions.get(name, 0))
+        for change in message.changes:
+            changed |= self.view.take_change(change)
         changed |= self.view.take_moving(now, message.moving)
         if changed:
             self.on_owners()
@@ -250,12 +251,12 @@
             self.behind_since = now
             self.fetching = self.begin(self.fetch_maps())
 
-    def placed_loads(self, now: Instant, report: Report) -> None:
-        """Take the loads of keys that a VM has reported."""
-        for name, work in report.key_loads.items():
+    def take_work(self, now: Instant, work: dict[str, dict[int, float]]) -> None:
+        """Take what keys were asked for, in seconds of work by service and key."""
+        for name, asked in work.items():
             placer = self.placers.get(name)
             if placer is not None:
-                placer.count_work(now, work)
+                placer.count_work(now, asked)
 
     async def fetch_maps(self) -> None:
         """Read the maps from the store."""
--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -27,35 +27,75 @@
 log = structlog.get_logger()
 
 
-class Report(msgspec.Struct, tag="r", array_like=True):
-    """What a VM has at the servers, and what waits there.
+class Told(msgspec.Struct, array_like=True):
+    """What every message about loads says of its sender.
 
     Attributes
     ----------
-    vm : str
-        Who reports.
+    vm, zone : str
+        Who tells it, and its availability zone.
     boot : int
         Unix time of the process's start in milliseconds.
+    """
+
+    vm: str
+    zone: str
+    boot: int
+
+
+class Hello(Told, tag="h", array_like=True):
+    """A VM that has just started makes itself known."""
+
+
+class Report(Told, tag="r", array_like=True):
+    """What one VM has at the servers, and what waits there.
+
+    Attributes
+    ----------
     running : dict of str to int
         Requests at each server.
     waiting : list of (str, str, int)
         Service, server and number of the requests that wait for it.
-    key_loads : dict of str to dict of int to float
-        By service and key: seconds of work asked for since the last report.  Only the
-        report to the VM that places keys has them.
-    slowness : dict of str to float
-        How much longer than average requests take at each server, as seen there.
-    stopping : bool
-        Whether the process is about to end.
     """
 
-    vm: str
-    boot: int
     running: dict[str, int]
-    waiting: list[tuple[str, str, int]] = []
-    key_loads: dict[str, dict[int, float]] = {}
-    slowness: dict[str, float] = {}
-    stopping: bool = False
+    waiting: list[tuple[str, str, int]]
+
+
+class ZoneTotal(Told, tag="z", array_like=True):
+    """The sums of the sender's zone; the first fields are those of a report.
+
+    Attributes
+    ----------
+    running, waiting
+        As in `Report`.
+    vms : list of str
+        VMs that the sums are of.
+    """
+
+    running: dict[str, int]
+    waiting: list[tuple[str, str, int]]
+    vms: list[str]
+
+
+class Totals(Told, tag="t", array_like=True):
+    """The sums of all zones, for the VMs of the sender's zone; fields as in `ZoneTotal`."""
+
+    running: dict[str, int]
+    waiting: list[tuple[str, str, int]]
+    vms: list[str]
+
+
+class KeyWork(Told, tag="k", array_like=True):
+    """What keys were asked for, told to the VM that places them.
+
+    Attributes
+    ----------
+    work : dict of str to dict of int to float
+        By service and key: seconds of work asked for since it was last told.
+    """
+
+    work: dict[str, dict[int, float]]
 
 
 class Moving(msgspec.Struct, array_like=True):
@@ -75,35 +115,59 @@
     wait_ms: int
 
 
-class Placing(msgspec.Struct, tag="p", array_like=True):
+class NewOwner(msgspec.Struct, array_like=True):
+    """Keys and their new owner: the keys, both inclusive, the owner's life, and the epoch."""
+
+    first: int
+    last: int
+    name: str
+    born: int
+    host: str
+    port: int
+    epoch: int
+
+
+class MapChange(msgspec.Struct, array_like=True):
+    """One step from a map to the next.
+
+    Attributes
+    ----------
+    service : str
+        Whose keys.
+    base, revision : int
+        Revisions of the map before and after.
+    next_epoch : int
+        Lowest epoch that was never given to anybody.
+    owners : list of NewOwner
+        What has changed.
+    """
+
+    service: str
+    base: int
+    revision: int
+    next_epoch: int
+    owners: list[NewOwner]
+
+
+class Placing(Told, tag="p", array_like=True):
     """What the VM that places keys tells the others.
 
     Attributes
     ----------
-    vm : str
-        Who places keys.
     moving : list of Moving
         Keys that change their owner.
     revisions : dict of str to int
         Revision of each service's map.
-    maps : dict of str to bytes
-        Records of the maps that have changed lately.
+    changes : list of MapChange
+        The last steps, in order.
     """
 
-    vm: str
     moving: list[Moving]
     revisions: dict[str, int]
-    maps: dict[str, bytes] = {}
+    changes: list[MapChange]
 
 
-class Hello(msgspec.Struct, tag="h", array_like=True):
-    """A VM that has just started makes itself known; it is answered with reports."""
-
-    vm: str
-    boot: int
-
-
-Message = Report | Placing | Hello
+Message = Hello | Report | ZoneTotal | Totals | KeyWork | Placing
 
 
 @dataclass
@@ -115,13 +179,16 @@
     address : tuple of (str, int)
         Where it listens.
     heard_at : timedelta
-        When it was last heard.
+        When it was last heard, or heard of.
+    zone : str
+        Its availability zone.
     boot : int
         Unix time of its process's start in milliseconds.
     """
 
     address: tuple[str, int]
     heard_at: Instant
+    zone: str = ""
     boot: int = 0
 
 
@@ -173,13 +240,12 @@
         if message.vm == self.vm:
             return
         self.received += 1
-        peer = self.add(message.vm, addr)
+        peer = self.add(message.vm, addr, message.zone)
         peer.heard_at = self.clock.elapsed()
-        if not isinstance(message, Placing):
-            peer.boot = message.boot
+        peer.boot = message.boot
         self.on_message(message)
 
-    def add(self, vm: str, address: tuple[str, int]) -> Peer:
+    def add(self, vm: str, address: tuple[str, int], zone: str) -> Peer:
         """Return the VM of that name, which from now on is sent to."""
         peer = self.peers.get(vm)
         if peer is None:
@@ -187,8 +253,16 @@
             self.peers[vm] = peer
             log.info("entry VM is known", peer=vm, address=f"{address[0]}:{address[1]}")
         peer.address = address
+        peer.zone = zone
         return peer
 
+    def heard_of(self, now: Instant, vms: list[str]) -> None:
+        """Note that others have heard VMs."""
+        for vm in vms:
+            peer = self.peers.get(vm)
+            if peer is not None:
+                peer.heard_at = now
+
     def send(self, message: Message, only: str = "") -> None:
         """Send a message to all VMs, or to one."""
         if self.transport is None or self.transport.is_closing():
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -13,8 +13,18 @@
 from fireflylock.direct.duty import PlacingDuty
 from fireflylock.direct.edge import CallerDialect, DirectFrontend
 from fireflylock.direct.follower import Follower
-from fireflylock.direct.gossip import Gossip, Hello, Message, Placing, Report
+from fireflylock.direct.gossip import (
+    Gossip,
+    Hello,
+    KeyWork,
+    Message,
+    Placing,
+    Report,
+    Totals,
+    ZoneTotal,
+)
 from fireflylock.direct.keycontrol import KeyControl
+from fireflylock.direct.load_exchange import LoadExchange
 from fireflylock.direct.model import Place, RouteTable, ServerEntry
 from fireflylock.direct.ownership_view import OwnershipView
 from fireflylock.direct.right import Holder, PlacingRight
@@ -32,9 +42,9 @@
 
 # Period of the steps that look at queues, moves and proofs.
 STEP = timedelta(milliseconds=20)
-# Period of the reports to the other VMs, and how often they are repeated without a change.
+# Period of the reports to the other VMs, and of those to the one that places keys.
 REPORT_EVERY = timedelta(milliseconds=50)
-REPORT_AGAIN = timedelta(milliseconds=200)
+WORK_EVERY = timedelta(milliseconds=150)
 # Period of what keeps tables small.
 TIDY_EVERY = timedelta(seconds=2)
 # Life of this VM's entry in the store, and how often it is renewed.
@@ -59,6 +69,7 @@
     """A VM's entry in the store."""
 
     vm: str
+    zone: str
     host: str
     port: int
 
@@ -127,8 +138,11 @@
             metrics=RequestMetrics(self.metrics),
         )
         right = PlacingRight(surroundings.store, clock, Holder(place.vm, self.boot))
+        self.exchange = LoadExchange(
+            place.vm, place.zone, self.boot, self.gossip, self.table, self.admission
+        )
         self.duty = PlacingDuty(
-            place.vm,
+            Hello(place.vm, place.zone, self.boot),
             surroundings.store,
             surroundings.control,
             clock,
@@ -153,8 +167,6 @@
             self.regained,
         )
         self.tasks: list[asyncio.Task] = []
-        self.reported: tuple = ()
-        self.reported_at: Instant = timedelta(0)
         self.member_lease = 0
 
     async def start(self) -> None:
@@ -170,7 +182,8 @@
             self.config_follower.run(),
             self.servers_follower.run(),
             self.repeat(STEP, self.step),
-            self.repeat(REPORT_EVERY, self.report),
+            self.repeat(REPORT_EVERY, self.exchange.step),
+            self.repeat(WORK_EVERY, self.tell_work),
             self.repeat(TIDY_EVERY, self.tidy),
             self.keep_membership(),
         ):
@@ -282,7 +295,7 @@
         store = self.surroundings.store
         self.member_lease = await store.grant_lease(MEMBER_LIFETIME)
         host, port = self.place.peer
-        entry = msgspec.json.encode(Member(self.place.vm, host, port))
+        entry = msgspec.json.encode(Member(self.place.vm, self.place.zone, host, port))
         key = MEMBERS_PREFIX + self.place.vm
         try:
             await store.put(key, entry, 0, lease=self.member_lease)
@@ -295,66 +308,40 @@
         for value in values:
             member = msgspec.json.decode(value.data, type=Member)
             if member.vm != self.place.vm:
-                self.gossip.add(member.vm, (member.host, member.port))
-        self.gossip.send(Hello(self.place.vm, self.boot))
+                self.gossip.add(member.vm, (member.host, member.port), member.zone)
+        self.gossip.send(self.duty.me)
 
     def on_message(self, message: Message) -> None:
         """Take what another VM has sent."""
         now = self.clock.elapsed()
         if isinstance(message, Placing):
             self.duty.heard(now, message)
-            return
-        if isinstance(message, Hello):
-            self.reported = ()
-            self.duty.maps_told_until = now + timedelta(seconds=1)
-            return
-        self.take_report(now, message)
-
-    def take_report(self, now: Instant, report: Report) -> None:
-        """Take another VM's report."""
-        for name, server in self.table.servers.items():
-            count = report.running.get(name, 0)
-            if count or report.vm in server.reports:
-                server.reports[report.vm] = (count, now)
-        self.admission.waiting_elsewhere[report.vm] = {
-            (service, name): count for service, name, count in report.waiting
-        }
-        self.duty.placed_loads(now, report)
-
-    def report(self, now: Instant) -> None:
-        """Tell the other VMs what this one has at the servers."""
-        running = {
-            name: len(server.running)
-            for name, server in self.table.servers.items()
-            if server.running
-        }
-        waiting = [
-            (service, name, count) for (service, name), count in self.admission.waiting().items()
-        ]
+        elif isinstance(message, Report):
+            self.exchange.take_report(now, message)
+        elif isinstance(message, Totals):
+            self.exchange.take_totals(now, message)
+        elif isinstance(message, ZoneTotal):
+            self.exchange.take_zone(now, message)
+        elif isinstance(message, KeyWork):
+            self.duty.take_work(now, message.work)
+
+    def tell_work(self, now: Instant) -> None:
+        """Tell the VM that places keys what was asked for."""
         work = self.sender.take_key_work()
-        report = Report(self.place.vm, self.boot, running, waiting, stopping=self.stopping)
-        state = (running, waiting)
-        if state != self.reported or now - self.reported_at >= REPORT_AGAIN:
-            self.reported = state
-            self.reported_at = now
-            self.gossip.send(report)
         if not work:
             return
-        report.key_loads = work
         if self.duty.placers:
-            self.duty.placed_loads(now, report)
+            self.duty.take_work(now, work)
         elif self.duty.placing_vm:
-            self.gossip.send(report, only=self.duty.placing_vm)
+            message = KeyWork(self.place.vm, self.place.zone, self.boot, work)
+            self.gossip.send(message, only=self.duty.placing_vm)
 
     def tidy(self, now: Instant) -> None:
         """Forget what is no longer needed."""
         self.sender.close_unused_pools()
         self.gossip.forget(now)
-        self.gossip.greet_silent(now, Hello(self.place.vm, self.boot))
-        alive = self.gossip.alive(now)
-        for vm in list(self.admission.waiting_elsewhere):
-            if vm not in alive:
-                del self.admission.waiting_elsewhere[vm]
+        self.gossip.greet_silent(now, self.duty.me)
+        self.exchange.tidy(now)
         self.table.forget_gone(now)
 
     # Readiness, metrics, end.
--- a/fireflylock/direct/ownership_view.py
+++ b/fireflylock/direct/ownership_view.py
@@ -1,13 +1,14 @@
 """Who owns which keys, as this VM knows it."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import structlog
 
 from fireflylock.clock import Instant
 from fireflylock.direct.admission import Ownership
-from fireflylock.direct.gossip import Moving
-from fireflylock.direct.keyranges import RangeMap, decode_map
+from fireflylock.direct.gossip import MapChange, Moving
+from fireflylock.direct.keyranges import KeyRange, Owner, RangeMap, decode_map
 from fireflylock.direct.servers import Server, ServerTable
 from fireflylock.exceptions import ProtocolError
 
@@ -49,6 +50,27 @@
             return timedelta(0)
         return max(timedelta(0), self.told_at + timedelta(milliseconds=move.wait_ms) - now)
 
+    def describe(self, service: str, key: int | None, now: Instant) -> dict[str, object]:
+        """Return what is known of a key's owner, and how old that is, for the log."""
+        known = self.maps.get(service)
+        if known is None or key is None:
+            return {}
+        part = known.range_of(key)
+        server = self.table.life(part.owner)
+        found: dict[str, object] = {
+            "owner": part.owner.name,
+            "epoch": part.epoch,
+            "map_revision": known.revision,
+            "moving": self.move_of(service, key) is not None,
+            "told_ago": (now - self.told_at).total_seconds(),
+        }
+        if server is not None:
+            found["owner_running"] = len(server.running)
+            found["owner_others"] = server.others(now)
+            found["owner_leaving"] = server.leaving_since is not None
+            found["owner_resting"] = server.is_resting(now)
+        return found
+
     def move_of(self, service: str, key: int) -> Moving | None:
         """Return the move that a key takes part in, or None."""
         for move in self.moving:
@@ -65,6 +87,18 @@
             return False
         return self.set_map(new)
 
+    def take_change(self, change: MapChange) -> bool:
+        """Take one step to a newer map; return whether it fits the map that is held."""
+        known = self.maps.get(change.service)
+        if known is None or known.revision != change.base:
+            return False
+        parts = [
+            KeyRange(new.first, new.last, Owner(new.name, new.born, new.host, new.port), new.epoch)
+            for new in change.owners
+        ]
+        new = known.reassigned(parts, change.next_epoch)
+        return self.set_map(replace(new, revision=change.revision))
+
     def set_map(self, new: RangeMap) -> bool:
         """Take a map if it is newer; return whether it was."""
         known = self.maps.get(new.service)
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -9,7 +9,7 @@
 import structlog
 
 from fireflylock.clock import Clock, Instant
-from fireflylock.direct.gossip import Moving
+from fireflylock.direct.gossip import MapChange, Moving, NewOwner
 from fireflylock.direct.holdings import Holdings
 from fireflylock.direct.keycontrol import GrantOutcome, KeyControl
 from fireflylock.direct.keyranges import (
@@ -164,6 +164,8 @@
         self.short = KeyLoads(right.won_at, SHORT_AGE)
         self.long = KeyLoads(right.won_at, LONG_AGE)
         self.map: RangeMap | None = None
+        # The last step of the map that the other VMs were not told yet.
+        self.last_change: MapChange | None = None
         self.loaded = False
         self.departures: list[Departure] = []
         # Ranges whose present epoch their owner has taken at least once.
@@ -222,7 +224,9 @@
             value = await self.store.get(MAPS_PREFIX + self.service)
             if value is not None:
                 self.map = decode_map(value.data, value.revision)
-                await self.write(self.map)
+                before = self.map
+                await self.write(before)
+                self.last_change = self.change(before, [])
             self.loaded = True
             log.info(
                 "map of keys loaded",
@@ -258,10 +262,20 @@
         if not servers or now - self.table.joined_at < SETTLING or self.writing is not None:
             return
         new = first_map(self.service, servers)
-        self.writing = self.begin(self.record(new, []))
-
-    async def record(self, new: RangeMap, done: list[Departure]) -> None:
-        """Record a map; then grant what is new in it."""
+        self.writing = self.begin(self.record(new, [], []))
+
+    async def record(self, new: RangeMap, done: list[Departure], changes: list[KeyRange]) -> None:
+        """Record a map; then grant what is new in it.
+
+        Parameters
+        ----------
+        new : RangeMap
+            The map.
+        done : list of Departure
+            What ends with it.
+        changes : list of KeyRange
+            What differs from the map before.
+        """
         try:
             await self.write(new)
         except VersionConflictError as error:
@@ -277,6 +291,8 @@
             self.writing = None
         for departure in done:
             self.departures.remove(departure)
+        if changes:
+            self.last_change = self.change(new, changes)
         self.on_change()
         fresh = [part for part in self.map.ranges if part.epoch == new.next_epoch - 1]
         log.info(
@@ -290,6 +306,22 @@
         await asyncio.gather(*(self.grant(part) for part in fresh))
         self.on_change()
 
+    def change(self, new: RangeMap, changes: list[KeyRange]) -> MapChange:
+        """Return the step to the present map, as the other VMs are told."""
+        owners = [
+            NewOwner(
+                part.first,
+                part.last,
+                part.owner.name,
+                part.owner.born,
+                part.owner.host,
+                part.owner.port,
+                part.epoch,
+            )
+            for part in changes
+        ]
+        return MapChange(self.service, new.revision, self.map.revision, new.next_epoch, owners)
+
     # Grants.
 
     def hold(self, now: Instant) -> timedelta:
@@ -524,7 +556,7 @@
             done.append(departure)
         if changes:
             new = self.map.reassigned(changes, epoch + 1)
-            self.writing = self.begin(self.record(new, done))
+            self.writing = self.begin(self.record(new, done, changes))
 
     # What the other VMs are told.
 
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -12,6 +12,7 @@
 from fireflylock.direct.budget import SharedRetryBudget
 from fireflylock.direct.edge import CallerDialect, RoutedRequest
 from fireflylock.direct.keyranges import Owner
+from fireflylock.direct.line_budget import LineBudget
 from fireflylock.direct.model import Bounds, RouteTable, ServiceSpec
 from fireflylock.direct.routes import SplitCounter
 from fireflylock.direct.servers import Server, ServerTable
@@ -45,6 +46,10 @@
 
 SERVER_ERROR = 500
 
+# Lines a second about requests that were answered, and about those that failed.
+ANSWERED_LINES = 10.0
+FAILED_LINES = 40.0
+
 # Failures before any byte of a request was handed to a server.
 UNSENT_KINDS = (ErrorKind.SERVER_UNREACHABLE, ErrorKind.DEADLINE_TOO_SHORT)
 
@@ -93,6 +98,8 @@
         self.pools: dict[Owner, ServerPool] = {}
         # Seconds of work asked for, by service and key, since it was last taken.
         self.key_work: dict[str, dict[int, float]] = {}
+        self.answered_lines = LineBudget(ANSWERED_LINES, ANSWERED_LINES)
+        self.failed_lines = LineBudget(FAILED_LINES, FAILED_LINES)
 
     async def handle(self, request: RoutedRequest) -> Response:
         """Answer `request`.
@@ -122,6 +129,7 @@
                 response = await self.send(request, server)
                 error = self.server_error(request, response)
                 if error is None:
+                    self.log_answer(request, server, response.status, sendings)
                     return response
             except RequestError as failure:
                 error, response = failure, None
@@ -137,12 +145,13 @@
                 raise self.final(request, error, may_have_run) from None
             if response is not None:
                 await response.body.close()
-            log.info(
+            self.log_failure(
                 "request goes again",
-                request_id=request.request_id,
+                request,
+                error,
                 server=server.name,
-                error=str(error),
                 sendings=sendings,
+                budget_left=self.budget(spec.name).left(self.clock.elapsed(), self.vms()),
             )
             if spec.keyed and sent:
                 moved = error.kind is ErrorKind.MOVED
@@ -338,16 +347,53 @@
             error = RequestError(ErrorKind.OUTCOME_UNKNOWN, f"at last: {error}")
         elif error.not_run and error.retry_after is None:
             error = RequestError(error.kind, error.detail, SOON)
+        self.log_failure("request given up", request, error)
+        return error
+
+    def log_answer(
+        self, request: RoutedRequest, server: Server, status: int, sendings: int
+    ) -> None:
+        """Write a line about an answered request, as far as the volume allows."""
+        now = self.clock.elapsed()
+        kind = f"answered {status}"
+        if not self.answered_lines.allows(now, kind):
+            return
+        log.info(
+            "request answered",
+            request_id=request.request_id,
+            route=request.route.name,
+            server=server.name,
+            status=status,
+            sendings=sendings + 1,
+            took=(now - request.arrived).total_seconds(),
+            left_out=self.answered_lines.take_left_out(kind),
+        )
+
+    def log_failure(
+        self, event: str, request: RoutedRequest, error: RequestError, **more: object
+    ) -> None:
+        """Write a line about a request that failed, with what decided about it."""
+        now = self.clock.elapsed()
+        kind = f"{event} {error.kind.value} {request.route.name}"
+        if not self.failed_lines.allows(now, kind):
+            return
+        owner = self.admission.ownership.describe(request.service, request.key_number, now)
         log.info(
-            "request given up",
+            event,
             request_id=request.request_id,
+            route=request.route.name,
             service=request.service,
             key=request.key_number,
             error=error.kind.value,
             detail=error.detail,
-            waited=(self.clock.elapsed() - request.arrived).total_seconds(),
+            not_run=error.not_run,
+            waited=(now - request.arrived).total_seconds(),
+            left=(request.deadline - now).total_seconds(),
+            config_version=self.routes.version,
+            left_out=self.failed_lines.take_left_out(kind),
+            **owner,
+            **more,
         )
-        return error
 
     def pool(self, server: Server, owner: Owner) -> ServerPool:
         """Return the connections to a server."""
--- a/fireflylock/store.py
+++ b/fireflylock/store.py
@@ -79,13 +79,26 @@
         self.rate = rate
         self.burst = min(VM_CALLS_BURST, max(1.0, 2 * self.rate))
 
-    def wait(self, now: Instant) -> timedelta:
-        """Take a token and return how long to wait before it may be used."""
+    def fill(self, now: Instant) -> None:
+        """Add the tokens that have grown since the last time."""
         if self.tokens < 0 and self.filled_at == timedelta(0):
             self.tokens, self.filled_at = self.burst, now
         grown = (now - self.filled_at).total_seconds() * self.rate
-        self.tokens = min(self.burst, self.tokens + grown) - 1
+        self.tokens = min(self.burst, self.tokens + grown)
         self.filled_at = now
+
+    def try_take(self, now: Instant) -> bool:
+        """Take a token if there is one."""
+        self.fill(now)
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+    def wait(self, now: Instant) -> timedelta:
+        """Take a token and return how long to wait before it may be used."""
+        self.fill(now)
+        self.tokens -= 1
         if self.tokens >= 0:
             return timedelta(0)
         return timedelta(seconds=-self.tokens / self.rate)
--- a/tests/placing_world.py
+++ b/tests/placing_world.py
@@ -11,7 +11,7 @@
 
 from fireflylock.clock import FakeClock, Instant
 from fireflylock.direct.duty import PlacingDuty
-from fireflylock.direct.gossip import Placing
+from fireflylock.direct.gossip import Hello, Placing
 from fireflylock.direct.keycontrol import GrantOutcome, KeyControl, Release
 from fireflylock.direct.keyranges import KeyRange, Owner
 from fireflylock.direct.model import (
@@ -324,7 +324,7 @@
         store = StoreLink(self, name)
         right = PlacingRight(store, self.clock, Holder(name, self.boots))
         duty = PlacingDuty(
-            name,
+            Hello(name, "zone", self.boots),
             store,
             LinkControl(self, name),
             self.clock,
