--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -27,8 +27,10 @@
 LATE_PATIENCE = 0.25
 # What the expected wait is multiplied by: requests that come later may be more urgent.
 CAUTION = 1.25
-# Longest wait while keys change their owner; a release, a write and a grant take less.
+# Longest wait while keys change their owner, and as a share of the caller's time; a release, a
+# write and a grant take less.
 MOVE_PATIENCE = timedelta(milliseconds=400)
+MOVE_SHARE = 0.3
 # Answers from this many bytes on stay within the zone where that costs nobody the latency
 # target; what they cost between zones is far more than what a small answer does.
 HEAVY_BYTES = 16 * 1024
@@ -253,7 +255,7 @@
             rest = timedelta(seconds=1)
             return self.refuse(now, ticket, ErrorKind.NO_OWNER, "no servers", rest)
         rest = self.ownership.unowned_for(ticket.service, ticket.key, now)
-        patience = min(MOVE_PATIENCE, ticket.target_at - now)
+        patience = min(MOVE_PATIENCE, MOVE_SHARE * (ticket.deadline - ticket.arrived))
         if rest > patience or now - ticket.arrived > patience:
             return self.refuse(now, ticket, ErrorKind.NO_OWNER, "the key has no owner", rest)
         return None
--- a/tests/test_direct_admission.py
+++ b/tests/test_direct_admission.py
@@ -148,7 +148,9 @@
     assert desk.refused["lost"].kind is ErrorKind.NO_OWNER
     desk.owners.wait = NOTHING
     desk.ask(START, "long", key=1)
-    desk.admission.tick(START + 450 * MS)
+    desk.admission.tick(START + 200 * MS)
+    assert "long" not in desk.refused
+    desk.admission.tick(START + 250 * MS)
     assert desk.refused["long"].kind is ErrorKind.NO_OWNER
 
 
