--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -17,7 +17,7 @@
 from tests.fakenode import FakeNode
 
 ROOT = Path(__file__).parent.parent
-PAGE = (ROOT / "docs" / "OPERATING.md").read_text("utf-8")
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text("utf-8")
 ALERTS = (ROOT / "examples" / "alerts.yml").read_text("utf-8")
 
 
