--- a/fireflylock/platform/grants.py
+++ b/fireflylock/platform/grants.py
@@ -24,7 +24,7 @@
 # Connections for orders that are kept to one server: one for renewals, some for releases.
 KEPT_CONNECTIONS = 3
 
-GRANTED = 200
+OK = 200
 # Another server has the address; it took nothing.
 MISDIRECTED = 421
 
@@ -51,7 +51,7 @@
         except (OSError, TimeoutError, ProtocolError) as error:
             log.warning("grant unanswered", server=part.owner.name, error=repr(error))
             return GrantOutcome.UNANSWERED
-        if answer.status == GRANTED:
+        if answer.status == OK:
             return GrantOutcome.GRANTED
         if answer.status == MISDIRECTED:
             log.warning("grant reached another server", server=part.owner.name)
@@ -66,7 +66,7 @@
         except (OSError, TimeoutError, ProtocolError) as error:
             log.warning("release unanswered", server=part.owner.name, error=repr(error))
             return Release(answered=False)
-        if answer.status != GRANTED:
+        if answer.status != OK:
             log.warning("release refused", server=part.owner.name, status=answer.status)
             return Release(answered=False)
         return Release(True, answer.headers.get(HANDOVER.decode(), ""))
--- a/fireflylock/platform/settings.py
+++ b/fireflylock/platform/settings.py
@@ -58,7 +58,6 @@
     """What the platform offers; the inner table of the same name is the store."""
 
     platform: StoreTable
-    heartbeat: str = "1s"
 
 
 class BoundsTable(msgspec.Struct, rename="camel"):
@@ -92,8 +91,6 @@
         Calls that the store takes from all processes together.
     shortest_lease : timedelta
         Shortest time to live that the store grants.
-    registration_interval : timedelta
-        Time between two registrations of a backend server.
     """
 
     place: Place
@@ -101,7 +98,6 @@
     reads_per_second: float
     writes_per_second: float
     shortest_lease: timedelta
-    registration_interval: timedelta
 
 
 class Problems:
@@ -118,6 +114,14 @@
             self.found.append(f"{where}: {error}.")
             return None
 
+    def read_part(self, where: str, convert: Any, table: Any, *names: str) -> Any:
+        """Return a converted field of a table, which is None where it was not valid."""
+        if table is None:
+            return None
+        for name in names:
+            table = getattr(table, name)
+        return self.read(where, convert, table)
+
 
 def read_settings(path: str | Path, metrics_port: int | None = None) -> PlatformSettings:
     """Return the settings in the file at `path`.
@@ -143,24 +147,11 @@
     network = problems.read("network", as_table(NetworkTable), tables.get("network", {}))
     platform = problems.read("platform", as_table(PlatformTable), tables.get("platform", {}))
     terms = problems.read("terms", as_table(TermsTable), tables.get("terms", {}))
-    bounds = problems.read("terms.bounds", read_bounds, terms.bounds) if terms else None
-    front = (
-        problems.read("network.listen.front", address, network.listen.front) if network else None
-    )
-    ready = (
-        problems.read("network.listen.ready", address, network.listen.ready) if network else None
-    )
-    store = (
-        problems.read("platform.platform", address, platform.platform.address)
-        if platform
-        else None
-    )
-    lease = (
-        problems.read("platform.platform", duration, platform.platform.min_ttl)
-        if platform
-        else None
-    )
-    beat = problems.read("platform.heartbeat", duration, platform.heartbeat) if platform else None
+    bounds = problems.read_part("terms.bounds", read_bounds, terms, "bounds")
+    front = problems.read_part("network.listen.front", address, network, "listen", "front")
+    ready = problems.read_part("network.listen.ready", address, network, "listen", "ready")
+    store = problems.read_part("platform.platform", address, platform, "platform", "address")
+    lease = problems.read_part("platform.platform", duration, platform, "platform", "min_ttl")
     if problems.found:
         raise SettingsError(problems.found)
     place = Place(
@@ -180,7 +171,6 @@
         reads_per_second=platform.platform.reads_per_s,
         writes_per_second=platform.platform.writes_per_s,
         shortest_lease=lease,
-        registration_interval=beat,
     )
 
 
--- a/tests/direct_site.py
+++ b/tests/direct_site.py
@@ -106,9 +106,7 @@
             peer=("127.0.0.1", free_port(socket.SOCK_DGRAM)),
             bounds=replace(Bounds(), grace=timedelta(seconds=6)),
         )
-        settings = PlatformSettings(
-            place, self.address, 2000.0, 400.0, timedelta(seconds=1), timedelta(seconds=1)
-        )
+        settings = PlatformSettings(place, self.address, 2000.0, 400.0, timedelta(seconds=1))
         node = DirectNode(place, PlatformSurroundings(settings, self.clock), self.clock)
         self.nodes.append(node)
         await node.start()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -216,9 +216,7 @@
     standin = OperatorsStore()
     address = await standin.start()
     place = Place("vm", "a", "127.0.0.1", ("", 1), ("", 1), ("", 1))
-    settings = PlatformSettings(
-        place, address, 2000.0, 400.0, timedelta(seconds=1), timedelta(seconds=1)
-    )
+    settings = PlatformSettings(place, address, 2000.0, 400.0, timedelta(seconds=1))
     client = KeyValueStore(settings, SystemClock())
     client.standin = standin
     yield client
