Planner and placer in smaller modules; connections to former owners are closed

Cause: connections for orders to servers that own nothing any more stayed open until the process ended.

--- /dev/null
+++ b/fireflylock/direct/departure.py
@@ -0,0 +1,61 @@
+"""Keys on their way from one owner to the next, and what the placing VM knows of owners."""
+
+import asyncio
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from fireflylock.clock import Instant
+from fireflylock.direct.keyranges import KeyRange, Owner
+
+
+@dataclass
+class Departure:
+    """Keys that leave their owner.
+
+    Attributes
+    ----------
+    part : KeyRange
+        The keys and their owner.
+    target : Owner or None
+        Who is to own them; None to choose once they are free.
+    reason : str
+        For the log.
+    since : timedelta
+        When it began.
+    free : bool
+        Whether the owner can surely run nothing more on them.
+    handover : str
+        What the owner gave away.
+    task : asyncio.Task or None
+        The release under way.
+    """
+
+    part: KeyRange
+    target: Owner | None
+    reason: str
+    since: Instant
+    free: bool = False
+    handover: str = ""
+    task: asyncio.Task | None = None
+
+
+@dataclass
+class OwnerState:
+    """What the placing VM knows of one owner.
+
+    Attributes
+    ----------
+    lock : asyncio.Lock
+        Held while a grant to the owner is under way.
+    failing_since : timedelta or None
+        Since when it takes no orders.
+    renewed_at : timedelta
+        When its last renewal began.
+    task : asyncio.Task or None
+        The renewal under way.
+    """
+
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    failing_since: Instant | None = None
+    renewed_at: Instant = timedelta(0)
+    task: asyncio.Task | None = None
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -3,14 +3,16 @@
 import asyncio
 import uuid
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from datetime import timedelta
 
 import structlog
 
 from fireflylock.clock import Clock, Instant
+from fireflylock.direct.departure import Departure, OwnerState
 from fireflylock.direct.gossip import MapChange, Moving, NewOwner
 from fireflylock.direct.holdings import Holdings
+from fireflylock.direct.key_loads import LONG_AGE, SHORT_AGE, KeyLoads
 from fireflylock.direct.keycontrol import GrantOutcome, KeyControl
 from fireflylock.direct.keyranges import (
     KeyRange,
@@ -20,16 +22,8 @@
     encode_map,
     read_record,
 )
-from fireflylock.direct.planner import (
-    LONG_AGE,
-    SHORT_AGE,
-    Capacity,
-    KeyLoads,
-    Move,
-    first_map,
-    plan,
-    spread,
-)
+from fireflylock.direct.planner import Move, first_map, plan, spread
+from fireflylock.direct.range_board import Capacity
 from fireflylock.direct.right import PlacingRight
 from fireflylock.direct.servers import Server, ServerTable
 from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
@@ -53,67 +47,12 @@
 GATHER = timedelta(milliseconds=60)
 # Time between two looks at the balance.
 PLAN_EVERY = timedelta(milliseconds=250)
-# A server that was just started does half the work, as its registration says.
-COLD_FACTOR = 0.5
 # Least slowness by which capacity is judged.
 LEAST_SLOWNESS = 0.25
 
 log = structlog.get_logger()
 
 
-@dataclass
-class Departure:
-    """Keys that leave their owner.
-
-    Attributes
-    ----------
-    part : KeyRange
-        The keys and their owner.
-    target : Owner or None
-        Who is to own them; None to choose once they are free.
-    reason : str
-        For the log.
-    since : timedelta
-        When it began.
-    free : bool
-        Whether the owner can surely run nothing more on them.
-    handover : str
-        What the owner gave away.
-    task : asyncio.Task or None
-        The release under way.
-    """
-
-    part: KeyRange
-    target: Owner | None
-    reason: str
-    since: Instant
-    free: bool = False
-    handover: str = ""
-    task: asyncio.Task | None = None
-
-
-@dataclass
-class OwnerState:
-    """What the placing VM knows of one owner.
-
-    Attributes
-    ----------
-    lock : asyncio.Lock
-        Held while a grant to the owner is under way.
-    failing_since : timedelta or None
-        Since when it takes no orders.
-    renewed_at : timedelta
-        When its last renewal began.
-    task : asyncio.Task or None
-        The renewal under way.
-    """
-
-    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
-    failing_since: Instant | None = None
-    renewed_at: Instant = timedelta(0)
-    task: asyncio.Task | None = None
-
-
 class Placer:
     """Places the keys of one service.
 
@@ -291,6 +230,7 @@
             self.writing = None
         for departure in done:
             self.departures.remove(departure)
+        self.forget_owners()
         if changes:
             self.last_change = self.change(new, changes)
         self.on_change()
@@ -306,6 +246,16 @@
         await asyncio.gather(*(self.grant(part) for part in fresh))
         self.on_change()
 
+    def forget_owners(self) -> None:
+        """Close the connections to servers that own nothing any more.
+
+        What is known of them stays: one that takes no orders should get no keys again.
+        """
+        present = set(self.map.owners())
+        for owner, state in self.owners.items():
+            if owner not in present and not state.lock.locked():
+                self.control.forget(owner)
+
     def change(self, new: RangeMap, changes: list[KeyRange]) -> MapChange:
         """Return the step to the present map, as the other VMs are told."""
         owners = [
--- a/tests/test_direct_planner.py
+++ b/tests/test_direct_planner.py
@@ -6,7 +6,8 @@
 
 from fireflylock.direct.keyranges import KeyRange, Owner, RangeMap
 from fireflylock.direct.model import KEYS
-from fireflylock.direct.planner import Board, Capacity, first_map, plan, spread
+from fireflylock.direct.planner import first_map, plan, spread
+from fireflylock.direct.range_board import Board, Capacity
 
 
 def owner(number):
