The lease on a standby's copies counts with the drift of the settings

Change: the drift is required and comes from the settings. Test: the sender made for a standby has the drift of its settings.

--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -176,6 +176,7 @@
             self.clock,
             WindowBounds(limits.window_entries, limits.window_bytes),
             self.peers.send,
+            timing.drift,
         )
         self.gatekeeper = Gatekeeper(
             self.name,
--- a/fireflylock/order_windows.py
+++ b/fireflylock/order_windows.py
@@ -45,6 +45,8 @@
         Bounds.
     send : callable
         ``send(member, message)`` to another entry VM.
+    drift : float
+        Bound on the relative difference in rate between two clocks, from the settings.
 
     Attributes
     ----------
@@ -65,12 +67,14 @@
         clock: Clock,
         bounds: WindowBounds,
         send: Callable[[str, PeerMessage], bool],
+        drift: float,
     ) -> None:
         self.configuration = configuration
         self.book = book
         self.clock = clock
         self.bounds = bounds
         self.send = send
+        self.drift = drift
         self.orders: dict[str, Orders] = {}
         self.coverage: dict[str, Coverage] = {}
         self.copies: dict[str, CopySender] = {}
@@ -123,6 +127,7 @@
             lambda units: self.export_all(service, units),
             self.send,
             self.clock,
+            self.drift,
         )
 
     def units_of(self, service: str, server: str) -> dict[int, int]:
--- a/fireflylock/window_copies.py
+++ b/fireflylock/window_copies.py
@@ -93,7 +93,7 @@
         export: Callable[[set[int]], list[bytes]],
         send: Send,
         clock: Clock,
-        drift: float = 0.001,
+        drift: float,
     ) -> None:
         self.target = target
         self.window = window
--- a/tests/test_window_copies.py
+++ b/tests/test_window_copies.py
@@ -5,15 +5,22 @@
 
 import pytest
 
+from fireflylock.assignment import GateRecord
 from fireflylock.clock import FakeClock
 from fireflylock.exceptions import ErrorKind, RequestError
 from fireflylock.idempotency import IdempotencyWindow, Run, StoredResponse, WindowLimits
 from fireflylock.messages import WindowAck, WindowCopy
+from fireflylock.model import Service
+from fireflylock.order_windows import OrderWindows, WindowBounds
 from fireflylock.window_copies import COMPLETE_FOR, CopyHolder, CopySender, CopyTarget
 
 SERVICE, SERVER, UNIT, EPOCH, GATE_EPOCH = "desk", "mesa-01", 3, 5, 7
 
 
+# Bound on the difference between clocks, as the settings give it by default.
+DRIFT = 0.001
+
+
 class Pair:
     """A gate and its standby, with a link that can lose messages."""
 
@@ -30,6 +37,7 @@
             lambda _units: self.window.export(self.clock.elapsed()),
             self.deliver,
             self.clock,
+            DRIFT,
         )
 
     def new_holder(self) -> CopyHolder:
@@ -158,3 +166,13 @@
     pair.clock.advance(2 * COMPLETE_FOR)
     pair.holder.on_copy("entry-1", held_back)
     assert pair.holder.take(SERVER, GATE_EPOCH) is None
+
+
+def test_the_copies_lease_counts_with_the_drift_of_the_settings():
+    sent = []
+    windows = OrderWindows(
+        lambda: None, {}, FakeClock(), WindowBounds(100, 10_000), sent.append, drift=0.05
+    )
+    service = Service(name=SERVICE, keyed=True)
+    windows.follow_standby(service, SERVER, GateRecord("entry-1", GATE_EPOCH, "entry-2"))
+    assert windows.copies[SERVER].lease.drift == 0.05
