--- a/fireflylock/direct/edge.py
+++ b/fireflylock/direct/edge.py
@@ -1,5 +1,6 @@
 """The front end for callers whose requests go straight to backend servers."""
 
+import uuid
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -120,8 +121,9 @@
         )
 
     def request_id(self, head: RequestHead) -> str:
-        """Return the caller's id of this try, or "" where it gives none."""
-        return (header(head.headers, self.dialect.id_header) or b"").decode("latin-1")
+        """Return the caller's id of this try, or a new one where it gives none."""
+        given = header(head.headers, self.dialect.id_header)
+        return given.decode("latin-1") if given else uuid.uuid4().hex
 
     def request(self, head: RequestHead, request_id: str, body: CallerBody) -> RoutedRequest:
         """Return the request that a parsed head stands for, with its route.
--- a/fireflylock/direct/keycontrol.py
+++ b/fireflylock/direct/keycontrol.py
@@ -2,6 +2,7 @@
 
 import enum
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -37,7 +38,9 @@
     """Sends orders about keys to backend servers."""
 
     @abstractmethod
-    async def grant(self, part: KeyRange, hold: timedelta, still_allowed) -> GrantOutcome:
+    async def grant(
+        self, part: KeyRange, hold: timedelta, still_allowed: Callable[[], bool]
+    ) -> GrantOutcome:
         """Grant keys to their owner, or renew the grant.
 
         Parameters
