A broken-off check is logged; the retry budget's allowance is computed in one place

Found on reading the change again: an error swallowed without a log line, the same formula written twice, a counter that nobody read. No behaviour changes.

--- a/fireflylock/direct/budget.py
+++ b/fireflylock/direct/budget.py
@@ -40,7 +40,6 @@
         self.steps: deque[list] = deque()
         self.requests = 0
         self.repeats = 0
-        self.refused = 0
 
     def count_request(self, now: Instant) -> None:
         """Count a request that was taken from a caller."""
@@ -58,9 +57,7 @@
             Entry VMs that share the fixed part.
         """
         step = self.current_step(now)
-        fixed = self.extra / max(1, vms) if now >= self.full_from else 0.0
-        if self.repeats + 1 > MARGIN * (self.ratio * self.requests + fixed):
-            self.refused += 1
+        if self.allowance(now, vms) - self.repeats < 1:
             return False
         step[2] += 1
         self.repeats += 1
@@ -69,8 +66,12 @@
     def left(self, now: Instant, vms: int) -> float:
         """Return how many repeats the budget still allows."""
         self.current_step(now)
+        return round(self.allowance(now, vms) - self.repeats, 1)
+
+    def allowance(self, now: Instant, vms: int) -> float:
+        """Return how many repeats the present window allows in all."""
         fixed = self.extra / max(1, vms) if now >= self.full_from else 0.0
-        return round(MARGIN * (self.ratio * self.requests + fixed) - self.repeats, 1)
+        return MARGIN * (self.ratio * self.requests + fixed)
 
     def current_step(self, now: Instant) -> list:
         """Return the counters of the present step, and forget what left the window."""
--- a/fireflylock/direct/status_server.py
+++ b/fireflylock/direct/status_server.py
@@ -7,12 +7,15 @@
 from datetime import timedelta
 
 import h11
+import structlog
 
 HEAD_BYTES = 8 * 1024
 READ_BYTES = 4096
 # A connection without a request is closed after this; checks come every second.
 IDLE_TIMEOUT = timedelta(seconds=30)
 
+log = structlog.get_logger()
+
 
 @dataclass(frozen=True)
 class StatusAnswer:
@@ -62,9 +65,9 @@
         try:
             while await self.serve_one(protocol, reader, writer):
                 protocol.start_next_cycle()
-        except (OSError, TimeoutError, h11.ProtocolError):
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
             # A check that broke off is made again by whoever wanted it.
-            pass
+            log.info("check broke off", error=repr(error))
         finally:
             with contextlib.suppress(RuntimeError):
                 writer.close()
