A chunk's header is bounded like a head

Cause: h11 checks the length of a chunk's header only while it is incomplete, so an extension of 100 KB that came in one write passed. Ruled out: a scan of our own for the end of the line, which would parse chunks twice. Change: the parser gives h11 at most one header's bound at a time. Test: refused now, accepted before; chunks and a next request in one long write still pass.

--- a/fireflylock/request_parser.py
+++ b/fireflylock/request_parser.py
@@ -139,21 +139,32 @@
         data = bytes(self.pending)
         self.pending.clear()
         chunks = []
+        # h11 checks the length of a chunk's header only while it is incomplete, so it is
+        # never given more at once than a header may have.
+        for start in range(0, max(1, len(data)), self.header_bytes):
+            part = data[start : start + self.header_bytes]
+            event = self.read_part(part, chunks)
+            if self.max_body is not None and self.body_bytes > self.max_body:
+                raise RequestError(ErrorKind.BODY_TOO_LARGE)
+            if type(event) is h11.EndOfMessage:
+                self.end_body(event, part)
+                self.pending += data[start + len(part) :]
+                break
+            if self.chunked:
+                self.tail = (self.tail + part)[-len(HEAD_END) :]
+        return chunks
+
+    def read_part(self, part: bytes, chunks: list[bytes]) -> h11.Event:
+        """Append the body bytes in `part` to `chunks`; return the event that comes after."""
         try:
-            if data:
-                self.http.receive_data(data)
+            if part:
+                self.http.receive_data(part)
             while type(event := self.http.next_event()) is h11.Data:
                 chunks.append(bytes(event.data))
                 self.body_bytes += len(event.data)
         except h11.RemoteProtocolError as error:
             raise bad_request(reason_of(error)) from None
-        if self.max_body is not None and self.body_bytes > self.max_body:
-            raise RequestError(ErrorKind.BODY_TOO_LARGE)
-        if type(event) is h11.EndOfMessage:
-            self.end_body(event, data)
-        elif self.chunked:
-            self.tail = (self.tail + data[-len(HEAD_END) :])[-len(HEAD_END) :]
-        return chunks
+        return event
 
     def end_body(self, event: h11.EndOfMessage, data: bytes) -> None:
         """Keep what follows the body for the next request."""
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -51,6 +51,28 @@
     assert received.endswith(b"\r\n\r\nk1:abcde")
 
 
+async def test_a_chunk_header_is_bounded_like_a_head():
+    async with running_frontend(ScriptedHandler(echo)) as (_, port):
+        received = await talk(
+            port,
+            b"POST / HTTP/1.1\r\n"
+            + HEAD
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"2;extension=" + 100_000 * b"x" + b"\r\nde\r\n0\r\n\r\n",
+        )
+    assert received.startswith(b"HTTP/1.1 400")
+
+
+async def test_chunks_and_a_next_request_in_one_long_write():
+    chunk = b"8000\r\n" + 0x8000 * b"x" + b"\r\n"
+    post = b"POST / HTTP/1.1\r\n" + HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    next_one = b"GET / HTTP/1.1\r\n" + HEAD + CLOSE + b"\r\n"
+    async with running_frontend(ScriptedHandler(echo)) as (_, port):
+        received = await talk(port, post + 3 * chunk + b"0\r\n\r\n" + next_one)
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert received.count(b"x" * 0x8000) == 3
+
+
 async def test_head_has_the_length_and_no_body():
     async with running_frontend(ScriptedHandler(echo)) as (_, port):
         received = await talk(port, b"HEAD / HTTP/1.1\r\n" + HEAD + CLOSE + b"\r\n")
