A sending is counted by its ticket, not by the caller's request id; gossip without a boot time that nobody reads

Cause: two requests under one id were counted once at their server, and the first answer took the count of both away. Change: `Server.running` is keyed by the ticket's number. The boot time in each datagram had no reader and is gone; the right's holder keeps its own. Test: five requests under one id count as five.

--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -49,7 +49,7 @@
 
 @dataclass
 class Ticket:
-    """A request that wants to be sent.
+    """A request that wants to be sent, once; each sending has a ticket of its own.
 
     Attributes
     ----------
@@ -73,6 +73,8 @@
         Whether its latency target can't be met any more.
     keeps_near : bool
         Whether it waits for a server of the own zone although others have room.
+    number : int
+        Tells it from all others of this process, also from one with the same request id.
     """
 
     request_id: str
@@ -237,7 +239,8 @@
         ticket.late = now + CAUTION * wait + service > ticket.target_at
         if not ticket.late:
             return None
-        wait, service = self.expected_wait(now, ticket, place, usable)
+        # Now that it is late, all requests that are in time go before it.
+        wait, _ = self.expected_wait(now, ticket, place, usable)
         patient = wait <= LATE_PATIENCE * (ticket.deadline - now)
         if patient and not self.is_pressed(place):
             return None
@@ -289,12 +292,12 @@
 
     def start(self, now: Instant, ticket: Ticket, server: Server) -> None:
         """Let a request be sent."""
-        server.running[ticket.request_id] = now
+        server.running[ticket.number] = now
         ticket.settle(server, None)
 
-    def ended(self, now: Instant, server: Server, request_id: str) -> None:
-        """Note that a request has left its server, and start what waited for it."""
-        server.running.pop(request_id, None)
+    def ended(self, now: Instant, server: Server, number: int) -> None:
+        """Note that the request of a ticket has left its server; start what waited for it."""
+        server.running.pop(number, None)
         self.pump(now, self.lines_of(server))
 
     def lines_of(self, server: Server) -> list[tuple[str, str]]:
@@ -323,7 +326,7 @@
                 if chosen is not None:
                     started.append((ticket, chosen))
                     # Counted at once, so that the next one sees it.
-                    chosen.running[ticket.request_id] = now
+                    chosen.running[ticket.number] = now
                 elif not ticket.keeps_near:
                     break
             for ticket, chosen in started:
--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -199,7 +199,7 @@
             self.on_owners()
         me = self.me
         changes = [change for _, change in self.changes]
-        self.gossip.send(Placing(me.vm, me.zone, me.boot, moving, revisions, changes))
+        self.gossip.send(Placing(me.vm, me.zone, moving, revisions, changes))
 
     def stop_placing(self, reason: str) -> None:
         """Place no keys any more."""
--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -34,13 +34,10 @@
     ----------
     vm, zone : str
         Who tells it, and its availability zone.
-    boot : int
-        Unix time of the process's start in milliseconds.
     """
 
     vm: str
     zone: str
-    boot: int
 
 
 class Hello(Told, tag="h", array_like=True):
@@ -182,14 +179,11 @@
         When it was last heard, or heard of.
     zone : str
         Its availability zone.
-    boot : int
-        Unix time of its process's start in milliseconds.
     """
 
     address: tuple[str, int]
     heard_at: Instant
     zone: str = ""
-    boot: int = 0
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -242,7 +236,6 @@
         self.received += 1
         peer = self.add(message.vm, addr, message.zone)
         peer.heard_at = self.clock.elapsed()
-        peer.boot = message.boot
         self.on_message(message)
 
     def add(self, vm: str, address: tuple[str, int], zone: str) -> Peer:
--- a/fireflylock/direct/load_exchange.py
+++ b/fireflylock/direct/load_exchange.py
@@ -54,8 +54,6 @@
     ----------
     vm, zone : str
         Name and availability zone of this VM.
-    boot : int
-        Unix time of the process's start in milliseconds.
     gossip : Gossip
         Link to the other VMs.
     table : ServerTable
@@ -68,14 +66,12 @@
         self,
         vm: str,
         zone: str,
-        boot: int,
         gossip: Gossip,
         table: ServerTable,
         admission: Admission,
     ) -> None:
         self.vm = vm
         self.zone = zone
-        self.boot = boot
         self.gossip = gossip
         self.table = table
         self.admission = admission
@@ -110,7 +106,7 @@
         if state != self.reported or now - self.reported_at >= REPORT_AGAIN:
             self.reported = state
             self.reported_at = now
-            report = Report(self.vm, self.zone, self.boot, running, rows(waiting))
+            report = Report(self.vm, self.zone, running, rows(waiting))
             if mesh:
                 self.gossip.send(report)
             elif speaker != self.vm:
@@ -126,12 +122,10 @@
         own = Sums(running, waiting, [self.vm], now)
         zone = added([own, *self.fresh(now, self.members)], now)
         total = added([zone, *self.fresh(now, self.zones)], now)
-        told = ZoneTotal(self.vm, self.zone, self.boot, zone.running, rows(zone.waiting), zone.vms)
+        told = ZoneTotal(self.vm, self.zone, zone.running, rows(zone.waiting), zone.vms)
         for vm in self.told_elsewhere(now):
             self.gossip.send(told, only=vm)
-        totals = Totals(
-            self.vm, self.zone, self.boot, total.running, rows(total.waiting), total.vms
-        )
+        totals = Totals(self.vm, self.zone, total.running, rows(total.waiting), total.vms)
         for vm, peer in self.gossip.peers.items():
             if peer.zone == self.zone:
                 self.gossip.send(totals, only=vm)
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -138,11 +138,9 @@
             metrics=RequestMetrics(self.metrics),
         )
         right = PlacingRight(surroundings.store, clock, Holder(place.vm, self.boot))
-        self.exchange = LoadExchange(
-            place.vm, place.zone, self.boot, self.gossip, self.table, self.admission
-        )
+        self.exchange = LoadExchange(place.vm, place.zone, self.gossip, self.table, self.admission)
         self.duty = PlacingDuty(
-            Hello(place.vm, place.zone, self.boot),
+            Hello(place.vm, place.zone),
             surroundings.store,
             surroundings.control,
             clock,
@@ -333,7 +331,7 @@
         if self.duty.placers:
             self.duty.take_work(now, work)
         elif self.duty.placing_vm:
-            message = KeyWork(self.place.vm, self.place.zone, self.boot, work)
+            message = KeyWork(self.place.vm, self.place.zone, work)
             self.gossip.send(message, only=self.duty.placing_vm)
 
     def tidy(self, now: Instant) -> None:
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -121,12 +121,12 @@
         while True:
             ticket_key = request.key_number if spec.keyed else None
             try:
-                server = await self.admit(request, ticket_key, tried)
+                server, number = await self.admit(request, ticket_key, tried)
             except RequestError as error:
                 raise self.final(request, error, may_have_run) from None
             request.body = body.fresh()
             try:
-                response = await self.send(request, server)
+                response = await self.send(request, server, number)
                 error = self.server_error(request, response)
                 if error is None:
                     self.log_answer(request, server, response.status, sendings)
@@ -197,8 +197,10 @@
             raise RequestError(ErrorKind.BAD_REQUEST, str(error)) from None
         return KeptBody(whole.take_ready())
 
-    async def admit(self, request: RoutedRequest, key: int | None, tried: set[str]) -> Server:
-        """Return the server that the request may be sent to now.
+    async def admit(
+        self, request: RoutedRequest, key: int | None, tried: set[str]
+    ) -> tuple[Server, int]:
+        """Return the server that the request may be sent to now, and its ticket's number.
 
         Raises
         ------
@@ -212,7 +214,7 @@
             if future.done():
                 # The caller has left; the task that waits is cancelled, but has not run yet.
                 if server is not None:
-                    server.running.pop(request.request_id, None)
+                    server.running.pop(ticket.number, None)
                 return
             if error is not None:
                 future.set_exception(error)
@@ -232,16 +234,16 @@
         )
         self.admission.arrive(now, ticket)
         try:
-            return await future
+            return await future, ticket.number
         except asyncio.CancelledError:
             self.admission.withdraw(ticket)
             if future.done() and not future.cancelled() and future.exception() is None:
                 server = future.result()
-                self.admission.ended(self.clock.elapsed(), server, request.request_id)
+                self.admission.ended(self.clock.elapsed(), server, ticket.number)
             raise
 
-    async def send(self, request: RoutedRequest, server: Server) -> Response:
-        """Send a request to a server and return the answer.
+    async def send(self, request: RoutedRequest, server: Server, number: int) -> Response:
+        """Send a request to a server under its ticket's number and return the answer.
 
         Raises
         ------
@@ -259,7 +261,7 @@
             nonlocal ended
             if not ended:
                 ended = True
-                self.admission.ended(self.clock.elapsed(), server, request.request_id)
+                self.admission.ended(self.clock.elapsed(), server, number)
 
         try:
             extra = self.callers.added(request, owner, left)
--- a/fireflylock/direct/servers.py
+++ b/fireflylock/direct/servers.py
@@ -43,8 +43,8 @@
         When it was first seen to leave, or its registration to be gone.
     gone : bool
         Whether its registration is gone.
-    running : dict of str to timedelta
-        Requests of this VM that it has, by id, and when they were sent.
+    running : dict of int to timedelta
+        Requests of this VM that it has, by their ticket's number, and when they were sent.
     reports : dict of str to (int, timedelta)
         Requests that other VMs have there, and when they said so.
     answered_at : timedelta
@@ -58,7 +58,7 @@
     entry: ServerEntry
     leaving_since: Instant | None = None
     gone: bool = False
-    running: dict[str, Instant] = field(default_factory=dict)
+    running: dict[int, Instant] = field(default_factory=dict)
     reports: dict[str, tuple[int, Instant]] = field(default_factory=dict)
     answered_at: Instant = NEVER
     rest_until: Instant = NEVER
--- a/tests/placing_world.py
+++ b/tests/placing_world.py
@@ -324,7 +324,7 @@
         store = StoreLink(self, name)
         right = PlacingRight(store, self.clock, Holder(name, self.boots))
         duty = PlacingDuty(
-            Hello(name, "zone", self.boots),
+            Hello(name, "zone"),
             store,
             LinkControl(self, name),
             self.clock,
--- a/tests/test_direct_admission.py
+++ b/tests/test_direct_admission.py
@@ -58,6 +58,7 @@
         self.admission = Admission(self.table, self.owners, "a")
         self.started = {}
         self.refused = {}
+        self.tickets = {}
         for _ in range(200):
             for name in ("read", "order", "file"):
                 self.table.speeds.answered(name, "warm", cost, 1.0)
@@ -85,9 +86,14 @@
             settle=settle,
             arrived=now,
         )
+        self.tickets[name] = ticket.number
         self.admission.arrive(now, ticket)
         return ticket
 
+    def end(self, now, name, server=0):
+        """Tell the admission that a server has answered."""
+        self.admission.ended(now, self.server(server), self.tickets[name])
+
 
 def test_requests_beyond_the_slots_wait_and_the_urgent_one_goes_first():
     desk = Desk()
@@ -96,10 +102,10 @@
     desk.ask(START, "read", key=1)
     desk.ask(START, "order", route("order", priority=1), key=1)
     assert len(desk.started) == 5
-    desk.admission.ended(START, desk.server(), "r0")
+    desk.end(START, "r0")
     assert "order" in desk.started
     assert "read" not in desk.started
-    desk.admission.ended(START, desk.server(), "r1")
+    desk.end(START, "r1")
     assert "read" in desk.started
 
 
@@ -165,7 +171,7 @@
     assert list(desk.started) == ["trial"]
     assert "second" in desk.refused
     desk.server().answered(later, failed=False)
-    desk.admission.ended(later, desk.server(), "trial")
+    desk.end(later, "trial")
     desk.ask(later, "third", key=1)
     assert "third" in desk.started
 
@@ -199,7 +205,7 @@
     desk.ask(START, "small", route("read"))
     assert desk.started["small"] == "s1"
     assert "waits" not in desk.started
-    desk.admission.ended(START + 20 * MS, desk.server(0), "f0")
+    desk.end(START + 20 * MS, "f0")
     assert desk.started["waits"] == "s0"
 
 
@@ -213,13 +219,22 @@
     assert "s1" in desk.started.values()
 
 
+def test_requests_under_one_id_are_counted_each():
+    desk = Desk()
+    for _ in range(5):
+        desk.ask(START, "same", key=1)
+    assert len(desk.server().running) == 5
+    desk.end(START, "same")
+    assert len(desk.server().running) == 4
+
+
 def test_a_request_whose_caller_has_left_is_forgotten():
     desk = Desk()
     for number in range(5):
         desk.ask(START, f"r{number}", key=1)
     ticket = desk.ask(START, "gone", key=1)
     desk.admission.withdraw(ticket)
-    desk.admission.ended(START, desk.server(), "r0")
+    desk.end(START, "r0")
     assert "gone" not in desk.started
     assert not desk.refused
 
@@ -246,7 +261,7 @@
         now += MS
         while running and running[0][0] <= now:
             _, name = heapq.heappop(running)
-            desk.admission.ended(now, desk.server(), name)
+            desk.end(now, name)
             kind, arrived = arrivals[name]
             if now - arrived <= 200 * MS:
                 done_in_time[kind] += 1
