--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -58,7 +58,9 @@
             b"POST / HTTP/1.1\r\n"
             + HEAD
             + b"Transfer-Encoding: chunked\r\n\r\n"
-            + b"2;extension=" + 100_000 * b"x" + b"\r\nde\r\n0\r\n\r\n",
+            + b"2;extension="
+            + 100_000 * b"x"
+            + b"\r\nde\r\n0\r\n\r\n",
         )
     assert received.startswith(b"HTTP/1.1 400")
 
