All VMs together keep within the store's rates; one pacer for both stores

Cause: in direct sending nobody told the store's client how many VMs there are, so each paced itself as if it were alone; and the pacing stood twice, in `etcd` and in `kv_store`. Ruled out: equal shares, which leave the VM that places keys less than one write a second at 440 VMs. Change: `CallPacer` in `store`; the placing VM has half of the rates, the others share the other half. Tests: the shares of 1 to 440 VMs are no more than the whole; VMs that write without a pause keep within the rates, on a fake clock.

--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -94,6 +94,14 @@
         """Return a server's registration; raises `ProtocolError`."""
 
 
+def callers_of_store(vms: int, placing: bool) -> int:
+    """Return by what a VM divides the store's rates, to get its share of them.
+
+    Half of the calls are left to the VM that places keys, since it makes most of them.
+    """
+    return 2 if placing else 2 * vms
+
+
 class DirectNode:
     """One entry VM's process.
 
@@ -341,6 +349,8 @@
         self.gossip.greet_silent(now, self.duty.me)
         self.exchange.tidy(now)
         self.table.forget_gone(now)
+        placing = bool(self.duty.placers)
+        self.surroundings.store.set_fleet_size(callers_of_store(self.gossip.count(now), placing))
 
     # Readiness, metrics, end.
 
--- a/fireflylock/etcd.py
+++ b/fireflylock/etcd.py
@@ -13,14 +13,11 @@
 from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
 from fireflylock.http_client import HTTPClient
 from fireflylock.store import (
-    FLEET_READS_PER_SECOND,
-    FLEET_WRITES_PER_SECOND,
     MAX_VALUE_BYTES,
-    VM_CALLS_BURST,
     VM_CALLS_PER_SECOND,
     CallCounts,
+    CallPacer,
     Store,
-    TokenBucket,
     Value,
 )
 
@@ -65,10 +62,8 @@
         self.clients = [HTTPClient(endpoint) for endpoint in endpoints]
         self.clock = clock
         self.timeout = timeout
-        self.rate = rate
-        self.reads = TokenBucket(rate, max(rate, VM_CALLS_BURST))
-        self.writes = TokenBucket(rate, max(rate, VM_CALLS_BURST))
         self.rng = rng or random.Random()
+        self.pacer = CallPacer(clock, rate, rng=self.rng)
         self.counts = CallCounts()
         self.failures_in_a_row = 0
         self.preferred = 0
@@ -124,7 +119,7 @@
                 "progress_notify": True,
             }
         }
-        await self._respect_rate(self.reads)
+        await self.pacer.wait(writing=False)
         self.counts.calls["watch"] += 1
         client = self.clients[self.preferred]
         parts = client.stream("POST", "/v3/watch", self.timeout, json.dumps(request).encode())
@@ -157,9 +152,7 @@
 
     def set_fleet_size(self, members: int) -> None:
         """Take this VM's share of what the fleet may ask."""
-        members = max(1, members)
-        self.reads.set_rate(min(self.rate, FLEET_READS_PER_SECOND / members))
-        self.writes.set_rate(min(self.rate, FLEET_WRITES_PER_SECOND / members))
+        self.pacer.set_fleet_size(members)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -185,7 +178,7 @@
 
     async def _call(self, kind: str, path: str, body: dict) -> dict:
         """Return the decoded answer to one call of the gateway."""
-        await self._respect_rate(self.writes if kind in WRITE_CALLS else self.reads)
+        await self.pacer.wait(writing=kind in WRITE_CALLS)
         self.counts.calls[kind] += 1
         client = self.clients[self.preferred]
         data = json.dumps(body).encode()
@@ -201,13 +194,6 @@
         self.failures_in_a_row = 0
         return decoded
 
-    async def _respect_rate(self, bucket: TokenBucket) -> None:
-        """Wait until this VM may make one more call."""
-        wait = bucket.wait(self.clock.elapsed())
-        if wait > timedelta(0):
-            # Jitter parts VMs that began at the same moment.
-            await self.clock.sleep(wait * self.rng.uniform(0.5, 1.5))
-
     def _note_failure(self, kind: str) -> None:
         """Count a failed call and turn to the next endpoint."""
         self.counts.failures[kind] += 1
--- a/fireflylock/platform/kv_store.py
+++ b/fireflylock/platform/kv_store.py
@@ -31,11 +31,9 @@
     duration_text,
 )
 from fireflylock.store import (
-    VM_CALLS_BURST,
-    VM_CALLS_PER_SECOND,
     CallCounts,
+    CallPacer,
     Store,
-    TokenBucket,
     Value,
 )
 
@@ -122,8 +120,11 @@
         self.clock = clock
         self.client = HTTPClient(f"http://{host}:{port}", patience=CALL_TIMEOUT)
         self.counts = CallCounts()
-        self.reads = TokenBucket(VM_CALLS_PER_SECOND, VM_CALLS_BURST)
-        self.writes = TokenBucket(VM_CALLS_PER_SECOND, VM_CALLS_BURST)
+        self.pacer = CallPacer(
+            clock,
+            fleet_reads=settings.reads_per_second,
+            fleet_writes=settings.writes_per_second,
+        )
 
     async def get(self, key: str) -> Value | None:
         """Return the value of `key`, or None when there is none."""
@@ -214,9 +215,7 @@
 
     def set_fleet_size(self, members: int) -> None:
         """Take this VM's share of what all VMs may ask."""
-        members = max(1, members)
-        self.reads.set_rate(min(VM_CALLS_PER_SECOND, self.settings.reads_per_second / members))
-        self.writes.set_rate(min(VM_CALLS_PER_SECOND, self.settings.writes_per_second / members))
+        self.pacer.set_fleet_size(members)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -237,9 +236,7 @@
         PlatformError
             No answer came; a write may have been made, or may still be.
         """
-        wait = (self.writes if kind == "change" else self.reads).wait(self.clock.elapsed())
-        if wait > timedelta(0):
-            await self.clock.sleep(wait)
+        await self.pacer.wait(writing=kind == "change")
         self.counts.calls[kind] += 1
         body = b"" if content is None else msgspec.json.encode(content)
         try:
--- a/fireflylock/store.py
+++ b/fireflylock/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
@@ -104,6 +105,51 @@
         return timedelta(seconds=-self.tokens / self.rate)
 
 
+class CallPacer:
+    """Keeps one VM's calls within its share of what the fleet may ask.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    rate : float
+        Most calls per second of this VM, reads and writes each.
+    fleet_reads, fleet_writes : float
+        Most calls per second of all VMs.
+    rng : random.Random or None
+        Source of the jitter that parts VMs which began at the same moment.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rate: float = VM_CALLS_PER_SECOND,
+        fleet_reads: float = FLEET_READS_PER_SECOND,
+        fleet_writes: float = FLEET_WRITES_PER_SECOND,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.clock = clock
+        self.rate = rate
+        self.fleet_reads = fleet_reads
+        self.fleet_writes = fleet_writes
+        self.rng = rng or random.Random()
+        self.reads = TokenBucket(rate, max(rate, VM_CALLS_BURST))
+        self.writes = TokenBucket(rate, max(rate, VM_CALLS_BURST))
+
+    def set_fleet_size(self, members: int) -> None:
+        """Take this VM's share of what the fleet may ask."""
+        members = max(1, members)
+        self.reads.set_rate(min(self.rate, self.fleet_reads / members))
+        self.writes.set_rate(min(self.rate, self.fleet_writes / members))
+
+    async def wait(self, *, writing: bool) -> None:
+        """Return once this VM may make one more call."""
+        bucket = self.writes if writing else self.reads
+        wait = bucket.wait(self.clock.elapsed())
+        if wait > timedelta(0):
+            await self.clock.sleep(wait * self.rng.uniform(0.5, 1.5))
+
+
 class Store(ABC):
     """The platform's small key-value service.
 
--- /dev/null
+++ b/tests/test_store_rates.py
@@ -0,0 +1,50 @@
+"""Tests of how many calls to the store all VMs make together."""
+
+import asyncio
+import random
+from datetime import timedelta
+
+import pytest
+
+from fireflylock.clock import FakeClock
+from fireflylock.direct.node import callers_of_store
+from fireflylock.store import CallPacer
+
+READS = 300.0
+WRITES = 60.0
+
+
+@pytest.mark.parametrize("vms", [1, 2, 4, 26, 440])
+def test_the_shares_of_all_vms_are_no_more_than_the_whole(vms):
+    placing = 1 / callers_of_store(vms, placing=True)
+    others = (vms - 1) / callers_of_store(vms, placing=False)
+    assert placing + others <= 1
+    assert placing >= 0.5
+
+
+@pytest.mark.parametrize("vms", [4, 26])
+async def test_all_vms_together_keep_within_the_stores_rates(vms):
+    """All VMs write without a pause for ten seconds; one of them places keys."""
+    clock = FakeClock()
+    made = 0
+
+    async def write_on(pacer: CallPacer) -> None:
+        nonlocal made
+        while True:
+            await pacer.wait(writing=True)
+            made += 1
+
+    tasks = []
+    for number in range(vms):
+        pacer = CallPacer(clock, 50.0, READS, WRITES, random.Random(number))
+        pacer.set_fleet_size(callers_of_store(vms, placing=number == 0))
+        tasks.append(asyncio.create_task(write_on(pacer)))
+    for _ in range(500):
+        clock.advance(timedelta(milliseconds=20))
+        for _ in range(3):
+            await asyncio.sleep(0)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    bursts = 20 + 2 * WRITES
+    assert 5 * WRITES <= made <= 10 * WRITES + bursts
