--- a/demo/processes.py
+++ b/demo/processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -86,6 +87,14 @@
         return "\n".join(text.splitlines()[-lines:])
 
 
+def free_port(*, udp: bool = False) -> int:
+    """Return a port that nobody uses now."""
+    kind = socket.SOCK_DGRAM if udp else socket.SOCK_STREAM
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
 async def wait_for_port(host: str, port: int, seconds: float) -> bool:
     """Return whether something accepts connections at an address within `seconds`."""
     deadline = time.monotonic() + seconds
--- a/fireflylock/direct/routes.py
+++ b/fireflylock/direct/routes.py
@@ -5,7 +5,6 @@
 from fireflylock.direct.model import Route, RouteTable, Share
 from fireflylock.exceptions import ErrorKind, RequestError
 
-
 # How many requests a part of a split route may be ahead of its share, or behind it, so that
 # requests can go where they are near.  Three requests of one VM are 1% of the 300 over which the
 # operator compares shares with weights.
@@ -88,7 +87,9 @@
         chosen = max(claims, key=lambda service: claims[service])
         if nearness is not None and claims[chosen] < SPLIT_SLACK * total:
             least = (1.0 - SPLIT_SLACK) * total
-            open_to_it = [s.service for s in route.shares if s.weight and claims[s.service] > least]
+            open_to_it = [
+                s.service for s in route.shares if s.weight and claims[s.service] > least
+            ]
             chosen = max(open_to_it, key=lambda service: (nearness(service), claims[service]))
         claims[chosen] -= total
         return chosen
--- /dev/null
+++ b/standins/operator.py
@@ -0,0 +1,80 @@
+"""Stands in for the operator of the users' platform: configurations and settings files."""
+
+import json
+
+HOST = "shop.example"
+ROUTE_COLUMNS = ["name", "host", "prefix", "kind", "timeout", "targetLatency", "priority"]
+ROUTE_COLUMNS += ["service", "attempts", "trafficSplit"]
+SERVICE_COLUMNS = ["name", "healthCheckPath", "maxConnections", "sharded"]
+
+# Reads and orders for a keyed service, and reads for one without keys.
+ROUTES = [
+    ["read", HOST, "/read/", "safe", "2000ms", "500ms", 2, "orders", 2, None],
+    ["place", HOST, "/place/", "unsafe", "2000ms", "500ms", 1, "orders", 2, None],
+    ["plain", HOST, "/plain/", "safe", "2000ms", "500ms", 2, "files", 2, None],
+]
+
+SETTINGS = """
+[self]
+node = "{vm}"
+zone = "{zone}"
+ipAddress = "{host}"
+[self.limits]
+fileDescriptors = 1024
+[network]
+internalPorts = [{peer}, {peer}]
+[network.listen]
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+[platform.platform]
+address = "{store}"
+writesPerS = 400
+readsPerS = 2000
+minTtl = "1000ms"
+[terms.bounds]
+drain = "2s"
+grace = "6s"
+maxHold = "10s"
+"""
+
+
+def config(version: int = 1, routes: list[list] | None = None) -> bytes:
+    """Return a configuration as the operator writes it."""
+    return json.dumps(
+        {
+            "version": version,
+            "routes": {"columns": ROUTE_COLUMNS, "rows": ROUTES if routes is None else routes},
+            "services": {
+                "columns": SERVICE_COLUMNS,
+                "rows": [["orders", "/health", 100, True], ["files", "/health", 100, None]],
+            },
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 1000000,
+                "headerTimeout": "3000ms",
+                "idleTimeout": "15000ms",
+            },
+            "baseVersion": 0,
+        }
+    ).encode()
+
+
+def settings(
+    vm: str, zone: str, host: str, ports: tuple[int, int, int], store: tuple[str, int]
+) -> str:
+    """Return the settings file of an entry VM.
+
+    Parameters
+    ----------
+    vm, zone, host : str
+        Its name, availability zone and address.
+    ports : tuple of int
+        For callers, for the readiness check, and for other VMs.
+    store : tuple of (str, int)
+        Address of the store.
+    """
+    front, ready, peer = ports
+    address = f"{store[0]}:{store[1]}"
+    return SETTINGS.format(
+        vm=vm, zone=zone, host=host, front=front, ready=ready, peer=peer, store=address
+    )
--- a/tests/direct_site.py
+++ b/tests/direct_site.py
@@ -14,12 +14,10 @@
 from fireflylock.platform import wire
 from fireflylock.platform.settings import PlatformSettings
 from fireflylock.platform.surroundings import PlatformSurroundings
+from standins.operator import HOST, config
 from standins.operators_store import OperatorsStore
 from standins.routed_server import RoutedServer
 
-ROUTES = ["name", "host", "prefix", "kind", "timeout", "targetLatency", "priority", "service"]
-ROUTES += ["attempts", "trafficSplit"]
-HOST = "shop.example"
 PATIENCE = timedelta(seconds=20)
 
 
@@ -30,35 +28,6 @@
         return probe.getsockname()[1]
 
 
-def config(version: int = 1, **changes) -> bytes:
-    """Return a configuration as the operator writes it."""
-    routes = changes.get(
-        "routes",
-        [
-            ["read", HOST, "/read/", "safe", "2000ms", "500ms", 2, "orders", 2, None],
-            ["place", HOST, "/place/", "unsafe", "2000ms", "500ms", 1, "orders", 2, None],
-            ["plain", HOST, "/plain/", "safe", "2000ms", "500ms", 2, "files", 2, None],
-        ],
-    )
-    return json.dumps(
-        {
-            "version": version,
-            "routes": {"columns": ROUTES, "rows": routes},
-            "services": {
-                "columns": ["name", "healthCheckPath", "maxConnections", "sharded"],
-                "rows": [["orders", "/health", 100, True], ["files", "/health", 100, None]],
-            },
-            "limits": {
-                "maxHeaderBytes": 16384,
-                "maxBodyBytes": 1000000,
-                "headerTimeout": "3000ms",
-                "idleTimeout": "15000ms",
-            },
-            "baseVersion": 0,
-        }
-    ).encode()
-
-
 class Site:
     """A store, servers and entry VMs."""
 
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -7,7 +7,8 @@
 
 from fireflylock.http_client import HTTPClient
 from fireflylock.platform import wire
-from tests.direct_site import Site, config
+from standins.operator import config
+from tests.direct_site import Site
 
 SIGNED = wire.SIGNATURE.decode()
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -26,8 +26,8 @@
 from fireflylock.platform.operator_config import decode_config
 from fireflylock.platform.registrations import decode_registration
 from fireflylock.platform.settings import PlatformSettings, read_settings
+from standins.operator import config
 from standins.operators_store import OperatorsStore
-from tests.direct_site import config
 
 SETTINGS = """
 grants = "call"
