sheet check works without a daemon, against an exported sheet

Seen by a newcomer's trial: checking a file needed a running daemon. The daemon's check stays the default, as it knows the configuration in force; `--against EXPORT` checks here with the same rules, `-` stands for none.

--- a/fireflylock/cmdline.py
+++ b/fireflylock/cmdline.py
@@ -99,6 +99,13 @@
     for name, text in (("check", "list every mistake"), ("diff", "show what would change")):
         action = actions.add_parser(name, parents=[asking], help=text)
         action.add_argument("file", metavar="FILE")
+        if name == "check":
+            action.add_argument(
+                "--against",
+                metavar="EXPORT",
+                help="check here, without a daemon, what FILE makes of an exported sheet; "
+                "'-' for an installation that has no configuration yet",
+            )
     apply = actions.add_parser("apply", parents=[changing], help="apply and wait for it")
     apply.add_argument("file", metavar="FILE")
     apply.add_argument(
@@ -213,7 +220,7 @@
     """Run one of the actions around the sheet."""
     match options.action:
         case "check":
-            return commands.check(options.file)
+            return commands.check(options.file, options.against)
         case "diff":
             return commands.diff(options.file)
         case "apply":
--- a/fireflylock/commands.py
+++ b/fireflylock/commands.py
@@ -10,7 +10,8 @@
 from fireflylock.client import AdminClient, AdminError, AdminUnreachableError
 from fireflylock.debug import DumpSection, format_sections
 from fireflylock.exceptions import SheetError
-from fireflylock.sheet import decode_sheet
+from fireflylock.model import Configuration
+from fireflylock.sheet import decode_sheet, read_sheet
 from fireflylock.tables import format_table
 
 OK = 0
@@ -20,9 +21,25 @@
 # Tries of a change whose answer was lost; the change id keeps it from being made twice.
 CHANGE_TRIES = 5
 
+# Stands for an installation without a configuration.
+NO_SHEET = "-"
+
 Write = Callable[[str], None]
 
 
+def local_problems(file: str, against: str) -> list[str]:
+    """Return what is wrong with a sheet, or with the exported one that it would change."""
+    base = Configuration()
+    for path in (against, file):
+        if path == NO_SHEET:
+            continue
+        try:
+            base = read_sheet(decode_sheet(Path(path).read_bytes()), base)
+        except SheetError as error:
+            return [f"{path}: {problem}" for problem in error.problems]
+    return []
+
+
 class Commands:
     """What an operator can do; each method returns the tool's exit status.
 
@@ -126,9 +143,21 @@
         self.show(answer, "\n".join(lines))
         return OK if answer["server"] else FAILED
 
-    def check(self, file: str) -> int:
-        """Print what is wrong with a sheet; fails when something is."""
-        report = self.report(file)
+    def check(self, file: str, against: str | None = None) -> int:
+        """Print what is wrong with a sheet; fails when something is.
+
+        Parameters
+        ----------
+        file : str
+            The sheet.
+        against : str or None
+            An exported sheet that it would change, or ``-`` for none; both are then checked
+            here.  None asks the daemon, which has the configuration in force.
+        """
+        if against is None:
+            report = self.report(file)
+        else:
+            report = {"version": 0, "problems": local_problems(file, against), "changes": []}
         text = "\n".join(report["problems"]) or f"{file}: no mistakes."
         self.show(report, text)
         return FAILED if report["problems"] else OK
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -141,6 +141,26 @@
         assert system.node.writes == 0
 
 
+def test_a_sheet_is_checked_without_a_daemon(tmp_path, capsys, monkeypatch):
+    monkeypatch.setenv("FIREFLYLOCK_ADMIN", "127.0.0.1:1")
+    exported = tmp_path / "sheet.csv"
+    exported.write_text(SHEET)
+    sheet = tmp_path / "today.csv"
+    sheet.write_text("kind,name,state\nserver,mesa-1,draining\n")
+    check = ("sheet", "check", str(sheet), "--against")
+    assert cmdline.main([*check, str(exported)]) == cmdline.OK
+    assert "no mistakes" in capsys.readouterr().out
+    assert cmdline.main([*check, "-"]) == cmdline.FAILED
+    assert "mesa-1" in capsys.readouterr().out
+    sheet.write_text("kind,name,state\nserver,mesa-1,gone\n")
+    assert cmdline.main([*check, str(exported), "--json"]) == cmdline.FAILED
+    assert "Line 2, column 3 (state)" in json.loads(capsys.readouterr().out)["problems"][0]
+    exported.write_bytes(b"\xff\x00\xd8")
+    assert cmdline.main([*check, str(exported)]) == cmdline.FAILED
+    assert cmdline.main([*check, str(tmp_path / "absent")]) == cmdline.USAGE
+    assert cmdline.main(["sheet", "check", str(sheet)]) == cmdline.UNREACHABLE
+
+
 async def test_a_stale_apply_is_refused_naming_the_newer_version(tmp_path, capsys):
     sheet = tmp_path / "today.csv"
     sheet.write_text("kind,name,state\nserver,mesa-1,draining\n")
