Keys go on moving away from busy servers while those of a lost one wait

Cause: no move began while any keys were on their way to another owner, and the keys of a lost server wait for the end of its hold, three to ten seconds. A hot neighbourhood that met a crash was not relieved for that long. Ruled out: planning beside all departures; moves that end within a tenth of a second change the loads that the next plan would be made from. Change: departures whose owner takes no orders hold up no plan. Marks of granted ranges are forgotten with the map that they belong to.

--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -231,6 +231,8 @@
         for departure in done:
             self.departures.remove(departure)
         self.forget_owners()
+        present = {(part.first, part.last, part.epoch) for part in self.map.ranges}
+        self.granted &= present
         if changes:
             self.last_change = self.change(new, changes)
         self.on_change()
@@ -431,8 +433,17 @@
         return "server takes no orders" if now - state.failing_since > LOST_AFTER else ""
 
     def balance(self, now: Instant) -> None:
-        """Begin the moves that are worth making."""
-        if now - self.planned_at < PLAN_EVERY or self.departures or self.writing is not None:
+        """Begin the moves that are worth making.
+
+        Moves go on while keys of a lost server wait for the end of its hold: nobody is
+        relieved by them, and a hot key would wait for seconds.
+        """
+        if now - self.planned_at < PLAN_EVERY or self.writing is not None:
+            return
+        if any(
+            departure.free or not self.is_failing(departure.part.owner)
+            for departure in self.departures
+        ):
             return
         self.planned_at = now
         for loads in (self.short, self.long):
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -48,6 +48,27 @@
     assert_sound(world)
 
 
+async def test_a_busy_server_is_relieved_while_the_keys_of_a_lost_one_wait():
+    """A hot neighbourhood meets a crash: the keys of the lost server wait for seconds."""
+    world = await settled_world()
+    lost, hot = world.lives[0], world.lives[1]
+    world.crash(lost)
+    await world.run(0.8)
+    # Six keys ask the hot server for three times what its four slots can do.
+    keys = [key for key in WATCHED if hot in world.holders(key)][:6]
+    before = set(keys)
+    for _ in range(12):
+        duty = world.vms[world.placing()].duty
+        duty.take_work(world.clock.elapsed(), {"orders": dict.fromkeys(keys, 0.15 * 12 / 6)})
+        await world.run(0.15)
+    assert world.unheld() > 0
+    after = {key for key in before if hot in world.holders(key)}
+    assert len(after) <= len(before) / 2
+    await world.run(HOLD.total_seconds() + 1.5)
+    assert world.unheld() == 0
+    assert_sound(world)
+
+
 async def test_a_server_that_starts_again_is_proof_that_its_last_life_ended():
     world = await settled_world()
     dead = world.lives[0]
