--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -103,6 +103,8 @@
         self.placing_heard_at: Instant = timedelta(0)
         self.try_at: Instant = timedelta(0)
         self.trying: asyncio.Task | None = None
+        # Tries to win the right since the VM that has it was heard.
+        self.vain_tries = 0
         self.renewing: asyncio.Task | None = None
         self.fetching: asyncio.Task | None = None
         self.resigned_at: Instant = -RESIGN_EVERY
@@ -243,10 +245,14 @@
     async def try_to_win(self) -> None:
         """Try to win the right once.
 
-        Where another VM has it that is not heard here, the store has its maps.
+        Where another VM has it that is not heard here, the store has its maps.  The first vain
+        try may only be early: a VM that has just won the right has told nothing yet.
         """
         try:
-            if not await self.right.try_win():
+            if await self.right.try_win():
+                return
+            self.vain_tries += 1
+            if self.vain_tries > 1:
                 await self.fetch_maps()
         except PlatformError as error:
             log.warning("right to place keys not asked for", error=str(error))
@@ -261,6 +267,7 @@
             return
         self.placing_vm = message.vm
         self.placing_heard_at = now
+        self.vain_tries = 0
         changed = False
         for change in message.changes:
             changed |= self.view.take_change(change)
