What the placing VM tells goes through two VMs of each other zone

Ruled out: longer pauses; keys on the move would be asked for in vain longer. Change: beyond eight VMs it tells its own zone and two VMs of each other one, which pass it on. Tellings are numbered under their lease: copies count once, and one that is overtaken does not bring back what it says. Tests: reach, number of datagrams, a lost relay; the exchange of loads, which had no test of its own, at 2 to 26 VMs and with a lost speaker.

--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -64,6 +64,8 @@
         This VM's side of the right.
     gossip : Gossip
         Link to the other VMs.
+    spread : callable
+        Brings a message to all of them.
     table : ServerTable
         The servers.
     view : OwnershipView
@@ -82,6 +84,7 @@
         clock: Clock,
         right: PlacingRight,
         gossip: Gossip,
+        spread: Callable[[Instant, Placing], None],
         table: ServerTable,
         view: OwnershipView,
         bounds: Bounds,
@@ -93,6 +96,7 @@
         self.clock = clock
         self.right = right
         self.gossip = gossip
+        self.spread = spread
         self.table = table
         self.view = view
         self.bounds = bounds
@@ -110,6 +114,9 @@
         self.resigned_at: Instant = -RESIGN_EVERY
         self.told_at: Instant = timedelta(0)
         self.changes: list[ToldChange] = []
+        self.tellings = 0
+        # Lease and number of the last telling that was heard.
+        self.heard_last = (0, 0)
         self.behind_since: Instant | None = None
         self.changed = False
         self.stopped = False
@@ -225,7 +232,10 @@
             self.on_owners()
         me = self.me
         changes = [told.change for told in due]
-        self.gossip.send(Placing(me.vm, me.zone, moving, revisions, changes))
+        self.tellings += 1
+        lease = self.right.lease
+        message = Placing(me.vm, me.zone, lease, self.tellings, moving, revisions, changes)
+        self.spread(now, message)
 
     def stop_placing(self, reason: str) -> None:
         """Place no keys any more."""
@@ -265,6 +275,10 @@
         """Take what another VM, which places keys, has told."""
         if self.right.is_held(now):
             return
+        lease, number = self.heard_last
+        if message.lease == lease and message.number <= number:
+            return
+        self.heard_last = (message.lease, message.number)
         self.placing_vm = message.vm
         self.placing_heard_at = now
         self.vain_tries = 0
--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -151,6 +151,9 @@
 
     Attributes
     ----------
+    lease, number : int
+        Lease of the right, and which telling under it this is: copies of a telling that come
+        by several ways count once, and an older one that is overtaken does not count.
     moving : list of Moving
         Keys that change their owner.
     revisions : dict of str to int
@@ -159,12 +162,20 @@
         The last steps, in order.
     """
 
+    lease: int
+    number: int
     moving: list[Moving]
     revisions: dict[str, int]
     changes: list[MapChange]
 
 
-Message = Hello | Report | ZoneTotal | Totals | KeyWork | Placing
+class Relayed(Told, tag="l", array_like=True):
+    """What the placing VM tells, passed on by a VM that speaks for its zone."""
+
+    placing: Placing
+
+
+Message = Hello | Report | ZoneTotal | Totals | KeyWork | Placing | Relayed
 
 
 @dataclass
--- a/fireflylock/direct/load_exchange.py
+++ b/fireflylock/direct/load_exchange.py
@@ -3,6 +3,7 @@
 The load this answers: when n VMs all tell each other, the datagrams grow with the square of
 n.  A few VMs do that.  Where there are more, each one reports to one VM of its zone, the
 speaker; speakers tell each other the sums of their zones, and their own zone those of all.
+What the VM that places keys tells goes the same way.
 """
 
 from dataclasses import dataclass
@@ -10,7 +11,7 @@
 
 from fireflylock.clock import Instant
 from fireflylock.direct.admission import Admission
-from fireflylock.direct.gossip import Gossip, Report, Totals, ZoneTotal
+from fireflylock.direct.gossip import Gossip, Placing, Relayed, Report, Totals, ZoneTotal
 from fireflylock.direct.servers import ServerTable
 
 # Up to so many VMs all tell each other directly.
@@ -126,9 +127,8 @@
         for vm in self.told_elsewhere(now):
             self.gossip.send(told, only=vm)
         totals = Totals(self.vm, self.zone, total.running, rows(total.waiting), total.vms)
-        for vm, peer in self.gossip.peers.items():
-            if peer.zone == self.zone:
-                self.gossip.send(totals, only=vm)
+        for vm in self.in_zone():
+            self.gossip.send(totals, only=vm)
         self.take_sums(now, EVERYBODY, total, running, waiting)
 
     def told_elsewhere(self, now: Instant) -> list[str]:
@@ -144,6 +144,29 @@
             found += names[:TOLD_IN_ZONE]
         return found
 
+    def spread(self, now: Instant, message: Placing) -> None:
+        """Bring what this VM tells as the placing one to all VMs.
+
+        Where there are many, only some of each other zone get it from here, and pass it on.
+        """
+        if self.is_mesh():
+            self.gossip.send(message)
+            return
+        for vm in [*self.in_zone(), *self.told_elsewhere(now)]:
+            self.gossip.send(message, only=vm)
+
+    def pass_on(self, message: Placing) -> None:
+        """Pass on what a placing VM of another zone has told."""
+        if self.is_mesh() or message.zone == self.zone:
+            return
+        relayed = Relayed(self.vm, self.zone, message)
+        for vm in self.in_zone():
+            self.gossip.send(relayed, only=vm)
+
+    def in_zone(self) -> list[str]:
+        """Return the other VMs of this zone."""
+        return [vm for vm, peer in self.gossip.peers.items() if peer.zone == self.zone]
+
     def fresh(self, now: Instant, sums: dict[str, Sums]) -> list[Sums]:
         """Return sums that were told lately; forget the others."""
         for name, known in list(sums.items()):
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -19,6 +19,7 @@
     KeyWork,
     Message,
     Placing,
+    Relayed,
     Report,
     Totals,
     ZoneTotal,
@@ -154,6 +155,7 @@
             clock,
             right,
             self.gossip,
+            self.exchange.spread,
             self.table,
             self.view,
             place.bounds,
@@ -322,6 +324,9 @@
         now = self.clock.elapsed()
         if isinstance(message, Placing):
             self.duty.heard(now, message)
+            self.exchange.pass_on(message)
+        elif isinstance(message, Relayed):
+            self.duty.heard(now, message.placing)
         elif isinstance(message, Report):
             self.exchange.take_report(now, message)
         elif isinstance(message, Totals):
--- a/tests/placing_world.py
+++ b/tests/placing_world.py
@@ -363,13 +363,15 @@
         store = StoreLink(self, name)
         clock = VMClock(self, name)
         right = PlacingRight(store, clock, Holder(name, self.boots))
+        links = Links(self, name)
         duty = PlacingDuty(
             Hello(name, "zone"),
             store,
             LinkControl(self, name),
             clock,
             right,
-            Links(self, name),
+            links,
+            lambda now, message: links.send(message),
             table,
             view,
             Bounds(),
--- /dev/null
+++ b/tests/test_direct_exchange.py
@@ -0,0 +1,141 @@
+"""Tests of how entry VMs learn what the others have at the servers, and who places keys."""
+
+from collections import Counter
+from datetime import timedelta
+
+import pytest
+
+from fireflylock.clock import FakeClock
+from fireflylock.direct.admission import Admission
+from fireflylock.direct.gossip import Gossip, Placing, Relayed, Report, Totals, ZoneTotal
+from fireflylock.direct.load_exchange import MESH_VMS, TOLD_IN_ZONE, LoadExchange
+from fireflylock.direct.model import ServerEntry
+from fireflylock.direct.ownership_view import OwnershipView
+from fireflylock.direct.servers import ServerTable
+
+START = timedelta(seconds=100)
+STEP = timedelta(milliseconds=50)
+ZONES = ("a", "b", "c")
+
+
+class Wire(Gossip):
+    """Hands messages over at once, except to and from VMs that are down."""
+
+    def __init__(self, fleet: "Fleet", vm: str) -> None:
+        super().__init__(vm, fleet.clock, lambda message: None)
+        self.fleet = fleet
+
+    def send(self, message, only=""):
+        for vm in self.peers:
+            if (only and vm != only) or {vm, self.vm} & self.fleet.down:
+                continue
+            self.fleet.sent[self.vm] += 1
+            self.fleet.deliver(vm, message)
+
+
+class Fleet:
+    """Some entry VMs in three zones, and one server."""
+
+    def __init__(self, vms: int) -> None:
+        self.clock = FakeClock(START)
+        self.sent: Counter[str] = Counter()
+        self.down: set[str] = set()
+        self.heard: dict[str, list[Placing]] = {}
+        self.members: dict[str, LoadExchange] = {}
+        names = {f"vm-{number:02}": ZONES[number % 3] for number in range(vms)}
+        for vm, zone in names.items():
+            table = ServerTable(timedelta(seconds=2))
+            table.register(
+                START, ServerEntry("s", 1, "orders", "a", "h", 1, 4, False, timedelta(0))
+            )
+            admission = Admission(table, OwnershipView(table), zone)
+            gossip = Wire(self, vm)
+            for other, other_zone in names.items():
+                if other != vm:
+                    gossip.add(other, ("h", 1), other_zone)
+            self.members[vm] = LoadExchange(vm, zone, gossip, table, admission)
+            self.heard[vm] = []
+
+    def deliver(self, vm, message) -> None:
+        member = self.members[vm]
+        now = self.clock.elapsed()
+        peer = member.gossip.peers[message.vm]
+        peer.heard_at = now
+        if isinstance(message, Report):
+            member.take_report(now, message)
+        elif isinstance(message, Totals):
+            member.take_totals(now, message)
+        elif isinstance(message, ZoneTotal):
+            member.take_zone(now, message)
+        elif isinstance(message, Placing):
+            self.heard[vm].append(message)
+            member.pass_on(message)
+        elif isinstance(message, Relayed):
+            self.heard[vm].append(message.placing)
+
+    def run(self, seconds: float) -> None:
+        end = self.clock.elapsed() + timedelta(seconds=seconds)
+        while self.clock.elapsed() < end:
+            self.clock.advance(STEP)
+            for vm, member in self.members.items():
+                if vm not in self.down:
+                    member.step(self.clock.elapsed())
+
+    def begin(self, vm: str, requests: int) -> None:
+        """Let a VM have requests at the server."""
+        for number in range(requests):
+            self.members[vm].table.servers["s"].running[number] = self.clock.elapsed()
+
+    def crowd(self, vm: str) -> int:
+        """Return how many requests a VM believes the server to have."""
+        return self.members[vm].table.servers["s"].crowd(self.clock.elapsed())
+
+
+@pytest.mark.parametrize("vms", [2, MESH_VMS, MESH_VMS + 1, 26])
+def test_every_vm_learns_what_all_have_at_a_server(vms):
+    fleet = Fleet(vms)
+    for number, vm in enumerate(fleet.members):
+        fleet.begin(vm, number % 3)
+    fleet.run(0.5)
+    total = sum(number % 3 for number in range(vms))
+    assert {fleet.crowd(vm) for vm in fleet.members} == {total}
+
+
+def test_the_datagrams_of_many_vms_do_not_grow_with_their_square():
+    fleet = Fleet(26)
+    fleet.run(1)
+    fleet.sent.clear()
+    fleet.run(1)
+    assert sum(fleet.sent.values()) < 26 * 25 * 2
+
+
+def test_another_vm_speaks_for_a_zone_whose_speaker_is_lost():
+    fleet = Fleet(12)
+    for vm in fleet.members:
+        fleet.begin(vm, 1)
+    fleet.run(0.5)
+    fleet.down.add("vm-00")
+    fleet.run(3)
+    alive = [vm for vm in fleet.members if vm != "vm-00"]
+    assert {fleet.crowd(vm) for vm in alive} == {11}
+
+
+@pytest.mark.parametrize("vms", [3, 26])
+def test_what_the_placing_vm_tells_reaches_all_over_few_links(vms):
+    fleet = Fleet(vms)
+    fleet.run(0.5)
+    fleet.sent.clear()
+    message = Placing("vm-01", "b", 7, 1, [], {}, [])
+    fleet.members["vm-01"].spread(fleet.clock.elapsed(), message)
+    assert all(fleet.heard[vm] for vm in fleet.members if vm != "vm-01")
+    in_zone = sum(member.zone == "b" for member in fleet.members.values()) - 1
+    assert fleet.sent["vm-01"] <= in_zone + 2 * TOLD_IN_ZONE
+
+
+def test_a_zone_is_told_although_the_vm_that_passes_on_is_lost():
+    fleet = Fleet(26)
+    fleet.run(0.5)
+    fleet.down.add("vm-00")
+    message = Placing("vm-01", "b", 7, 1, [], {}, [])
+    fleet.members["vm-01"].spread(fleet.clock.elapsed(), message)
+    assert all(fleet.heard[vm] for vm in fleet.members if vm not in ("vm-01", "vm-00"))
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from fireflylock.direct.gossip import Moving, Placing
 from fireflylock.direct.placer import HOLD
 from tests.placing_world import WATCHED, World, settled_world
 
@@ -111,6 +112,21 @@
     assert_sound(world)
 
 
+async def test_a_telling_that_is_overtaken_or_comes_twice_changes_nothing():
+    world = await settled_world()
+    other = next(vm for name, vm in world.vms.items() if name != world.placing())
+    now = world.clock.elapsed()
+    lease, number = other.duty.heard_last
+    newer = Placing("x", "zone", lease, number + 2, [Moving("orders", 0, 9, 0)], {}, [])
+    older = Placing("x", "zone", lease, number + 1, [], {}, [])
+    other.duty.heard(now, newer)
+    other.duty.heard(now, older)
+    assert other.view.owner_of("orders", 5) is None
+    # Another holder of the right begins to count anew.
+    other.duty.heard(now, Placing("y", "zone", lease + 1, 1, [], {}, []))
+    assert other.view.owner_of("orders", 5) is not None
+
+
 async def test_what_many_owners_take_is_told_in_few_bytes():
     """Links of 8 Mbit/s carry callers' answers too; each byte here goes to every VM.
 
