--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -1,7 +1,6 @@
 """One entry VM's process: what it is made of, what it repeats, how it starts and stops."""
 
 import asyncio
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -11,7 +10,7 @@
 from fireflylock.clock import Clock, Instant
 from fireflylock.direct.admission import Admission
 from fireflylock.direct.duty import PlacingDuty
-from fireflylock.direct.edge import CallerDialect, DirectFrontend
+from fireflylock.direct.edge import DirectFrontend
 from fireflylock.direct.follower import Follower
 from fireflylock.direct.gossip import (
     Gossip,
@@ -24,20 +23,19 @@
     Totals,
     ZoneTotal,
 )
-from fireflylock.direct.keycontrol import KeyControl
 from fireflylock.direct.load_exchange import LoadExchange
-from fireflylock.direct.model import Place, RouteTable, ServerEntry
+from fireflylock.direct.model import Place, RouteTable
 from fireflylock.direct.ownership_view import OwnershipView
 from fireflylock.direct.right import Holder, PlacingRight
 from fireflylock.direct.routes import RouteMatcher
 from fireflylock.direct.sender import Sender
 from fireflylock.direct.servers import ServerTable
 from fireflylock.direct.status_server import StatusAnswer, StatusServer
+from fireflylock.direct.surroundings import Surroundings
 from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
 from fireflylock.metrics import Metrics
 from fireflylock.request_metrics import RequestMetrics
-from fireflylock.server_exchange import ServerDialect
-from fireflylock.store import Store, Value
+from fireflylock.store import Value
 
 MEMBERS_PREFIX = "fireflylock/vms/"
 
@@ -75,26 +73,6 @@
     port: int
 
 
-class Surroundings(ABC):
-    """What the process needs from wherever it runs."""
-
-    store: Store
-    control: KeyControl
-    callers: CallerDialect
-    servers: ServerDialect
-    readiness_path: str
-    config_key: str
-    servers_prefix: str
-
-    @abstractmethod
-    def decode_config(self, data: bytes) -> RouteTable:
-        """Return a configuration; raises `ProtocolError`."""
-
-    @abstractmethod
-    def decode_server(self, key: str, data: bytes) -> ServerEntry:
-        """Return a server's registration; raises `ProtocolError`."""
-
-
 def callers_of_store(vms: int, placing: bool) -> int:
     """Return by what a VM divides the store's rates, to get its share of them.
 
--- /dev/null
+++ b/fireflylock/direct/surroundings.py
@@ -0,0 +1,29 @@
+"""What an entry VM's process needs from the platform that it runs on."""
+
+from abc import ABC, abstractmethod
+
+from fireflylock.direct.edge import CallerDialect
+from fireflylock.direct.keycontrol import KeyControl
+from fireflylock.direct.model import RouteTable, ServerEntry
+from fireflylock.server_exchange import ServerDialect
+from fireflylock.store import Store
+
+
+class Surroundings(ABC):
+    """What the process needs from wherever it runs."""
+
+    store: Store
+    control: KeyControl
+    callers: CallerDialect
+    servers: ServerDialect
+    readiness_path: str
+    config_key: str
+    servers_prefix: str
+
+    @abstractmethod
+    def decode_config(self, data: bytes) -> RouteTable:
+        """Return a configuration; raises `ProtocolError`."""
+
+    @abstractmethod
+    def decode_server(self, key: str, data: bytes) -> ServerEntry:
+        """Return a server's registration; raises `ProtocolError`."""
--- a/fireflylock/platform/surroundings.py
+++ b/fireflylock/platform/surroundings.py
@@ -2,7 +2,7 @@
 
 from fireflylock.clock import Clock
 from fireflylock.direct.model import RouteTable, ServerEntry
-from fireflylock.direct.node import Surroundings
+from fireflylock.direct.surroundings import Surroundings
 from fireflylock.platform.dialect import PlatformCallers, PlatformServers
 from fireflylock.platform.grants import GrantClient
 from fireflylock.platform.kv_store import KeyValueStore
