A process that stops refuses what it can't finish

Ruled out: ending later, the grace period is the platform's; closing idle connections at once, which cuts off requests that are on their way. Change: three seconds after the signal, or after three quarters of a shorter grace period, new requests are refused as not run, with a time to come back; those that still wait for a server at the end are refused instead of cut off. Tests: graces of 0.3 to 10 s, waiting requests at the end, a late request.

--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -395,6 +395,14 @@
         wait = waited / 2
         return self.refuse(now, ticket, ErrorKind.QUEUE_FULL, "the wait was too long", wait)
 
+    def refuse_waiting(self, now: Instant) -> None:
+        """Refuse all that waits, because the process is about to end."""
+        lines, self.lines = self.lines, {}
+        for line in lines.values():
+            for ticket in line:
+                error = self.refuse(now, ticket, ErrorKind.STOPPING, "the VM stops", timedelta(0))
+                ticket.settle(None, error)
+
     def waiting(self) -> dict[tuple[str, str], int]:
         """Return how many requests wait in each line."""
         return {place: len(line) for place, line in self.lines.items()}
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -31,6 +31,7 @@
 from fireflylock.direct.sender import Sender
 from fireflylock.direct.servers import ServerTable
 from fireflylock.direct.status_server import StatusAnswer, StatusServer
+from fireflylock.direct.stopping import plan_stop
 from fireflylock.direct.surroundings import Surroundings
 from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
 from fireflylock.metrics import Metrics
@@ -52,8 +53,6 @@
 # The platform's balancer notices within two checks, a second apart, that a process stops;
 # connections that it still sends here are answered.
 BALANCER_NOTICE = timedelta(milliseconds=2600)
-# Left of the grace period when the process ends by itself.
-GRACE_MARGIN = timedelta(milliseconds=500)
 # Descriptors that connections of callers may not use: those to servers, the store and VMs.
 OTHER_DESCRIPTORS = 1200
 FEWEST_CALLERS = 256
@@ -193,6 +192,8 @@
         if self.view.tick(now):
             self.admission.owners_changed(now)
         self.admission.tick(now)
+        if self.sender.stop is not None and now >= self.sender.stop.waits_until:
+            self.admission.refuse_waiting(now)
         self.duty.step(now)
 
     # Configuration and servers.
@@ -357,14 +358,14 @@
 
     async def stop(self) -> None:
         """Finish what was begun, then end; callers are sent elsewhere meanwhile."""
-        began = self.clock.elapsed()
+        plan = plan_stop(self.clock.elapsed(), self.place.bounds.grace)
         self.stopping = True
+        self.sender.stop = plan
         log.info("process stops", vm=self.place.vm)
         self.frontend.announce_stop()
         leave = asyncio.get_running_loop().create_task(self.duty.stop())
         await self.clock.sleep(BALANCER_NOTICE)
-        left = self.place.bounds.grace - GRACE_MARGIN - (self.clock.elapsed() - began)
-        finished = await self.frontend.drain(left)
+        finished = await self.frontend.drain(plan.ends_at - self.clock.elapsed())
         leave.cancel()
         log.info("process stopped", vm=self.place.vm, finished=finished)
         await self.close()
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -16,6 +16,7 @@
 from fireflylock.direct.model import Bounds, RouteTable, ServiceSpec
 from fireflylock.direct.routes import SplitCounter
 from fireflylock.direct.servers import Server, ServerTable
+from fireflylock.direct.stopping import StopPlan
 from fireflylock.exceptions import BodyCutShortError, ErrorKind, RequestError
 from fireflylock.exchange import Handler, Response
 from fireflylock.finishing_body import FinishingBody
@@ -93,6 +94,8 @@
         self.bounds = bounds
         self.vms = vms
         self.routes: RouteTable | None = None
+        # Set while the process stops.
+        self.stop: StopPlan | None = None
         self.splits = SplitCounter()
         self.budgets: dict[str, SharedRetryBudget] = {}
         self.pools: dict[Owner, ServerPool] = {}
@@ -110,6 +113,9 @@
             No server has answered it.
         """
         spec = self.choose_service(request)
+        if self.stop is not None and self.clock.elapsed() >= self.stop.takes_until:
+            error = RequestError(ErrorKind.STOPPING, "too late to be finished here", SOON)
+            raise self.final(request, error, may_have_run=False)
         budget = self.budget(spec.name)
         budget.count_request(self.clock.elapsed())
         if spec.keyed:
--- /dev/null
+++ b/tests/test_direct_stopping.py
@@ -0,0 +1,55 @@
+"""Tests of a process that stops: nothing is taken that it can't finish."""
+
+from datetime import timedelta
+
+import pytest
+
+from fireflylock.direct.stopping import plan_stop
+from fireflylock.exceptions import ErrorKind
+from tests.direct_site import Site
+from tests.test_direct_admission import START, Desk
+
+SECOND = timedelta(seconds=1)
+
+
+@pytest.mark.parametrize("seconds", [0.3, 1, 2, 4, 6, 10])
+def test_what_is_taken_last_has_time_to_be_finished(seconds):
+    grace = seconds * SECOND
+    plan = plan_stop(START, grace)
+    assert START <= plan.takes_until <= plan.waits_until <= max(plan.ends_at, START)
+    assert plan.takes_until - START <= 3 * SECOND
+    if seconds > 1:
+        assert plan.ends_at < START + grace
+        assert plan.ends_at - plan.takes_until >= (plan.ends_at - START) / 4
+
+
+def test_requests_that_still_wait_at_the_end_are_refused_and_not_cut_off():
+    desk = Desk()
+    for number in range(8):
+        desk.ask(START, f"r{number}", key=1)
+    started = len(desk.started)
+    desk.admission.refuse_waiting(START)
+    assert len(desk.refused) == 8 - started
+    assert {error.kind for error in desk.refused.values()} == {ErrorKind.STOPPING}
+    assert all(error.not_run for error in desk.refused.values())
+    desk.end(START, "r0")
+    assert len(desk.started) == started
+
+
+async def test_a_request_that_comes_late_in_a_stop_is_refused_at_once():
+    """Seen on a day of the bench with a grace period of four seconds.
+
+    It was taken on a kept connection 0.1 s before the end, passed on, and broken off.
+    """
+    async with Site() as site:
+        await site.add_server("o0")
+        node = await site.add_node()
+        await site.all_granted()
+        now = site.clock.elapsed()
+        node.sender.stop = plan_stop(now, 4 * SECOND)
+        assert (await site.ask(node, "/read/", "early", 7)).status == 200
+        node.sender.stop = plan_stop(now - 3.2 * SECOND, 4 * SECOND)
+        answer = await site.ask(node, "/place/", "late", 7, "POST", b"x")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) < 0.5
+        assert [run.request_id for run in site.servers["o0"].runs] == ["early"]
