Orders and renewals without an answer are sent again beside the ones that wait

A renewal of the right without an answer held back the next ones for as long as the right lasts. Ruled out: longer holds, which leave the keys of servers that are really lost without an owner; calling a server lost later, which does the same. Change: grants are tried five times in a row with .3 s each before their server is taken to be lost; a release without an answer is sent again beside the one that waits; overdue renewals of the right go out beside each other.

--- a/fireflylock/direct/departure.py
+++ b/fireflylock/direct/departure.py
@@ -26,8 +26,6 @@
         Whether the owner can surely run nothing more on them.
     handover : str
         What the owner gave away.
-    task : asyncio.Task or None
-        The release under way.
     """
 
     part: KeyRange
@@ -36,7 +34,6 @@
     since: Instant
     free: bool = False
     handover: str = ""
-    task: asyncio.Task | None = None
 
 
 @dataclass
@@ -49,6 +46,8 @@
         Held while a grant to the owner is under way.
     failing_since : timedelta or None
         Since when it takes no orders.
+    failed_tries : int
+        Orders since then.
     renewed_at : timedelta
         When its last renewal began.
     task : asyncio.Task or None
@@ -57,5 +56,6 @@
 
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     failing_since: Instant | None = None
+    failed_tries: int = 0
     renewed_at: Instant = timedelta(0)
     task: asyncio.Task | None = None
--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -36,6 +36,10 @@
 REST = timedelta(seconds=3)
 # It does so once in this time: when it gets the right back, the others reach no more.
 RESIGN_EVERY = timedelta(seconds=15)
+# While a renewal of the right is overdue, others are sent beside it this much faster, and so many
+# at most: one without an answer must not keep the next ones back until the right has ended.
+OVERDUE_FACTOR = 3
+MOST_RENEWALS = 8
 # A map that is known to be newer is read from the store when nobody has sent it for this long.
 MAP_PATIENCE = timedelta(milliseconds=120)
 
@@ -109,7 +113,8 @@
         self.trying: asyncio.Task | None = None
         # Tries to win the right since the VM that has it was heard.
         self.vain_tries = 0
-        self.renewing: asyncio.Task | None = None
+        self.renewals: set[asyncio.Task] = set()
+        self.renewal_at: Instant = timedelta(0)
         self.fetching: asyncio.Task | None = None
         self.resigned_at: Instant = -RESIGN_EVERY
         self.told_at: Instant = timedelta(0)
@@ -141,8 +146,7 @@
 
     def place(self, now: Instant) -> None:
         """Place the keys of all keyed services."""
-        if self.renewing is None and now - self.right.renewed_at >= RENEW_EVERY:
-            self.renewing = self.begin(self.renew())
+        self.renew_right(now)
         names = self.keyed_services()
         for name in names:
             if name not in self.placers:
@@ -167,17 +171,21 @@
         if now - self.told_at >= (TELL_PAUSE if self.changed else TELL_EVERY):
             self.tell(now)
 
+    def renew_right(self, now: Instant) -> None:
+        """Renew the right when that is due."""
+        overdue = now - self.right.renewed_at >= 1.5 * RENEW_EVERY
+        every = RENEW_EVERY / OVERDUE_FACTOR if overdue else RENEW_EVERY
+        if now - self.renewal_at < every or len(self.renewals) >= MOST_RENEWALS:
+            return
+        self.renewal_at = now
+        task = self.begin(self.right.renew())
+        self.renewals.add(task)
+        task.add_done_callback(self.renewals.discard)
+
     def begin(self, work: Coroutine) -> asyncio.Task:
         """Run a call of the store beside everything else."""
         return asyncio.get_running_loop().create_task(work)
 
-    async def renew(self) -> None:
-        """Renew the right."""
-        try:
-            await self.right.renew()
-        finally:
-            self.renewing = None
-
     def reaches_too_few(self, now: Instant) -> bool:
         """Return whether most owners take no orders from here, while others may reach them."""
         if now - self.resigned_at < RESIGN_EVERY:
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -37,11 +37,20 @@
 RENEW_EVERY = timedelta(milliseconds=800)
 # Servers register over some seconds; keys are first dealt out when none has for this long.
 SETTLING = timedelta(milliseconds=1200)
-# A server that has taken no order for this long is taken to be lost.
+# A server that has taken no order for this long, and in so many tries, is taken to be lost.
+# Orders may get no answer from a server that is well; where three in ten do, five tries in a row
+# fail once in four hundred times, and take less than half of a hold.
 LOST_AFTER = timedelta(milliseconds=600)
+GRANT_TRIES = 5
+# Pause after a try that reached nobody.
+UNSENT_PAUSE = timedelta(milliseconds=150)
 # Wait for the answer to a release: the requests that run have to end first.
 RELEASE_TIMEOUT = timedelta(seconds=1)
-RELEASE_PAUSE = timedelta(milliseconds=150)
+# Another release is sent beside one that has no answer after this, and doubled each time up to
+# the timeout; most requests end within it.
+RELEASE_AGAIN = timedelta(milliseconds=300)
+# Pause after the store did not give the map.
+LOAD_PAUSE = timedelta(milliseconds=150)
 # Released keys wait at most this long for others that are being released, so that one write
 # records them all.
 GATHER = timedelta(milliseconds=60)
@@ -177,7 +186,7 @@
             log.info("map of keys was written meanwhile", service=self.service)
         except (PlatformError, ProtocolError) as error:
             log.warning("map of keys not loaded", service=self.service, error=str(error))
-            await self.clock.sleep(RELEASE_PAUSE)
+            await self.clock.sleep(LOAD_PAUSE)
         finally:
             self.writing = None
 
@@ -245,7 +254,7 @@
             ranges=len(fresh),
             total=len(self.map.ranges),
         )
-        await asyncio.gather(*(self.grant(part) for part in fresh))
+        await asyncio.gather(*(self.grant_again(part) for part in fresh))
         self.on_change()
 
     def forget_owners(self) -> None:
@@ -294,12 +303,21 @@
         """Renew all grants of one owner, one after the other."""
         try:
             for part in [part for part in self.map.ranges if part.owner == owner]:
-                outcome = await self.grant(part)
-                if outcome in (GrantOutcome.UNANSWERED, GrantOutcome.UNSENT):
+                if not await self.grant_again(part):
                     return
         finally:
             state.task = None
 
+    async def grant_again(self, part: KeyRange) -> bool:
+        """Grant or renew one range, again if need be; False when the owner takes no orders."""
+        for _ in range(GRANT_TRIES):
+            outcome = await self.grant(part)
+            if outcome is GrantOutcome.UNSENT:
+                await self.clock.sleep(UNSENT_PAUSE)
+            elif outcome is not GrantOutcome.UNANSWERED:
+                return True
+        return False
+
     async def grant(self, part: KeyRange) -> GrantOutcome | None:
         """Grant or renew one range; None when that is not allowed any more."""
         state = self.owners.setdefault(part.owner, OwnerState())
@@ -333,10 +351,12 @@
     ) -> None:
         """Learn from the end of a grant."""
         if outcome in (GrantOutcome.UNANSWERED, GrantOutcome.UNSENT):
+            state.failed_tries += 1
             if state.failing_since is None:
                 state.failing_since = now
                 log.warning("server takes no orders", server=part.owner.name, why=outcome.value)
             return
+        state.failed_tries = 0
         if state.failing_since is not None:
             log.info("server takes orders again", server=part.owner.name)
             state.failing_since = None
@@ -368,7 +388,7 @@
             reason=reason,
         )
         self.on_change()
-        departure.task = self.begin(self.release(departure))
+        self.begin(self.release(departure))
 
     async def release(self, departure: Departure) -> None:
         """Ask the owner again and again to give the keys back, until they are free.
@@ -376,22 +396,31 @@
         The release carries the next epoch, so that an older grant which is carried out late
         is refused: the server has seen a higher one.
         """
-        owner = departure.part.owner
-        state = self.owners.setdefault(owner, OwnerState())
+        pause = RELEASE_AGAIN
         while not departure.free and not self.closed:
-            # A renewal that is under way must arrive before the release does.
-            async with state.lock:
-                pass
             if not self.right.is_held(self.clock.elapsed()):
                 return
-            epoch = self.map.next_epoch
-            answer = await self.control.release(departure.part, epoch, RELEASE_TIMEOUT)
-            if answer.answered:
-                departure.handover = answer.handover
-                departure.free = True
-                state.failing_since = None
-                return
-            await self.clock.sleep(RELEASE_PAUSE)
+            self.begin(self.release_once(departure))
+            await self.clock.sleep(pause)
+            pause = min(2 * pause, RELEASE_TIMEOUT)
+
+    async def release_once(self, departure: Departure) -> None:
+        """Send one release; others may be under way, and the first answer counts."""
+        owner = departure.part.owner
+        state = self.owners.setdefault(owner, OwnerState())
+        # A renewal that is under way must arrive before the release does.
+        async with state.lock:
+            pass
+        if departure.free or not self.right.is_held(self.clock.elapsed()):
+            return
+        epoch = self.map.next_epoch
+        answer = await self.control.release(departure.part, epoch, RELEASE_TIMEOUT)
+        if not answer.answered or departure.free:
+            return
+        departure.handover = answer.handover
+        departure.free = True
+        state.failing_since = None
+        state.failed_tries = 0
 
     def note_proofs(self, now: Instant) -> None:
         """Free the keys of owners that can surely run nothing more."""
@@ -430,7 +459,9 @@
         state = self.owners.get(owner)
         if state is None or state.failing_since is None:
             return ""
-        return "server takes no orders" if now - state.failing_since > LOST_AFTER else ""
+        if state.failed_tries < GRANT_TRIES or now - state.failing_since < LOST_AFTER:
+            return ""
+        return "server takes no orders"
 
     def balance(self, now: Instant) -> None:
         """Begin the moves that are worth making.
--- a/fireflylock/platform/grants.py
+++ b/fireflylock/platform/grants.py
@@ -19,8 +19,8 @@
 )
 
 # Longest wait for the answer to a grant, which a server gives at once; a packet that was lost
-# is sent again within it.
-GRANT_TIMEOUT = timedelta(milliseconds=500)
+# is sent again within it, as TCP's shortest time-out is 200 ms.
+GRANT_TIMEOUT = timedelta(milliseconds=300)
 # Connections for orders that are kept to one server: one for renewals, some for releases.
 KEPT_CONNECTIONS = 3
 
--- a/tests/placing_world.py
+++ b/tests/placing_world.py
@@ -34,7 +34,8 @@
 SERVICE = "orders"
 STEP = timedelta(milliseconds=20)
 ORDER_TIME = timedelta(milliseconds=3)
-ORDER_TIMEOUT = timedelta(milliseconds=500)
+CALL_TIMEOUT = timedelta(milliseconds=1500)
+ORDER_TIMEOUT = timedelta(milliseconds=300)
 LIMITS = CallerLimits(1000, 1000, timedelta(seconds=1), timedelta(seconds=1))
 ROUTES = RouteTable(1, (), {SERVICE: ServiceSpec(SERVICE, "/", 10, True)}, LIMITS)
 WATCHED = tuple(range(0, KEYS, 1489))
@@ -170,8 +171,11 @@
         return lease
 
     async def keep_alive(self, lease: int) -> timedelta:
-        """Renew a lease."""
+        """Renew a lease; the answer may get lost."""
         await self.travel()
+        if self.world.rng.random() < self.world.lost_renewals:
+            await self.clock.sleep(CALL_TIMEOUT)
+            raise PlatformError("no answer")
         known = self.shared.leases.get(lease)
         if known is None:
             return timedelta(0)
@@ -282,6 +286,7 @@
     late_orders: float = 0.0
     lost_writes: float = 0.0
     lost_datagrams: float = 0.0
+    lost_renewals: float = 0.0
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -215,6 +215,29 @@
     assert_sound(world)
 
 
+async def test_renewals_without_answers_do_not_cost_the_right():
+    world = await settled_world()
+    placing = world.placing()
+    world.lost_renewals = 0.4
+    for _ in range(100):
+        await world.run(0.1)
+        assert world.placing() == placing
+    assert_sound(world)
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_orders_without_answers_take_few_keys_out_of_service(seed):
+    """Three orders in ten get no answer and are carried out seconds later; all servers live."""
+    world = await settled_world(seed, servers=12)
+    world.late_orders = 0.3
+    unheld = 0
+    for _ in range(200):
+        await world.run(0.1)
+        unheld += world.unheld()
+    assert unheld <= 0.02 * 200 * len(WATCHED)
+    assert_sound(world)
+
+
 async def test_keys_are_placed_although_most_servers_are_lost():
     """No VM reaches most owners, so each would leave the placing to another one."""
     world = await settled_world(servers=7)
