A process that can't listen says so and ends with status 3

The harness starts it once now; the message is plain, and its status is its own. Test: an address that is taken.

--- a/demo/platform_run.py
+++ b/demo/platform_run.py
@@ -405,7 +405,9 @@
         process.send_signal(number)
         await asyncio.to_thread(process.wait)
         await asyncio.sleep(seconds)
-        self.start_vm(name)
+        # Another fault may have ended the same process, and started it again already.
+        if self.processes.running[name] is process:
+            self.start_vm(name)
 
     async def reload_vm(self, seconds: float) -> None:
         """Ask an entry VM's process to read its settings again."""
--- a/fireflylock/platform/cmdline.py
+++ b/fireflylock/platform/cmdline.py
@@ -17,8 +17,9 @@
 from fireflylock.platform.settings import SETTINGS_VARIABLE, PlatformSettings, read_settings
 from fireflylock.platform.surroundings import PlatformSurroundings
 
-# Exit status for settings that can't be used.
+# Exit statuses: the settings can't be used; an address is taken or not this VM's.
 BAD_SETTINGS = 2
+CANNOT_LISTEN = 3
 
 log = structlog.get_logger()
 
@@ -53,12 +54,11 @@
     # What is loaded now stays for ever and need not be looked at by each collection.
     gc.collect()
     gc.freeze()
-    asyncio.run(serve(settings, path, options.metrics_port))
-    return 0
+    return asyncio.run(serve(settings, path, options.metrics_port))
 
 
-async def serve(settings: PlatformSettings, path: str, metrics_port: int | None) -> None:
-    """Run until a signal to stop."""
+async def serve(settings: PlatformSettings, path: str, metrics_port: int | None) -> int:
+    """Run until a signal to stop; return the exit status."""
     clock = SystemClock()
     node = DirectNode(settings.place, PlatformSurroundings(settings, clock), clock)
     stop = asyncio.Event()
@@ -66,9 +66,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload, settings, path, metrics_port)
-    await node.start()
+    try:
+        await node.start()
+    except OSError as error:
+        log.error("process can't listen", vm=settings.place.vm, error=str(error))
+        return CANNOT_LISTEN
     await stop.wait()
     await node.stop()
+    return 0
 
 
 def reload(settings: PlatformSettings, path: str, metrics_port: int | None) -> None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,9 @@
 
 import json
 import re
+import socket
+import subprocess
+import sys
 from datetime import timedelta
 from pathlib import Path
 
@@ -27,6 +30,7 @@
 from fireflylock.platform.registrations import decode_registration
 from fireflylock.platform.settings import PlatformSettings, read_settings
 from standins.operator import config
+from standins.operator import settings as settings_text
 from standins.operators_store import OperatorsStore
 
 SETTINGS = """
@@ -91,6 +95,19 @@
     assert "listen.front" in capsys.readouterr().err
 
 
+def test_an_address_that_is_taken_ends_the_process_with_a_plain_line(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = taken.getsockname()[1]
+        text = settings_text("vm", "a", "127.0.0.1", (port, port, port), ("127.0.0.1", 1))
+        command = [sys.executable, "-m", "fireflylock.platform", "--settings"]
+        ended = subprocess.run(
+            [*command, str(settings_file(tmp_path, text))], capture_output=True, timeout=60
+        )
+    assert ended.returncode == cmdline.CANNOT_LISTEN
+    assert b"Traceback" not in ended.stdout + ended.stderr
+    assert json.loads(ended.stdout.splitlines()[-1])["event"] == "process can't listen"
+
+
 @pytest.mark.parametrize("text", ["", "= 3", "[self]"])
 def test_settings_that_say_nothing_are_refused(tmp_path, text):
     assert cmdline.main(["--settings", str(settings_file(tmp_path, text))]) == 2
