--- a/demo/platform_run.py
+++ b/demo/platform_run.py
@@ -322,8 +322,8 @@
         await asyncio.gather(*running)
 
     def keyed_server(self) -> RoutedServer:
-        """Return some keyed server that is registered."""
-        return self.rng.choice([s for s in self.servers.values() if s.keyed])
+        """Return some keyed server that is registered and not leaving."""
+        return self.rng.choice([s for n, s in self.servers.items() if s.keyed and n == s.name])
 
     async def replace_server(self, server: RoutedServer) -> None:
         """Start another server in a lost one's stead."""
