A VM that hears the others does not give up placing keys because servers are lost

Ruled out: resigning later; the servers stayed away for longer than any wait. Change: a VM that reaches some of the owners and hears at least half of the other VMs keeps the right. One that reaches none, or hears few, resigns.

--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -187,7 +187,12 @@
         return asyncio.get_running_loop().create_task(work)
 
     def reaches_too_few(self, now: Instant) -> bool:
-        """Return whether most owners take no orders from here, while others may reach them."""
+        """Return whether most owners take no orders from here, while others may reach them.
+
+        A VM that reaches some of them, and hears most of the other VMs, is not the one that is
+        cut off: the servers are lost, or their zone is.  The next VM would reach no more, and
+        would have to wait for the longest hold of all keys whose owners are lost.
+        """
         if now - self.resigned_at < RESIGN_EVERY:
             return False
         owners = [
@@ -196,9 +201,12 @@
             if placer.map is not None
             for owner in placer.map.owners()
         ]
-        if len(owners) < 3 or now - self.right.won_at < SILENCE or not self.gossip.alive(now):
+        heard = len(self.gossip.alive(now))
+        if len(owners) < 3 or now - self.right.won_at < SILENCE or not heard:
             return False
         reached = sum(not placer.is_out_of_reach(owner) for placer, owner in owners)
+        if reached and 2 * heard >= self.gossip.count(now) - 1:
+            return False
         return reached < REACHED_SHARE * len(owners)
 
     def mark_changed(self) -> None:
--- a/tests/placing_world.py
+++ b/tests/placing_world.py
@@ -254,6 +254,10 @@
         frozen = self.world.frozen
         return [vm for vm in self.world.vms if vm != self.vm and vm not in frozen]
 
+    def count(self, now: Instant) -> int:
+        """Return the number of VMs, this one included."""
+        return len(self.world.vms)
+
     def send(self, message: Placing, only: str = "") -> None:
         """Hand a message to the other VMs."""
         if not isinstance(message, Placing):
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -215,6 +215,21 @@
     assert_sound(world)
 
 
+async def test_a_vm_that_hears_the_others_keeps_the_right_while_a_zone_is_lost():
+    """Seen in an incident: a zone cut and crashes left 7 of 18 servers; the next VM had no more.
+
+    It had to wait for the longest hold, and the keys of the crashed servers with it.
+    """
+    world = await settled_world(vms=3, servers=9)
+    placing = world.placing()
+    for life in world.lives[:6]:
+        world.crash(life)
+    await world.run(HOLD.total_seconds() + 2.5)
+    assert world.placing() == placing
+    assert world.unheld() == 0
+    assert_sound(world)
+
+
 async def test_a_moment_without_answers_from_all_servers_does_not_cost_the_right():
     """Seen with demo/platform_run.py, seed 30: all grants unanswered at once, after 0.3 s.
 
