A message to several VMs is encoded once; sums are one type with two tags

Found on reading the change again: `Gossip.send` was called once for each receiver and encoded the same message each time, up to eight times in ten a second, and searched all peers for the one that was meant; `ZoneTotal` and `Totals` repeated their fields, and their reading stood twice. A header name of the platform that nobody uses is gone from `wire`. Change: `send(message, to=...)`; `Summed`, `sums_of`. The same datagrams go to the same VMs. Tests: stand-ins of the gossip take the new argument, the assertions are as before.

--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -59,8 +59,8 @@
     waiting: list[tuple[str, str, int]]
 
 
-class ZoneTotal(Told, tag="z", array_like=True):
-    """The sums of the sender's zone; the first fields are those of a report.
+class Summed(Told, array_like=True):
+    """The sums of some VMs' reports.
 
     Attributes
     ----------
@@ -75,12 +75,12 @@
     vms: list[str]
 
 
-class Totals(Told, tag="t", array_like=True):
-    """The sums of all zones, for the VMs of the sender's zone; fields as in `ZoneTotal`."""
+class ZoneTotal(Summed, tag="z", array_like=True):
+    """The sums of the sender's zone."""
 
-    running: dict[str, int]
-    waiting: list[tuple[str, str, int]]
-    vms: list[str]
+
+class Totals(Summed, tag="t", array_like=True):
+    """The sums of all zones, for the VMs of the sender's zone."""
 
 
 class KeyWork(Told, tag="k", array_like=True):
@@ -267,25 +267,25 @@
             if peer is not None:
                 peer.heard_at = now
 
-    def send(self, message: Message, only: str = "") -> None:
-        """Send a message to all VMs, or to one."""
+    def send(self, message: Message, to: Iterable[str] | None = None) -> None:
+        """Send a message to some of the other VMs, or to all of them."""
         if self.transport is None or self.transport.is_closing():
             return
         data = self.encoder.encode(message)
         if len(data) > DATAGRAM_BYTES:
             log.warning("gossip is too long to be sent", bytes=len(data))
             return
-        for vm, peer in self.peers.items():
-            if only and vm != only:
+        for vm in self.peers if to is None else to:
+            peer = self.peers.get(vm)
+            if peer is None:
                 continue
             self.sent += 1
             self.transport.sendto(data, peer.address)
 
     def greet_silent(self, now: Instant, hello: Hello) -> None:
         """Greet VMs that are not heard: the greeting before may have been lost."""
-        for vm, peer in self.peers.items():
-            if now - peer.heard_at >= PEER_LIFETIME:
-                self.send(hello, only=vm)
+        alive = set(self.alive(now))
+        self.send(hello, to=[vm for vm in self.peers if vm not in alive])
 
     def alive(self, now: Instant) -> list[str]:
         """Return the other VMs that were heard lately."""
--- a/fireflylock/direct/load_exchange.py
+++ b/fireflylock/direct/load_exchange.py
@@ -11,7 +11,15 @@
 
 from fireflylock.clock import Instant
 from fireflylock.direct.admission import Admission
-from fireflylock.direct.gossip import Gossip, Placing, Relayed, Report, Totals, ZoneTotal
+from fireflylock.direct.gossip import (
+    Gossip,
+    Placing,
+    Relayed,
+    Report,
+    Summed,
+    Totals,
+    ZoneTotal,
+)
 from fireflylock.direct.servers import ServerTable
 
 # Up to so many VMs all tell each other directly.
@@ -111,7 +119,7 @@
             if mesh:
                 self.gossip.send(report)
             elif speaker != self.vm:
-                self.gossip.send(report, only=speaker)
+                self.gossip.send(report, to=[speaker])
         if not mesh and speaker == self.vm and now - self.totals_at >= TOTALS_EVERY:
             self.totals_at = now
             self.speak(now, running, waiting)
@@ -124,11 +132,9 @@
         zone = added([own, *self.fresh(now, self.members)], now)
         total = added([zone, *self.fresh(now, self.zones)], now)
         told = ZoneTotal(self.vm, self.zone, zone.running, rows(zone.waiting), zone.vms)
-        for vm in self.told_elsewhere(now):
-            self.gossip.send(told, only=vm)
+        self.gossip.send(told, to=self.told_elsewhere(now))
         totals = Totals(self.vm, self.zone, total.running, rows(total.waiting), total.vms)
-        for vm in self.in_zone():
-            self.gossip.send(totals, only=vm)
+        self.gossip.send(totals, to=self.in_zone())
         self.take_sums(now, EVERYBODY, total, running, waiting)
 
     def told_elsewhere(self, now: Instant) -> list[str]:
@@ -149,19 +155,14 @@
 
         Where there are many, only some of each other zone get it from here, and pass it on.
         """
-        if self.is_mesh():
-            self.gossip.send(message)
-            return
-        for vm in [*self.in_zone(), *self.told_elsewhere(now)]:
-            self.gossip.send(message, only=vm)
+        to = None if self.is_mesh() else [*self.in_zone(), *self.told_elsewhere(now)]
+        self.gossip.send(message, to)
 
     def pass_on(self, message: Placing) -> None:
         """Pass on what a placing VM of another zone has told."""
         if self.is_mesh() or message.zone == self.zone:
             return
-        relayed = Relayed(self.vm, self.zone, message)
-        for vm in self.in_zone():
-            self.gossip.send(relayed, only=vm)
+        self.gossip.send(Relayed(self.vm, self.zone, message), to=self.in_zone())
 
     def in_zone(self) -> list[str]:
         """Return the other VMs of this zone."""
@@ -184,14 +185,13 @@
 
     def take_zone(self, now: Instant, told: ZoneTotal) -> None:
         """Take the sums of another zone."""
-        self.zones[told.zone] = Sums(told.running, columns(told.waiting), told.vms, now)
+        self.zones[told.zone] = sums_of(told, now)
         self.gossip.heard_of(now, told.vms)
 
     def take_totals(self, now: Instant, told: Totals) -> None:
         """Take the sums of all zones; what this VM has itself is in them."""
         self.gossip.heard_of(now, told.vms)
-        sums = Sums(told.running, columns(told.waiting), told.vms, now)
-        self.take_sums(now, EVERYBODY, sums, *self.own())
+        self.take_sums(now, EVERYBODY, sums_of(told, now), *self.own())
 
     def take_sums(
         self,
@@ -230,6 +230,11 @@
     return total
 
 
+def sums_of(told: Summed, now: Instant) -> Sums:
+    """Return sums that were told now."""
+    return Sums(told.running, columns(told.waiting), told.vms, now)
+
+
 def rows(waiting: dict[tuple[str, str], int]) -> list[tuple[str, str, int]]:
     """Return waiting requests as they are told."""
     return [(service, server, count) for (service, server), count in waiting.items()]
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -324,7 +324,7 @@
             self.duty.take_work(now, work)
         elif self.duty.placing_vm:
             message = KeyWork(self.place.vm, self.place.zone, work)
-            self.gossip.send(message, only=self.duty.placing_vm)
+            self.gossip.send(message, to=[self.duty.placing_vm])
 
     def tidy(self, now: Instant) -> None:
         """Forget what is no longer needed."""
--- a/fireflylock/platform/wire.py
+++ b/fireflylock/platform/wire.py
@@ -13,8 +13,6 @@
 EXPECTED_SERVER = b"x-fireflylock-expected-instance"
 # The server states that it did not run the request.
 NOT_RUN = b"x-fireflylock-not-executed"
-# The registered name of the server that answers.
-SERVER_NAME = b"x-fireflylock-instance-identifier"
 # The key, a whole number, of a request to a keyed service.
 KEY = b"x-fireflylock-shard-key"
 # What the last owner of keys gives to the next, so that it need not warm up.
--- a/tests/placing_world.py
+++ b/tests/placing_world.py
@@ -258,7 +258,7 @@
         """Return the number of VMs, this one included."""
         return len(self.world.vms)
 
-    def send(self, message: Placing, only: str = "") -> None:
+    def send(self, message: Placing) -> None:
         """Hand a message to the other VMs."""
         if not isinstance(message, Placing):
             return
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -25,9 +25,9 @@
         super().__init__(vm, fleet.clock, lambda message: None)
         self.fleet = fleet
 
-    def send(self, message, only=""):
-        for vm in self.peers:
-            if (only and vm != only) or {vm, self.vm} & self.fleet.down:
+    def send(self, message, to=None):
+        for vm in self.peers if to is None else to:
+            if {vm, self.vm} & self.fleet.down:
                 continue
             self.fleet.sent[self.vm] += 1
             self.fleet.deliver(vm, message)
--- a/tests/test_direct_faults.py
+++ b/tests/test_direct_faults.py
@@ -20,11 +20,9 @@
 async def linked_server(site: Site, name: str, service: str = "orders") -> Link:
     """Start a server that is reached through a link only."""
     server = await site.add_server(name, service)
-    host, _, port = server.address.rpartition(":")
-    link = Link(host, int(port))
-    server.address = f"{host}:{await link.start()}"
+    link = await server.behind_link()
     site.stack.push_async_callback(link.close)
-    site.register(server)
+    server.register(site.store)
     return link
 
 
@@ -136,8 +134,8 @@
     await site.all_granted()
     second = await site.add_node("vm-2")
     for node in (first, second):
-        node.gossip.send = lambda message, only="": None
-    site.register(site.servers["o0"], "draining")
+        node.gossip.send = lambda message, to=None: None
+    site.servers["o0"].register(site.store, "draining")
     await site.until(
         lambda: all(
             "o0" not in {owner.name for owner in node.view.maps["orders"].owners()}
