What the placing VM knows of an owner's tries changes in one place

Found on reading the change again: the instant since which an owner takes no orders, and the number of tries, were set together in three places; why an owner should leave was worked out twice; the keys on the move were collected twice for each telling. Change: `OwnerState.failed` and `took_order`; reasons by owner; one `take_moving`. Behaviour is the same.

--- a/fireflylock/direct/departure.py
+++ b/fireflylock/direct/departure.py
@@ -59,3 +59,14 @@
     failed_tries: int = 0
     renewed_at: Instant = timedelta(0)
     task: asyncio.Task | None = None
+
+    def failed(self, now: Instant) -> None:
+        """Note an order that was not taken."""
+        self.failed_tries += 1
+        if self.failing_since is None:
+            self.failing_since = now
+
+    def took_order(self) -> None:
+        """Note an order that was taken."""
+        self.failed_tries = 0
+        self.failing_since = None
--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -219,21 +219,25 @@
                 placer.last_change = None
             if placer.map is not None and self.view.set_map(placer.map):
                 self.on_owners()
-        if self.right.is_held(now):
-            if self.view.take_moving(now, self.moving(now)):
-                self.on_owners()
-            if now - self.told_at >= TELL_PAUSE:
-                self.tell(now)
+        if not self.right.is_held(now):
+            return
+        if now - self.told_at >= TELL_PAUSE:
+            self.tell(now)
+        else:
+            self.take_moving(now)
 
-    def moving(self, now: Instant) -> list[Moving]:
-        """Return what is on the move now."""
-        return [move for placer in self.placers.values() for move in placer.moving(now)]
+    def take_moving(self, now: Instant) -> list[Moving]:
+        """Take over here, and return, what is on the move now."""
+        moving = [move for placer in self.placers.values() for move in placer.moving(now)]
+        if self.view.take_moving(now, moving):
+            self.on_owners()
+        return moving
 
     def tell(self, now: Instant) -> None:
         """Tell the others what is on the move, and which maps are the newest."""
         self.changed = False
         self.told_at = now
-        moving = self.moving(now)
+        moving = self.take_moving(now)
         revisions = {
             name: placer.map.revision
             for name, placer in self.placers.items()
@@ -244,8 +248,6 @@
             told.left -= 1
             told.due_at = now + TELL_EVERY
         self.changes = [told for told in self.changes if told.left > 0]
-        if self.view.take_moving(now, moving):
-            self.on_owners()
         me = self.me
         changes = [told.change for told in due]
         self.tellings += 1
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -354,15 +354,13 @@
     ) -> None:
         """Learn from the end of a grant."""
         if outcome in (GrantOutcome.UNANSWERED, GrantOutcome.UNSENT):
-            state.failed_tries += 1
             if state.failing_since is None:
-                state.failing_since = now
                 log.warning("server takes no orders", server=part.owner.name, why=outcome.value)
+            state.failed(now)
             return
-        state.failed_tries = 0
         if state.failing_since is not None:
             log.info("server takes orders again", server=part.owner.name)
-            state.failing_since = None
+        state.took_order()
         if outcome is GrantOutcome.REFUSED:
             # A higher epoch was seen, or the order was not understood: the same order would
             # be refused again, so the keys get a new epoch.
@@ -422,8 +420,7 @@
             return
         departure.handover = answer.handover
         departure.free = True
-        state.failing_since = None
-        state.failed_tries = 0
+        state.took_order()
 
     def note_proofs(self, now: Instant) -> None:
         """Free the keys of owners that can surely run nothing more."""
@@ -441,12 +438,10 @@
 
     def leave_bad_owners(self, now: Instant) -> None:
         """Let all keys leave owners that leave, are lost, or were started again."""
-        bad = [owner for owner in self.map.owners() if self.trouble(now, owner)]
-        if not bad:
-            return
+        reasons = {owner: self.trouble(now, owner) for owner in self.map.owners()}
         for part in self.map.ranges:
-            if part.owner in bad:
-                self.depart(now, part, self.trouble(now, part.owner), None)
+            if reasons[part.owner]:
+                self.depart(now, part, reasons[part.owner], None)
 
     def trouble(self, now: Instant, owner: Owner) -> str:
         """Return why an owner should have no keys, or ""."""
@@ -460,9 +455,9 @@
         if server.leaving_since is not None:
             return "server leaves"
         state = self.owners.get(owner)
-        if state is None or state.failing_since is None:
+        if state is None or state.failed_tries < GRANT_TRIES:
             return ""
-        if state.failed_tries < GRANT_TRIES or now - state.failing_since < LOST_AFTER:
+        if now - state.failing_since < LOST_AFTER:
             return ""
         return "server takes no orders"
 
@@ -566,8 +561,7 @@
         for departure in self.departures:
             part = departure.part
             wait = timedelta(0)
-            state = self.owners.get(part.owner)
-            if not departure.free and state is not None and state.failing_since is not None:
+            if not departure.free and self.is_failing(part.owner):
                 wait = max(wait, self.holdings.free_at(part.owner) - now)
             found.append(
                 Moving(self.service, part.first, part.last, wait // timedelta(milliseconds=1))
