Stand-ins register and stand behind a link by themselves; one free_port

Found on reading the change again: the runs with faults and the tests each wrote registrations, put a server behind a link and looked for a free port.

--- a/demo/platform_run.py
+++ b/demo/platform_run.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import json
 import random
 import signal
 import time
@@ -213,19 +212,12 @@
         )
         await server.start()
         self.stack.push_async_callback(server.close)
-        port = int(server.address.rpartition(":")[2])
-        link = Link(LOOPBACK, port)
-        server.address = f"{LOOPBACK}:{await link.start()}"
+        link = await server.behind_link()
         self.stack.push_async_callback(link.close)
         self.servers[name] = server
         self.server_links[name] = link
         self.all_runs.append(server)
-        self.register(server)
-
-    def register(self, server: RoutedServer, state: str = "ready") -> None:
-        """Write a server's registration."""
-        data = json.dumps(server.registration(state)).encode()
-        self.store.write(wire.SERVERS_PREFIX + server.name, data)
+        server.register(self.store)
 
     def holders(self, key: int) -> list[str]:
         """Return the names of the living servers that would run requests for a key."""
@@ -334,7 +326,7 @@
         server = self.keyed_server()
         del self.servers[server.name]
         self.servers[f"leaving {server.name}"] = server
-        self.register(server, "draining")
+        server.register(self.store, "draining")
         await asyncio.sleep(2.0 + seconds)
         del self.servers[f"leaving {server.name}"]
         self.store.remove(wire.SERVERS_PREFIX + server.name)
--- a/standins/routed_server.py
+++ b/standins/routed_server.py
@@ -1,6 +1,7 @@
 """Stands in for a backend server of the users' platform, with grants and signed answers."""
 
 import asyncio
+import json
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -8,6 +9,8 @@
 from fireflylock.platform import wire
 from standins.http_server import Call, DropConnectionError, HTTPServer, Reply
 from standins.key_holder import KeyHolder
+from standins.link import Link
+from standins.operators_store import OperatorsStore
 
 NOT_RUN = ((wire.NOT_RUN.decode(), "1"),)
 
@@ -89,6 +92,18 @@
             "born": self.born,
         }
 
+    def register(self, store: OperatorsStore, state: str = "ready") -> None:
+        """Write its registration."""
+        data = json.dumps(self.registration(state)).encode()
+        store.write(wire.SERVERS_PREFIX + self.name, data)
+
+    async def behind_link(self) -> Link:
+        """Return a link that it is reached through from its next registration on."""
+        host, _, port = self.address.rpartition(":")
+        link = Link(host, int(port))
+        self.address = f"{host}:{await link.start()}"
+        return link
+
     async def answer(self, call: Call) -> Reply:
         """Answer one call."""
         if call.path in (wire.GRANT_PATH, wire.RELEASE_PATH):
--- a/tests/direct_site.py
+++ b/tests/direct_site.py
@@ -1,12 +1,11 @@
 """A site on loopback: the stand-ins of the platform, and entry VMs in this process."""
 
 import asyncio
-import json
-import socket
 from contextlib import AsyncExitStack
 from dataclasses import replace
 from datetime import timedelta
 
+from demo.processes import free_port
 from fireflylock.clock import SystemClock
 from fireflylock.direct.model import Bounds, Place
 from fireflylock.direct.node import DirectNode
@@ -21,13 +20,6 @@
 PATIENCE = timedelta(seconds=20)
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that nobody uses now."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Site:
     """A store, servers and entry VMs."""
 
@@ -56,14 +48,9 @@
         await server.start()
         self.stack.push_async_callback(server.close)
         self.servers[name] = server
-        self.register(server)
+        server.register(self.store)
         return server
 
-    def register(self, server: RoutedServer, state: str = "ready") -> None:
-        """Write a server's registration."""
-        data = json.dumps(server.registration(state)).encode()
-        self.store.write(wire.SERVERS_PREFIX + server.name, data)
-
     async def add_node(self, name: str = "vm-1") -> DirectNode:
         """Start an entry VM, and wait until it is ready."""
         place = Place(
@@ -72,7 +59,7 @@
             host="127.0.0.1",
             front=("127.0.0.1", free_port()),
             status=("127.0.0.1", free_port()),
-            peer=("127.0.0.1", free_port(socket.SOCK_DGRAM)),
+            peer=("127.0.0.1", free_port(udp=True)),
             bounds=replace(Bounds(), grace=timedelta(seconds=6)),
         )
         settings = PlatformSettings(place, self.address, 2000.0, 400.0, timedelta(seconds=1))
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -132,7 +132,7 @@
 
 async def test_a_leaving_servers_keys_move_without_a_failed_request(site):
     node = await ready(site)
-    site.register(site.servers["o0"], "draining")
+    site.servers["o0"].register(site.store, "draining")
     statuses = []
     for number in range(60):
         answer = await site.ask(node, "/read/", f"r{number}", number * 1000)
@@ -155,7 +155,7 @@
     await first.duty.stop()
     await site.until(lambda: bool(second.duty.placers))
     await site.until(lambda: second.duty.placers["orders"].loaded)
-    site.register(site.servers["o0"], "draining")
+    site.servers["o0"].register(site.store, "draining")
     await site.until(lambda: not any(o.name == "o0" for o in second.view.maps["orders"].owners()))
     assert (await site.ask(first, "/read/", "r2", 7)).status == 200
     assert (await site.ask(second, "/read/", "r3", 7)).status == 200
