--- a/fireflylock/direct/model.py
+++ b/fireflylock/direct/model.py
@@ -173,7 +173,7 @@
         Longest time for which a server may be granted keys.
     retry_ratio : float
         Repeated sendings that each request of a service allows, over all VMs.
-    retry_extra : int
+    retry_extra : float
         Repeated sendings of a service in each window beyond that share.
     retry_window : timedelta
         Window over which repeated sendings are counted.
@@ -183,7 +183,7 @@
     grace: timedelta = timedelta(seconds=6)
     max_hold: timedelta = timedelta(seconds=10)
     retry_ratio: float = 0.2
-    retry_extra: int = 50
+    retry_extra: float = 50.0
     retry_window: timedelta = timedelta(seconds=10)
 
 
--- a/fireflylock/platform/settings.py
+++ b/fireflylock/platform/settings.py
@@ -19,7 +19,7 @@
 class LimitsTable(msgspec.Struct, rename="camel"):
     """What the process may use."""
 
-    file_descriptors: int = 1024
+    file_descriptors: float = 1024
 
 
 class SelfTable(msgspec.Struct, rename="camel"):
@@ -68,7 +68,7 @@
     max_hold: str = "10s"
     retry_budget_ratio: float = 0.2
     budget_window: str = "10s"
-    budget_extra_attempts: int = 50
+    budget_extra_attempts: float = 50.0
 
 
 class TermsTable(msgspec.Struct, rename="camel"):
@@ -163,7 +163,7 @@
         peer=(own.ip_address, network.internal_ports[0]),
         metrics=(own.ip_address, metrics_port) if metrics_port else None,
         bounds=bounds,
-        file_descriptors=own.limits.file_descriptors,
+        file_descriptors=int(own.limits.file_descriptors),
     )
     return PlatformSettings(
         place=place,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -82,6 +82,26 @@
     assert settings.store == ("10.200.1.7", 8142)
 
 
+def test_bounds_may_be_fractions(tmp_path):
+    text = SETTINGS.replace("budgetExtraAttempts = 60", "budgetExtraAttempts = 36.8")
+    text = text.replace('maxHold = "10000ms"', 'maxHold = "9.5s"')
+    text = text.replace("fileDescriptors = 8200", "fileDescriptors = 8200.0")
+    text = text.replace("writesPerS = 400", "writesPerS = 133.5")
+    settings = read_settings(settings_file(tmp_path, text))
+    assert settings.place.bounds.retry_extra == 36.8
+    assert settings.place.bounds.max_hold == timedelta(seconds=9.5)
+    assert settings.place.file_descriptors == 8200
+    assert settings.writes_per_second == 133.5
+
+
+def test_every_bound_that_is_not_valid_is_reported_at_once(tmp_path):
+    text = SETTINGS.replace("budgetExtraAttempts = 60", 'budgetExtraAttempts = "many"')
+    text = text.replace("internalPorts = [7660, 7675]", 'internalPorts = "none"')
+    with pytest.raises(SettingsError) as caught:
+        read_settings(settings_file(tmp_path, text))
+    assert len(caught.value.problems) == 2
+
+
 def test_all_mistakes_of_the_settings_are_named_at_once(tmp_path, capsys):
     text = SETTINGS.replace('"10.1.0.35:8144"', '"nowhere"').replace('"2.5s"', '"2.5 hours"')
     text = text.replace('node = "front-a-1"', "node = 3").replace("10.200.1.7:8142", "10.200.1.7")
