Server-Leaving and Retry-After of backend servers; endless answers are bounded

Cause: nothing read the two headers. A server that leaves without a draining registration kept its keys and got requests until its entry was gone; a server that asked for a pause got the next request at once. An endless row of interim heads, or an endless late answer to another request, held a connection and a slot until the deadline. Change: what the head of an answer says of its server is decoded in platform/dialect as a ServerNotice. During a backoff requests go to other servers; those of its keys are refused with what is left of it, unless it ends before their latency target. Interim heads and skipped bytes are bounded, on both HTTP clients. A message between VMs that can't be applied is dropped with a bounded log line. Ruled out: a bound on whole answers, since downloads have no length. Tests: test_endless_answers (real sockets, fast and slow), and new ones in test_direct_servers, test_direct_admission, test_direct_path and test_platform_adapter.

--- a/fireflylock/backend.py
+++ b/fireflylock/backend.py
@@ -12,7 +12,7 @@
 from fireflylock.model import BackendServer
 from fireflylock.reserved_line import ReservedLine
 from fireflylock.server_connection import ConnectionOwner, PoolCounters, ServerConnection
-from fireflylock.server_exchange import ServerDialect, ServerExchange
+from fireflylock.server_exchange import ServerDialect, ServerExchange, ServerNotice
 from fireflylock.sockets import detect_silence
 
 SESSION_TARGET = b"/fireflylock/session"
@@ -46,6 +46,8 @@
         How the server says what became of a request; None for the product's own way.
     silence : timedelta or None
         After it the kernel ends a connection whose other side acknowledges nothing.
+    on_notice : callable or None
+        Called with what an answer says of the server itself.
     """
 
     def __init__(
@@ -57,8 +59,10 @@
         idle_timeout: timedelta = IDLE_TIMEOUT,
         dialect: ServerDialect | None = None,
         silence: timedelta | None = None,
+        on_notice: Callable[[ServerNotice], None] | None = None,
     ) -> None:
         self.server = server
+        self.on_notice = on_notice
         self.limit = max(1, connection_limit - RESERVED_CONNECTIONS)
         self.clock = clock
         self.connect_timeout = connect_timeout
@@ -229,6 +233,11 @@
             self.idle.remove(connection)
         self.wake_waiter()
 
+    def noticed(self, notice: ServerNotice) -> None:
+        """Pass on what an answer said of the server itself."""
+        if self.on_notice is not None:
+            self.on_notice(notice)
+
     def schedule_idle_check(self) -> None:
         """Check the free connections again after the idle timeout."""
         loop = asyncio.get_running_loop()
--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -164,6 +164,8 @@
         """Return whether a server may get requests at all."""
         if not server.may_get_requests(now, self.table.drain) or server.is_resting(now):
             return False
+        if server.is_backing_off(now):
+            return False
         return not server.is_silent(now, self.table.expected_seconds(server, route, 1.0))
 
     def has_room(self, now: Instant, server: Server) -> bool:
@@ -233,8 +235,7 @@
             return self.unowned(now, ticket)
         usable = [s for s in servers if self.is_usable(now, s, ticket.route.name)]
         if not usable:
-            rest = min((s.rest_until - now for s in servers), default=timedelta(0))
-            return self.refuse(now, ticket, ErrorKind.SERVER_UNREACHABLE, "no answers", rest)
+            return self.unusable(now, ticket, servers)
         wait, service = self.expected_wait(now, ticket, place, usable)
         ticket.late = now + CAUTION * wait + service > ticket.target_at
         if not ticket.late:
@@ -246,6 +247,22 @@
             return None
         return self.refuse(now, ticket, ErrorKind.QUEUE_FULL, "the wait is too long", wait)
 
+    def unusable(self, now: Instant, ticket: Ticket, servers: list[Server]) -> RequestError | None:
+        """Return why a request must not wait for servers that may get none now, or None.
+
+        It waits where a server's backoff ends soon enough for the latency target.
+        """
+        backing_off = [s for s in servers if s.is_backing_off(now) and not s.is_resting(now)]
+        if not backing_off:
+            rest = min(s.rest_until - now for s in servers)
+            return self.refuse(now, ticket, ErrorKind.SERVER_UNREACHABLE, "no answers", rest)
+        first = min(backing_off, key=lambda server: server.backoff_until)
+        expected = self.table.expected_seconds(first, ticket.route.name, 1.0)
+        if first.backoff_until + timedelta(seconds=expected) <= ticket.target_at:
+            return None
+        backoff = first.backoff_until - now
+        return RequestError(ErrorKind.SERVER_REFUSED, "the server wants no requests", backoff)
+
     def is_pressed(self, place: tuple[str, str]) -> bool:
         """Return whether requests wait that can still meet their latency target.
 
@@ -384,8 +401,7 @@
         if not servers:
             return self.unowned(now, ticket)
         if not any(self.is_usable(now, s, ticket.route.name) for s in servers):
-            rest = min(s.rest_until - now for s in servers)
-            return self.refuse(now, ticket, ErrorKind.SERVER_UNREACHABLE, "no answers", rest)
+            return self.unusable(now, ticket, servers)
         if not ticket.late:
             return None
         waited = now - ticket.arrived
--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -15,6 +15,7 @@
 import structlog
 
 from fireflylock.clock import Clock, Instant
+from fireflylock.direct.line_budget import LineBudget
 
 # Largest datagram that is sent; the largest that UDP carries is slightly longer.
 DATAGRAM_BYTES = 60_000
@@ -23,6 +24,8 @@
 # For so long it still counts when things are divided by the number of VMs: it may only be
 # cut off from here.
 PEER_MEMORY = timedelta(seconds=20)
+# Lines a second about messages that can't be read or applied.
+DAMAGED_LINES = 2.0
 
 log = structlog.get_logger()
 
@@ -169,13 +172,28 @@
     changes: list[MapChange]
 
 
+class ServerLeaving(Told, tag="s", array_like=True):
+    """A server's answer said that it shuts down.
+
+    Attributes
+    ----------
+    name, born, host, port
+        The server's incarnation, as in `Owner`.
+    """
+
+    name: str
+    born: int
+    host: str
+    port: int
+
+
 class Relayed(Told, tag="l", array_like=True):
     """What the placing VM tells, passed on by a VM that speaks for its zone."""
 
     placing: Placing
 
 
-Message = Hello | Report | ZoneTotal | Totals | KeyWork | Placing | Relayed
+Message = Hello | Report | ZoneTotal | Totals | KeyWork | Placing | ServerLeaving | Relayed
 
 
 @dataclass
@@ -221,6 +239,7 @@
         self.sent = 0
         self.received = 0
         self.damaged = 0
+        self.damaged_lines = LineBudget(DAMAGED_LINES, DAMAGED_LINES)
 
     async def start(self, address: tuple[str, int]) -> None:
         """Listen on `address`."""
@@ -239,15 +258,32 @@
         try:
             message = self.decoder.decode(data)
         except msgspec.DecodeError as error:
-            self.damaged += 1
-            log.warning("gossip can't be read", sender=addr[0], error=str(error))
+            self.record_damaged(addr[0], error)
             return
         if message.vm == self.vm:
             return
         self.received += 1
         peer = self.add(message.vm, addr, message.zone)
         peer.heard_at = self.clock.elapsed()
-        self.on_message(message)
+        try:
+            self.on_message(message)
+        except Exception as error:
+            # Well-formed, but with values that make no sense; the next message may be sound.
+            self.record_damaged(addr[0], error)
+
+    def record_damaged(self, sender: str, error: Exception) -> None:
+        """Count and log a message that can't be read or applied."""
+        self.damaged += 1
+        kind = type(error).__name__
+        if not self.damaged_lines.allows(self.clock.elapsed(), kind):
+            return
+        log.warning(
+            "message dropped",
+            sender=sender,
+            error=repr(error),
+            damaged=self.damaged,
+            left_out=self.damaged_lines.take_left_out(kind),
+        )
 
     def add(self, vm: str, address: tuple[str, int], zone: str) -> Peer:
         """Return the VM of that name, which from now on is sent to."""
--- a/fireflylock/direct/keycontrol.py
+++ b/fireflylock/direct/keycontrol.py
@@ -35,7 +35,16 @@
 
 
 class KeyControl(ABC):
-    """Sends orders about keys to backend servers."""
+    """Sends orders about keys to backend servers.
+
+    Attributes
+    ----------
+    on_leaving : callable
+        Called with an owner whose answer says that it shuts down.
+    """
+
+    def __init__(self) -> None:
+        self.on_leaving: Callable[[Owner], None] = lambda owner: None
 
     @abstractmethod
     async def grant(
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -20,9 +20,12 @@
     Placing,
     Relayed,
     Report,
+    ServerLeaving,
     Totals,
     ZoneTotal,
 )
+from fireflylock.direct.keyranges import Owner
+from fireflylock.direct.leaving import LeavingBroadcast
 from fireflylock.direct.load_exchange import LoadExchange
 from fireflylock.direct.model import Place, RouteTable
 from fireflylock.direct.ownership_view import OwnershipView
@@ -125,6 +128,9 @@
         )
         right = PlacingRight(surroundings.store, clock, Holder(place.vm, self.boot))
         self.exchange = LoadExchange(place.vm, place.zone, self.gossip, self.table, self.admission)
+        self.leaving = LeavingBroadcast(place.vm, place.zone, self.gossip, self.table)
+        self.sender.on_leaving = self.learn_leaving
+        surroundings.control.on_leaving = self.learn_leaving
         self.duty = PlacingDuty(
             Hello(place.vm, place.zone),
             surroundings.store,
@@ -194,8 +200,13 @@
         self.admission.tick(now)
         if self.sender.stop is not None and now >= self.sender.stop.waits_until:
             self.admission.refuse_waiting(now)
+        self.leaving.step(now)
         self.duty.step(now)
 
+    def learn_leaving(self, owner: Owner) -> None:
+        """Apply what a server's answer says: that it shuts down."""
+        self.leaving.learn(self.clock.elapsed(), owner)
+
     # Configuration and servers.
 
     def regained(self, now: Instant) -> None:
@@ -314,6 +325,8 @@
             self.exchange.take_zone(now, message)
         elif isinstance(message, KeyWork):
             self.duty.take_work(now, message.work)
+        elif isinstance(message, ServerLeaving):
+            self.leaving.apply(now, message)
 
     def tell_work(self, now: Instant) -> None:
         """Tell the VM that places keys what was asked for."""
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -22,7 +22,7 @@
 from fireflylock.finishing_body import FinishingBody
 from fireflylock.model import BackendServer
 from fireflylock.replayable_body import KeptBody, WatchedBody, read_ahead
-from fireflylock.server_exchange import ServerDialect
+from fireflylock.server_exchange import ServerDialect, ServerNotice
 
 # Request bodies up to this many bytes are kept for another attempt.
 KEPT_BODY_BYTES = 64 * 1024
@@ -94,6 +94,8 @@
         self.bounds = bounds
         self.vms = vms
         self.routes: RouteTable | None = None
+        # Called with a server whose answer says that it shuts down.
+        self.on_leaving: Callable[[Owner], None] = lambda owner: None
         # Set while the process stops.
         self.stop: StopPlan | None = None
         self.splits = SplitCounter()
@@ -331,6 +333,23 @@
         if error.kind is ErrorKind.OUTCOME_UNKNOWN:
             server.answered(now, failed=True)
 
+    def apply_notice(self, owner: Owner, notice: ServerNotice) -> None:
+        """Apply what an answer says of its server: that it shuts down, or wants a pause."""
+        if notice.leaving:
+            self.on_leaving(owner)
+        server = self.table.life(owner)
+        if notice.backoff is None or server is None:
+            return
+        now = self.clock.elapsed()
+        if not server.is_backing_off(now):
+            log.info(
+                "server asks for a backoff",
+                server=server.name,
+                seconds=notice.backoff.total_seconds(),
+                running=len(server.running),
+            )
+        server.back_off(now, notice.backoff)
+
     def server_error(self, request: RoutedRequest, response: Response) -> RequestError | None:
         """Return a server's own failure as an error where the request may run again."""
         if response.status < SERVER_ERROR or not request.idempotent:
@@ -435,6 +454,7 @@
             IDLE_TIMEOUT,
             dialect=self.servers,
             silence=SILENCE,
+            on_notice=lambda notice: self.apply_notice(owner, notice),
         )
         self.pools[owner] = known
         return known
--- a/fireflylock/direct/servers.py
+++ b/fireflylock/direct/servers.py
@@ -29,6 +29,8 @@
 # After the store was away, registrations that lapsed meanwhile are back within two seconds;
 # until then a missing one does not count as gone.
 RETURN_TIME = timedelta(milliseconds=2300)
+# Longest backoff that a server may ask for: a damaged header must not take it out for good.
+LONGEST_BACKOFF = timedelta(seconds=60)
 
 
 @dataclass
@@ -53,6 +55,10 @@
         Until when it gets nothing after a failure, and how many rests came in a row.
     failures : float
         Share of its answers that were failures, lately.
+    said_leaving : bool
+        Whether one of its answers said that it shuts down; no registration takes that back.
+    backoff_until : timedelta
+        Until when it has asked this VM for no requests.
     """
 
     entry: ServerEntry
@@ -64,6 +70,8 @@
     rest_until: Instant = NEVER
     rests: int = 0
     failures: float = 0.0
+    said_leaving: bool = False
+    backoff_until: Instant = NEVER
 
     @property
     def name(self) -> str:
@@ -88,6 +96,15 @@
             return True
         return now - self.leaving_since < max(drain - DRAIN_MARGIN, timedelta(0))
 
+    def back_off(self, now: Instant, backoff: timedelta) -> None:
+        """Send it nothing for as long as it asks."""
+        until = now + min(backoff, LONGEST_BACKOFF)
+        self.backoff_until = max(self.backoff_until, until)
+
+    def is_backing_off(self, now: Instant) -> bool:
+        """Return whether it has asked this VM for no requests now."""
+        return now < self.backoff_until
+
     def is_resting(self, now: Instant) -> bool:
         """Return whether it gets nothing after a failure; then one request tries it."""
         return self.rests > 0 and (now < self.rest_until or bool(self.running))
@@ -176,7 +193,8 @@
         known.entry = entry
         known.gone = False
         if not entry.leaving:
-            known.leaving_since = None
+            if not known.said_leaving:
+                known.leaving_since = None
         elif known.leaving_since is None:
             late = not fresh or now < self.missing_counts_from
             known.leaving_since = now - self.drain if late else now
@@ -195,6 +213,16 @@
         self.addresses[place] = entry
         self.replaced(now, latest.name)
 
+    def mark_leaving(self, now: Instant, owner: Owner) -> bool:
+        """Record that a server's answer said it shuts down; return whether that is new."""
+        server = self.life(owner)
+        if server is None or server.said_leaving:
+            return False
+        server.said_leaving = True
+        if server.leaving_since is None:
+            server.leaving_since = now
+        return True
+
     def replaced(self, now: Instant, name: str) -> None:
         """Note that another process has a server's address, so that it is gone for certain."""
         server = self.servers.get(name)
--- a/fireflylock/http_client.py
+++ b/fireflylock/http_client.py
@@ -16,6 +16,8 @@
 # Longest wait for a new connection.  A first packet that was lost is sent again only after a
 # second, and then less and less often: a fresh try gets through sooner once a cut has healed.
 CONNECT_TIMEOUT = timedelta(seconds=1)
+# Interim (1xx) heads that are read before an answer; they could go on for ever.
+MOST_INTERIM_HEADS = 16
 
 
 class NotSentError(ProtocolError):
@@ -66,6 +68,7 @@
         ProtocolError
             The other side broke HTTP or closed early.
         """
+        interim_heads = 0
         while True:
             try:
                 event = self.protocol.next_event()
@@ -75,6 +78,9 @@
                 self.protocol.receive_data(await self.reader.read(READ_BYTES))
                 continue
             if isinstance(event, h11.InformationalResponse):
+                interim_heads += 1
+                if interim_heads > MOST_INTERIM_HEADS:
+                    raise ProtocolError("too many interim answers")
                 continue
             if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 raise ProtocolError("the connection was closed before the answer")
--- a/fireflylock/platform/dialect.py
+++ b/fireflylock/platform/dialect.py
@@ -11,18 +11,23 @@
 from fireflylock.platform.wire import (
     EXPECTED_SERVER,
     KEY,
+    LEAVING,
     NOT_RUN,
     REQUEST_ID,
+    RETRY_AFTER,
     SIGNATURE,
     TIME_LEFT,
+    seconds,
 )
-from fireflylock.server_exchange import ServerDialect
+from fireflylock.server_exchange import ServerDialect, ServerNotice
 
 # Headers that this system writes itself on the way to a server.
 OWN_HEADERS = frozenset({TIME_LEFT, EXPECTED_SERVER})
 
 # The server does not own the key, or is another one than expected; it ran nothing.
 MISDIRECTED = 421
+# The server turned the request away.
+UNAVAILABLE = 503
 
 
 class PlatformCallers(CallerDialect):
@@ -77,3 +82,17 @@
         if header(headers, b"content-encoding") is not None:
             return "an encoded body, which nobody asked for"
         return ""
+
+    def notice(self, status: int, headers: Headers) -> ServerNotice | None:
+        """Return what the head of an answer says of the server itself, if anything.
+
+        A misdirected request may have been answered by another process at the same address.
+        """
+        if status == MISDIRECTED:
+            return None
+        leaving = header(headers, LEAVING) == b"1"
+        value = header(headers, RETRY_AFTER) if status == UNAVAILABLE else None
+        backoff = None if value is None else seconds(value)
+        if not leaving and backoff is None:
+            return None
+        return ServerNotice(leaving, backoff)
--- a/fireflylock/platform/grants.py
+++ b/fireflylock/platform/grants.py
@@ -14,6 +14,7 @@
     EXPECTED_SERVER,
     GRANT_PATH,
     HANDOVER,
+    LEAVING,
     RELEASE_PATH,
     duration_text,
 )
@@ -35,6 +36,7 @@
     """Sends grants and releases over connections of its own."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.clients: dict[tuple[str, int], HTTPClient] = {}
 
     async def grant(
@@ -92,7 +94,10 @@
         body = msgspec.json.encode(content)
         # The address may belong to another server by now, which must not take the order.
         headers = [(EXPECTED_SERVER.decode(), owner.name)]
-        return await client.call("POST", path, timeout, body, still_allowed, headers)
+        answer = await client.call("POST", path, timeout, body, still_allowed, headers)
+        if answer.status != MISDIRECTED and answer.headers.get(LEAVING.decode()) == "1":
+            self.on_leaving(owner)
+        return answer
 
     def forget(self, owner: Owner) -> None:
         """Close the connections to an owner that is no longer used."""
--- a/fireflylock/platform/wire.py
+++ b/fireflylock/platform/wire.py
@@ -18,6 +18,12 @@
 # What the last owner of keys gives to the next, so that it need not warm up.
 HANDOVER = b"x-fireflylock-handover"
 
+# "1": the server shuts down and should get no new requests.
+LEAVING = b"server-leaving"
+# With a 503: seconds, with or without a fraction, for which the server wants no requests from
+# the VM that it answers.
+RETRY_AFTER = b"retry-after"
+
 READINESS_PATH = "/-/readiness"
 
 GRANT_PATH = "/-/grant"
@@ -34,6 +40,7 @@
 CONFIG_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
 
+_SECONDS = re.compile(rb"\d{1,6}(?:\.\d{1,9})?")
 _DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 
 
@@ -57,6 +64,12 @@
     return f"{value // timedelta(milliseconds=1)}ms"
 
 
+def seconds(value: bytes) -> timedelta | None:
+    """Return a header's number of seconds, or None where it is none."""
+    match = _SECONDS.fullmatch(value)
+    return None if match is None else timedelta(seconds=float(match[0]))
+
+
 def address(text: str) -> tuple[str, int]:
     """Return host and port of an address.
 
--- a/fireflylock/server_connection.py
+++ b/fireflylock/server_connection.py
@@ -9,7 +9,7 @@
 from fireflylock.flow_protocol import FlowProtocol
 
 if TYPE_CHECKING:
-    from fireflylock.server_exchange import ServerExchange
+    from fireflylock.server_exchange import ServerExchange, ServerNotice
 
 
 @dataclass
@@ -52,6 +52,9 @@
     def lost(self, connection: "ServerConnection") -> None:
         """Take note that the connection has ended."""
 
+    def noticed(self, notice: "ServerNotice") -> None:
+        """Take note of what an answer said of the server itself."""
+
 
 class ServerConnection(FlowProtocol):
     """One TCP connection to a backend server.
--- a/fireflylock/server_exchange.py
+++ b/fireflylock/server_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 from datetime import timedelta
 
 import h11
@@ -23,9 +24,30 @@
 METHODS_WITHOUT_BODY = ("GET", "HEAD", "OPTIONS", "DELETE")
 
 
+# Interim (1xx) heads before an answer, and bytes of answers to other requests, that are read
+# before the connection is given up; both could go on for ever.
+MOST_INTERIM_HEADS = 16
+MOST_SKIPPED_BYTES = 512 * 1024
+
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What the head of an answer says of its server, whatever became of the request.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether the server shuts down and wants no new requests.
+    backoff : timedelta or None
+        For how long the server wants no requests from this VM.
+    """
+
+    leaving: bool = False
+    backoff: timedelta | None = None
+
+
 class ServerDialect(ABC):
     """How backend servers say what became of a request."""
 
@@ -41,6 +63,10 @@
         """Return why an answer can't be the server's answer to the request, or ""."""
         return ""
 
+    def notice(self, status: int, headers: Headers) -> ServerNotice | None:
+        """Return what the head of an answer says of the server itself, if anything."""
+        return None
+
 
 class RefusedHeaderDialect(ServerDialect):
     """Servers that refuse with a status and the header ``Fireflylock-Refused``."""
@@ -116,6 +142,8 @@
         self.refusal: RequestError | None = None
         # Whether the answer that comes in belongs to another request and is dropped.
         self.skipping = False
+        self.skipped_bytes = 0
+        self.interim_heads = 0
         self.sender: asyncio.Task[None] | None = None
         self.deadline_timer: asyncio.TimerHandle | None = None
         self.over = False
@@ -197,7 +225,9 @@
             event = self.http.next_event()
             kind = type(event)
             if kind is h11.Data:
-                if not self.skipping:
+                if self.skipping:
+                    self.skip(len(event.data))
+                else:
                     self.body.append(bytes(event.data))
             elif kind is h11.Response:
                 self.begin_answer(event)
@@ -209,14 +239,33 @@
                     self.deliver()
                 self.end_of_answer()
                 return
-            elif kind is not h11.InformationalResponse:
+            elif kind is h11.InformationalResponse:
+                self.interim_heads += 1
+                if self.interim_heads > MOST_INTERIM_HEADS:
+                    raise h11.RemoteProtocolError("too many interim answers")
+            else:
                 return
 
+    def skip(self, size: int) -> None:
+        """Drop bytes of an answer to another request.
+
+        Raises
+        ------
+        h11.RemoteProtocolError
+            There were too many of them.
+        """
+        self.skipped_bytes += size
+        if self.skipped_bytes > MOST_SKIPPED_BYTES:
+            raise h11.RemoteProtocolError("an answer to another request does not end")
+
     def begin_answer(self, head: h11.Response) -> None:
         """Note the head of the answer."""
         framing = read_framing(head)
         if framing.problem:
             raise h11.RemoteProtocolError(framing.problem)
+        notice = self.dialect.notice(head.status_code, framing.headers)
+        if notice is not None:
+            self.connection.owner.noticed(notice)
         if self.dialect.is_foreign(self.request, framing.headers):
             self.skipping = True
             return
--- a/standins/routed_server.py
+++ b/standins/routed_server.py
@@ -48,6 +48,10 @@
         How many of the next requests it runs without an answer.
     unsigned : bool
         Whether its answers lack the signature.
+    leaving : bool
+        Whether its answers say that it shuts down.
+    backoff : str
+        ``Retry-After`` of its refusals, or "".
     """
 
     name: str
@@ -62,6 +66,8 @@
     shedding: int = 0
     cutting: int = 0
     unsigned: bool = False
+    leaving: bool = False
+    backoff: str = ""
     status: int = 200
     address: str = ""
 
@@ -105,7 +111,14 @@
         return link
 
     async def answer(self, call: Call) -> Reply:
-        """Answer one call."""
+        """Answer one call; a server that leaves says so in every answer."""
+        reply = await self.reply(call)
+        if self.leaving:
+            reply.headers.append((wire.LEAVING.decode(), "1"))
+        return reply
+
+    async def reply(self, call: Call) -> Reply:
+        """Return the answer to one call."""
         if call.path in (wire.GRANT_PATH, wire.RELEASE_PATH):
             return self.order(call)
         expected = call.headers.get(wire.EXPECTED_SERVER.decode(), self.name)
@@ -115,7 +128,10 @@
             return Reply(421, headers=list(NOT_RUN))
         if self.shedding:
             self.shedding -= 1
-            return Reply(503, headers=list(NOT_RUN))
+            headers = list(NOT_RUN)
+            if self.backoff:
+                headers.append((wire.RETRY_AFTER.decode(), self.backoff))
+            return Reply(503, headers=headers)
         request_id = call.headers.get(wire.REQUEST_ID.decode(), "")
         self.runs.append(Run(request_id, call.method, call.target, call.body, number))
         await asyncio.sleep(self.work.total_seconds())
--- a/tests/test_direct_admission.py
+++ b/tests/test_direct_admission.py
@@ -303,3 +303,34 @@
     for number in range(4):
         desk.ask(START, f"r{number}")
     assert set(desk.started.values()) == {"s1"}
+
+
+def test_during_a_servers_backoff_requests_go_to_the_others():
+    desk = Desk(zones=("a", "a"))
+    desk.server().back_off(START, timedelta(seconds=2))
+    for number in range(5):
+        desk.ask(START, f"r{number}")
+    assert set(desk.started.values()) == {"s1"}
+
+
+def test_a_key_whose_owner_backs_off_is_refused_at_once_with_what_is_left_of_it():
+    desk = Desk()
+    desk.server().back_off(START, timedelta(seconds=2))
+    desk.ask(START + 500 * MS, "read", key=1)
+    error = desk.refused["read"]
+    assert error.kind is ErrorKind.SERVER_REFUSED
+    assert error.not_run
+    assert error.retry_after == 1500 * MS
+    desk.ask(START + 2000 * MS, "later", key=1)
+    assert "later" in desk.started
+
+
+def test_a_request_waits_for_a_backoff_that_ends_before_its_latency_target():
+    desk = Desk()
+    desk.server().back_off(START, 100 * MS)
+    desk.ask(START, "read", key=1)
+    desk.admission.tick(START + 80 * MS)
+    assert not desk.started
+    assert not desk.refused
+    desk.admission.tick(START + 100 * MS)
+    assert "read" in desk.started
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -187,3 +187,48 @@
         assert (await client.call("GET", wire.READINESS_PATH, patience)).status == 503
     finally:
         client.close()
+
+
+async def test_a_server_whose_answers_say_that_it_leaves_gets_nothing_after_the_drain_period(site):
+    """Its registration says nothing of it, as some servers never announce their end."""
+    await site.add_server("f1", "files")
+    node = await ready(site)
+    other = await site.add_node("vm-2")
+    await site.until(lambda: len(node.gossip.peers) == 1 and len(other.gossip.peers) == 1)
+    leaving = site.servers["f0"]
+    leaving.leaving = True
+    server = node.table.servers["f0"]
+    number = 0
+    while server.leaving_since is None:
+        assert (await site.ask(node, "/plain/", f"r{number}")).status == 200
+        number += 1
+    # The other VM has not asked the server anything.
+    await site.until(lambda: other.table.servers["f0"].leaving_since is not None)
+    leaving.register(site.store)
+    runs = len(leaving.runs)
+    for number in range(10):
+        assert (await site.ask(other, "/plain/", f"s{number}")).status == 200
+    assert len(leaving.runs) == runs
+
+
+async def test_keys_migrate_once_an_answer_says_that_their_owner_leaves(site):
+    node = await ready(site)
+    site.servers["o0"].leaving = True
+    # Renewals of the grants are answered too, so that no request has to learn it.
+    await site.until(lambda: not any(o.name == "o0" for o in node.view.maps["orders"].owners()))
+    assert (await site.ask(node, "/read/", "r", 7)).status == 200
+
+
+async def test_a_server_that_asks_for_a_backoff_gets_no_requests_until_its_end(site):
+    node = await ready(site)
+    server = site.servers["f0"]
+    server.shedding, server.backoff = 1, "30.5"
+    first = await site.ask(node, "/plain/", "first")
+    assert first.status == 503
+    assert float(first.headers["retry-after"]) <= 30.5
+    assert server.shedding == 0
+    for number in range(5):
+        answer = await site.ask(node, "/plain/", f"r{number}")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+    assert server.runs == []
--- a/tests/test_direct_servers.py
+++ b/tests/test_direct_servers.py
@@ -4,7 +4,7 @@
 
 from fireflylock.direct.keyranges import Owner
 from fireflylock.direct.model import ServerEntry
-from fireflylock.direct.servers import RETURN_TIME, ServerTable
+from fireflylock.direct.servers import LONGEST_BACKOFF, RETURN_TIME, ServerTable
 
 START = timedelta(seconds=100)
 SECOND = timedelta(seconds=1)
@@ -82,3 +82,34 @@
     assert servers.is_replaced(Owner("s0", 1, "h", 80))
     assert servers.life(Owner("s0", 1, "h", 80)) is None
     assert servers.life(Owner("s0", 2, "h", 80)) is not None
+
+
+def test_a_server_whose_answer_says_that_it_leaves_stays_leaving():
+    """Its registration may go on saying that it is ready, or end without another word."""
+    servers = table(entry())
+    owner = Owner("s0", 1, "h", 80)
+    assert servers.mark_leaving(START, owner)
+    assert not servers.mark_leaving(START + SECOND, owner)
+    servers.register(START + SECOND, entry())
+    assert not servers.servers["s0"].may_get_requests(START + DRAIN, DRAIN)
+    servers.remove(START + SECOND, "s0")
+    assert servers.servers["s0"].leaving_since == START
+
+
+def test_only_the_incarnation_that_said_so_leaves():
+    servers = table(entry())
+    assert not servers.mark_leaving(START, Owner("s0", 7, "h", 80))
+    assert servers.mark_leaving(START, Owner("s0", 1, "h", 80))
+    servers.register(START, entry(born=2))
+    assert servers.servers["s0"].leaving_since is None
+
+
+def test_the_backoff_that_a_server_asks_for_is_bounded_and_never_cut_short():
+    servers = table(entry())
+    server = servers.servers["s0"]
+    server.back_off(START, 3 * SECOND)
+    server.back_off(START, SECOND)
+    assert server.is_backing_off(START + 2.9 * SECOND)
+    assert not server.is_backing_off(START + 3 * SECOND)
+    server.back_off(START, timedelta(days=9))
+    assert server.backoff_until == START + LONGEST_BACKOFF
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,135 @@
+"""Servers in trouble that send bytes without end: in a head, in a body, before an answer."""
+
+import asyncio
+import contextlib
+import tracemalloc
+from datetime import timedelta
+
+import pytest
+
+from fireflylock.exceptions import ProtocolError
+from fireflylock.http_client import HTTPClient
+from fireflylock.platform import wire
+from fireflylock.server_exchange import MOST_INTERIM_HEADS, MOST_SKIPPED_BYTES
+from tests.direct_site import Site
+
+# What one request may keep in memory here: buffers of both connections, and an answer read
+# ahead; far below what an endless answer sends in its time.
+MOST_BYTES = 8 * 1024 * 1024
+SIGNED = b"X-Fireflylock-Server-Signature: s\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\n" + SIGNED + b"Transfer-Encoding: chunked\r\n\r\n"
+FOREIGN = b"HTTP/1.1 200 OK\r\nX-Fireflylock-Attempt-Identifier: another\r\n"
+
+# Name, what comes first, what then comes again and again.
+ANSWERS = {
+    "head": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"a" * 4096),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X-More: aaaaaaaa\r\n" * 200),
+    "status line": (b"", b"H" * 4096),
+    "interim heads": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+    "foreign body": (
+        FOREIGN + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"400\r\n" + b"f" * 1024 + b"\r\n",
+    ),
+    "foreign answers": (b"", FOREIGN + b"Content-Length: 1024\r\n\r\n" + b"f" * 1024),
+    "chunk header": (CHUNKED + b"1;", b"e" * 4096),
+    "trailers": (CHUNKED + b"0\r\n", b"X-More: aaaaaaaa\r\n" * 200),
+    "body": (CHUNKED, b"400\r\n" + b"b" * 1024 + b"\r\n"),
+    "unframed body": (b"HTTP/1.1 200 OK\r\n" + SIGNED + b"\r\n", b"b" * 4096),
+    "refusal": (
+        b"HTTP/1.1 503 Full\r\nX-Fireflylock-Not-Executed: 1\r\n\r\n",
+        b"b" * 4096,
+    ),
+}
+# A VM's answer ends early only by a cut connection, which the caller can tell from a whole one.
+STREAMED = ("body", "unframed body")
+
+
+class EndlessServer:
+    """Reads requests and answers each one without end, until its caller closes."""
+
+    def __init__(self, start: bytes, again: bytes, pause: float = 0.0) -> None:
+        self.start = start
+        self.again = again
+        self.pause = pause
+        self.open = 0
+        self.server: asyncio.Server | None = None
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer one connection."""
+        self.open += 1
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.start)
+            while True:
+                writer.write(self.again)
+                await writer.drain()
+                await asyncio.sleep(self.pause)
+        self.open -= 1
+        writer.close()
+
+    async def __aenter__(self) -> "EndlessServer":
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        self.server.close()
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        host, port = self.server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+
+@pytest.mark.parametrize(
+    ("name", "pause"),
+    [*((name, 0.0) for name in ANSWERS), ("head", 0.02), ("interim heads", 0.3), ("body", 0.02)],
+)
+async def test_an_endless_answer_costs_bounded_memory_and_ends_with_its_request(name, pause):
+    start, again = ANSWERS[name]
+    async with Site() as site, EndlessServer(start, again, pause) as endless:
+        owner = await site.add_server("o0")
+        # The stand-in would keep a record for each of its keys.
+        owner.holder.watched = ()
+        server = await site.add_server("f0", "files")
+        sound, server.address = server.address, endless.address
+        server.register(site.store)
+        node = await site.add_node()
+        tracemalloc.start()
+        try:
+            answer = await site.ask(node, "/plain/", "first", left="700")
+            assert answer.status in (502, 503, 504), answer
+        except (ProtocolError, ConnectionError):
+            # The connection broke in the middle of a streamed answer.
+            assert name in STREAMED
+        finally:
+            _, peak = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+        assert peak < MOST_BYTES
+        # Connection and slot are free again, and the next request is served.
+        known = node.table.servers["f0"]
+        await site.until(lambda: endless.open == 0 and not known.running)
+        server.address = sound
+        server.born += 1
+        server.register(site.store)
+        await site.until(lambda: node.table.servers["f0"].entry.born == server.born)
+        assert (await site.ask(node, "/plain/", "second")).status == 200
+
+
+@pytest.mark.parametrize("name", ["head", "headers", "interim heads", "trailers", "unframed body"])
+async def test_an_endless_answer_of_the_store_ends_with_its_call(name):
+    start, again = ANSWERS[name]
+    async with EndlessServer(start, again) as endless:
+        client = HTTPClient(f"http://{endless.address}", answer_limit=1024 * 1024)
+        with pytest.raises((ProtocolError, TimeoutError)):
+            await client.call("GET", wire.STORE_ITEM, timedelta(seconds=5))
+        client.close()
+        async with asyncio.timeout(5):
+            while endless.open:  # noqa: ASYNC110 - the server has no event for it.
+                await asyncio.sleep(0.01)
+
+
+def test_the_bounds_leave_room_for_what_servers_send():
+    # One late answer of the largest size that is read whole, and a few interim heads.
+    assert MOST_SKIPPED_BYTES >= 256 * 1024
+    assert MOST_INTERIM_HEADS >= 4
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -29,6 +29,7 @@
 from fireflylock.platform.operator_config import decode_config
 from fireflylock.platform.registrations import decode_registration
 from fireflylock.platform.settings import PlatformSettings, read_settings
+from fireflylock.server_exchange import ServerNotice
 from standins.operator import config
 from standins.operator import settings as settings_text
 from standins.operators_store import OperatorsStore
@@ -334,3 +335,26 @@
             continue
         found = WIRE_NAMES.findall(path.read_text())
         assert not found, f"{path.name}: {found}"
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (200, [], None),
+        (200, [(b"server-leaving", b"1")], ServerNotice(leaving=True)),
+        (500, [(b"server-leaving", b"0")], None),
+        # Another process at the address may have answered.
+        (421, [(b"server-leaving", b"1")], None),
+        (503, [(b"retry-after", b"1.25")], ServerNotice(backoff=timedelta(seconds=1.25))),
+        (503, [(b"retry-after", b"soon")], None),
+        (503, [(b"retry-after", b"-3")], None),
+        (429, [(b"retry-after", b"2")], None),
+        (
+            503,
+            [(b"retry-after", b"2"), (b"server-leaving", b"1")],
+            ServerNotice(True, timedelta(seconds=2)),
+        ),
+    ],
+)
+def test_what_an_answer_says_of_its_server_is_decoded(status, headers, expected):
+    assert PlatformServers().notice(status, headers) == expected
