A hot key goes to the server that can carry it, not to the idlest one

Cause: the target was chosen before the load was known, as the idlest. Change: the server that is least busy with the load; a move must gain a tenth; where it does not, the hottest key stays and its neighbours leave. Ruled out: longer queues. Tests: test_a_hot_key_goes_to_the_server_that_can_carry_it fails before.

--- a/fireflylock/direct/planner.py
+++ b/fireflylock/direct/planner.py
@@ -25,6 +25,9 @@
 FILL_FACTOR = 1.08
 # Moves of less than this part of a server's work are lost in the noise of the loads.
 LEAST_RELIEF = 0.06
+# The next owner must be less busy than this many times what the present one is: speeds of
+# servers are estimates, and a hot key must not go back and forth between two of them.
+GAIN = 0.9
 # With more ranges than this for each server, small ones go to a neighbour's owner.
 TIDY_RANGES = 5
 # Ranges with less than this part of a server's work are small, and so many go at a time.
@@ -180,14 +183,23 @@
             if cut is None:
                 break
             first, last, load = cut
-            after = (board.load[target] + load) / board.capacity[target]
-            if after >= board.busyness(source):
-                break
+            target = board.best_for(load, exclude=source)
+            if board.busyness_with(target, load) > GAIN * board.busyness(source):
+                # The hottest key of the cut stays, and the keys beside it leave.
+                keep_hottest(board.pieces[source], first, last)
+                continue
             moves.append(Move(first, last, target, load, "busy"))
             take_out(board.pieces[source], first, last)
             board.moved(source, target, load)
 
 
+def keep_hottest(pieces: list[Piece], first: int, last: int) -> None:
+    """Take the hottest key from `first` to `last` out of what may be moved."""
+    inside = [(load, key) for piece in pieces for key, load in piece.keys if first <= key <= last]
+    _, hottest = max(inside)
+    take_out(pieces, hottest, hottest)
+
+
 def tidy(board: Board, range_map: RangeMap, moves: list[Move]) -> None:
     """Give small ranges to the owner of a neighbour, so that there are fewer of them."""
     if len(range_map.ranges) <= TIDY_RANGES * len(board.capacity):
@@ -236,7 +248,7 @@
         load = sum(load for key, load in loads.items() if part.first <= key <= part.last)
         amounts.append((load + len(part) / KEYS * 0.001, part))
     for load, part in sorted(amounts, key=lambda item: -item[0]):
-        target = board.idlest()
+        target = board.best_for(load)
         moves.append(Move(part.first, part.last, target, load, "owner lost or leaving"))
         board.load[target] += load
     return moves
--- a/fireflylock/direct/range_board.py
+++ b/fireflylock/direct/range_board.py
@@ -78,6 +78,19 @@
         others = [owner for owner in self.capacity if owner != exclude]
         return min(others, key=self.busyness, default=None)
 
+    def best_for(self, load: float, exclude: Owner | None = None) -> Owner | None:
+        """Return the server that is least busy once it has `load` more.
+
+        For a load that is large against a server's capacity this is a fast server, and not
+        necessarily the idlest one.
+        """
+        others = [owner for owner in self.capacity if owner != exclude]
+        return min(others, key=lambda owner: self.busyness_with(owner, load), default=None)
+
+    def busyness_with(self, owner: Owner, load: float) -> float:
+        """Return the part of its time that an owner would be asked to work with `load` more."""
+        return (self.load[owner] + load) / self.capacity[owner]
+
     def moved(self, source: Owner, target: Owner, load: float) -> None:
         """Count a load at its next owner."""
         self.load[source] -= load
--- a/tests/test_direct_planner.py
+++ b/tests/test_direct_planner.py
@@ -184,3 +184,37 @@
     assert others < 0.2 * board.mean * 2.0
     rest = [server.owner for server in capacities if server.owner != hot_owner]
     assert max(board.busyness(server) for server in rest) < 0.95
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_hot_key_goes_to_the_server_that_can_carry_it(seed):
+    """wmtw-gateway: one key gets 43% of the requests, and servers differ threefold in speed.
+
+    The idlest server is a slow one here, which the key alone overloads by half.
+    """
+    rng = random.Random(seed)
+    slowness = [0.5, 0.55, 0.7, 0.9, 0.9, 1.0, 1.0, 1.1, 1.2, 1.4, 1.6]
+    capacities = [Capacity(owner(n), 2.0 / slow) for n, slow in enumerate(slowness)]
+    known = first_map("s", capacities)
+    slow = owner(len(slowness) - 1)
+    loads = {
+        key: load
+        for key, load in background(rng, 4.2).items()
+        if known.range_of(key).owner != slow
+    }
+    hot = known.ranges[5].first
+    loads[hot] = 3.1
+    known = after(known, plan(known, capacities, loads, None))
+    board = Board(known, loads, capacities)
+    assert known.range_of(hot).owner in (owner(0), owner(1))
+    assert max(board.busyness(server.owner) for server in capacities) < 1.2
+    known = after(known, plan(known, capacities, loads, None))
+    assert busiest(known, loads, capacities) < 0.95
+
+
+def test_a_hot_key_is_not_moved_for_a_small_gain():
+    capacities = [Capacity(owner(n), 2.0 + 0.05 * n) for n in range(4)]
+    known = first_map("s", capacities)
+    hot = known.ranges[0].first
+    known = known.reassigned([KeyRange(hot, hot, owner(2), 2)], 3)
+    assert plan(known, capacities, {hot: 5.0}, {hot: 5.0}) == []
