The leader learns servers' speeds from all VMs; answers have to name their request

VMs tell it the mean slowness they have seen, with the work that keys asked for.

Late second answers: one that names no request was taken for the present request's, also where it said that the request did not run.

Messages between VMs: a step with overlapping ranges broke the map that a VM holds, and a load that is no number the planner; both are left out. Tests: test_direct_messages.

--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -87,15 +87,18 @@
 
 
 class KeyWork(Told, tag="k", array_like=True):
-    """What keys were asked for, told to the VM that places them.
+    """What a VM has seen of keys and servers, told to the leader.
 
     Attributes
     ----------
     work : dict of str to dict of int to float
         By service and key: seconds of work asked for since it was last told.
+    slowness : dict of str to (float, int)
+        By server: mean slowness of the answers since it was last told, and their number.
     """
 
     work: dict[str, dict[int, float]]
+    slowness: dict[str, tuple[float, int]] = {}
 
 
 class Moving(msgspec.Struct, array_like=True):
--- a/fireflylock/direct/key_loads.py
+++ b/fireflylock/direct/key_loads.py
@@ -12,6 +12,8 @@
 LONG_AGE = timedelta(seconds=5)
 # A key whose load is below this many seconds of work a second is forgotten.
 LEAST_LOAD = 0.0005
+# Seconds of work for one key that one message may tell; far above what callers can ask for.
+MOST_WORK = 10_000.0
 
 
 class KeyLoads:
@@ -36,7 +38,8 @@
         self.decay(now)
         age = self.age.total_seconds()
         for key, seconds in work.items():
-            if 0 <= key < KEYS:
+            # Not-a-number fails the second comparison too.
+            if 0 <= key < KEYS and 0.0 <= seconds <= MOST_WORK:
                 self.loads[key] = self.loads.get(key, 0.0) + seconds / age
 
     def decay(self, now: Instant) -> None:
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -350,18 +350,26 @@
             self.exchange.take_zone(now, message)
         elif isinstance(message, KeyWork):
             self.duty.take_work(now, message.work)
+            self.learn_speeds(message.slowness)
         elif isinstance(message, ServerLeaving):
             self.leaving.apply(now, message)
 
+    def learn_speeds(self, slowness: dict[str, tuple[float, int]]) -> None:
+        """Learn from other VMs how slow the registered servers are."""
+        known = self.table.servers
+        seen = {name: figures for name, figures in slowness.items() if name in known}
+        self.table.speeds.merge(seen)
+
     def tell_work(self, now: Instant) -> None:
-        """Tell the VM that places keys what was asked for."""
+        """Tell the leader what was asked for, and how fast the servers were."""
         work = self.sender.take_key_work()
-        if not work:
+        slowness = self.table.speeds.take_untold()
+        if not work and not slowness:
             return
         if self.duty.placers:
             self.duty.take_work(now, work)
         elif self.duty.placing_vm:
-            message = KeyWork(self.place.vm, self.place.zone, work)
+            message = KeyWork(self.place.vm, self.place.zone, work, slowness)
             self.gossip.send(message, to=[self.duty.placing_vm])
 
     def tidy(self, now: Instant) -> None:
--- a/fireflylock/direct/ownership_view.py
+++ b/fireflylock/direct/ownership_view.py
@@ -9,6 +9,7 @@
 from fireflylock.direct.admission import Ownership
 from fireflylock.direct.gossip import MapChange, Moving
 from fireflylock.direct.keyranges import KeyRange, Owner, RangeMap, decode_map
+from fireflylock.direct.model import KEYS
 from fireflylock.direct.servers import Server, ServerTable
 from fireflylock.exceptions import ProtocolError
 
@@ -18,6 +19,16 @@
 log = structlog.get_logger()
 
 
+def is_sound(change: MapChange) -> bool:
+    """Return whether the ranges of a step are valid and no two of them overlap."""
+    before = -1
+    for new in sorted(change.owners, key=lambda owner: owner.first):
+        if not before < new.first <= new.last < KEYS:
+            return False
+        before = new.last
+    return True
+
+
 class OwnershipView(Ownership):
     """The newest maps that this VM has seen, and the keys that are on the move.
 
@@ -92,6 +103,9 @@
         known = self.maps.get(change.service)
         if known is None or known.revision != change.base:
             return False
+        if not is_sound(change):
+            log.warning("step of a map is not sound", service=change.service, base=change.base)
+            return False
         parts = [
             KeyRange(new.first, new.last, Owner(new.name, new.born, new.host, new.port), new.epoch)
             for new in change.owners
--- a/fireflylock/direct/speeds.py
+++ b/fireflylock/direct/speeds.py
@@ -12,6 +12,8 @@
 # Slowness is kept within these, so that a few odd answers decide nothing alone.
 LEAST_SLOWNESS = 0.2
 MOST_SLOWNESS = 20.0
+# Samples of another VM that count at a time; more would replace the average anyway.
+MOST_MERGED = 30
 
 
 @dataclass
@@ -45,6 +47,8 @@
     def __init__(self) -> None:
         self.routes: dict[str, Average] = {}
         self.servers: dict[str, Average] = {}
+        # Slowness seen here since it was last told: sum and number of samples, by server.
+        self.untold: dict[str, tuple[float, int]] = {}
         # Mean size of the answers, in bytes, by route.
         self.sizes: dict[str, Average] = {}
 
@@ -76,6 +80,22 @@
         ratio = min(MOST_SLOWNESS, max(LEAST_SLOWNESS, alone / max(cost.value, 0.0001)))
         slowness.add(ratio, SERVER_WEIGHT)
         cost.add(alone, ROUTE_WEIGHT)
+        total, count = self.untold.get(server, (0.0, 0))
+        self.untold[server] = (total + ratio, count + 1)
+
+    def take_untold(self) -> dict[str, tuple[float, int]]:
+        """Return the slowness seen here since the last call: mean and number of samples."""
+        untold, self.untold = self.untold, {}
+        return {server: (total / count, count) for server, (total, count) in untold.items()}
+
+    def merge(self, seen: dict[str, tuple[float, int]]) -> None:
+        """Learn from what another VM has seen: mean slowness and number of samples."""
+        for server, (mean, count) in seen.items():
+            if not LEAST_SLOWNESS <= mean <= MOST_SLOWNESS:
+                continue
+            slowness = self.servers.setdefault(server, Average(1.0))
+            for _ in range(min(count, MOST_MERGED)):
+                slowness.add(mean, SERVER_WEIGHT)
 
     def size(self, route: str) -> float:
         """Return the mean size of the answers to a route's requests, in bytes."""
--- a/fireflylock/platform/dialect.py
+++ b/fireflylock/platform/dialect.py
@@ -64,6 +64,9 @@
 
     def refusal(self, status: int, framing: Framing) -> RequestError | None:
         """Return the server's statement that it did not run the request, if it is one."""
+        if header(framing.headers, REQUEST_ID) is None:
+            # It may be the late answer to another request.
+            return None
         if status == MISDIRECTED:
             return RequestError(ErrorKind.MOVED, "the server does not own the key")
         if header(framing.headers, NOT_RUN) is None:
@@ -79,6 +82,8 @@
         """Return why an answer can't be the server's answer to the request, or ""."""
         if 200 <= status < 300 and header(headers, SIGNATURE) is None:
             return "a success without the server's signature"
+        if 200 <= status < 300 and header(headers, REQUEST_ID) is None:
+            return "a success that names no request"
         if header(headers, b"content-encoding") is not None:
             return "an encoded body, which nobody asked for"
         return ""
--- a/standins/routed_server.py
+++ b/standins/routed_server.py
@@ -111,8 +111,11 @@
         return link
 
     async def answer(self, call: Call) -> Reply:
-        """Answer one call; a server that leaves says so in every answer."""
+        """Answer one call; every answer names its request, and whether the server leaves."""
         reply = await self.reply(call)
+        request_id = call.headers.get(wire.REQUEST_ID.decode())
+        if request_id is not None:
+            reply.headers.append((wire.REQUEST_ID.decode(), request_id))
         if self.leaving:
             reply.headers.append((wire.LEAVING.decode(), "1"))
         return reply
@@ -138,7 +141,7 @@
         if self.cutting:
             self.cutting -= 1
             raise DropConnectionError
-        headers = [(wire.REQUEST_ID.decode(), request_id)]
+        headers = []
         if not self.unsigned:
             headers.append((wire.SIGNATURE.decode(), f"signed by {self.name}"))
         return Reply(self.status, f"{self.name} {call.target}".encode(), headers)
--- /dev/null
+++ b/tests/test_direct_messages.py
@@ -0,0 +1,124 @@
+"""Malformed and senseless messages: none ends a process, and none does lasting harm."""
+
+import random
+
+import msgspec
+import pytest
+
+from fireflylock.direct.gossip import (
+    KeyWork,
+    MapChange,
+    Moving,
+    NewOwner,
+    Placing,
+    Report,
+    ServerLeaving,
+    ZoneTotal,
+)
+from fireflylock.direct.model import KEYS
+from fireflylock.platform import wire
+from tests.direct_site import Site
+from tests.virtual_time import VirtualTimePolicy
+
+SENDER = ("127.0.0.1", 9)
+
+
+@pytest.fixture
+def event_loop_policy():
+    return VirtualTimePolicy()
+
+
+def step(known, *parts):
+    """Return a step from a map with the given first and last keys."""
+    owner = known.ranges[0].owner
+    owners = [
+        NewOwner(first, last, owner.name, owner.born, owner.host, owner.port, 99)
+        for first, last in parts
+    ]
+    return MapChange("orders", known.revision, known.revision + 1, 100, owners)
+
+
+def senseless(known):
+    """Return messages that can be decoded, with values that make no sense."""
+    yield Placing("x", "z", 1, 1, [Moving("orders", 9, 3, -7)], {"orders": -1}, [])
+    yield Placing("x", "z", 1, 2, [], {"none": 1 << 60}, [])
+    for number, parts in enumerate(
+        ([(9, 3)], [(-5, 10)], [(KEYS - 2, KEYS)], [(0, 50), (40, 90)], [(7, 7), (7, 7)]), 3
+    ):
+        yield Placing("x", "z", 1, number, [], {}, [step(known, *parts)])
+    yield Report("x", "z", {"none": -3}, [("orders", "none", -9)])
+    yield ZoneTotal("x", "", {"": 1 << 60}, [], ["x", "x"])
+    yield KeyWork("x", "z", {"orders": {-1: 1.0, KEYS: 1.0, 5: float("nan")}})
+    yield KeyWork("x", "z", {"orders": {6: float("inf"), 7: -1e300}})
+    yield ServerLeaving("x", "z", "none", -1, "", -1)
+
+
+async def test_no_message_of_another_vm_ends_a_process_or_breaks_its_map():
+    async with Site() as site:
+        for number in range(2):
+            await site.add_server(f"o{number}")
+        node = await site.add_node()
+        await site.all_granted()
+        gossip = node.gossip
+        # Messages of the leader count here only where this VM is not the leader itself.
+        node.duty.right.lose("test")
+        known = node.view.maps["orders"]
+        for message in senseless(known):
+            gossip.datagram_received(gossip.encoder.encode(message), SENDER)
+            found = node.view.maps["orders"]
+            assert [part.first for part in found.ranges[1:]] == [
+                part.last + 1 for part in found.ranges[:-1]
+            ]
+        rng = random.Random(3)
+        whole = gossip.encoder.encode(step(known, (1, 2)))
+        for _ in range(300):
+            data = bytearray(whole[: rng.randrange(len(whole) + 1)])
+            for _ in range(rng.randrange(4)):
+                if data:
+                    data[rng.randrange(len(data))] = rng.randrange(256)
+            gossip.datagram_received(bytes(data), SENDER)
+        gossip.datagram_received(msgspec.msgpack.encode([[[]]] * 50), SENDER)
+        assert gossip.damaged > 0
+        await site.until(lambda: node.duty.right.is_held(site.clock.elapsed()))
+        await site.all_granted()
+        assert (await site.ask(node, "/read/", "r", 7)).status == 200
+
+
+async def test_loads_that_are_not_numbers_do_not_stop_the_planner():
+    async with Site() as site:
+        for number in range(2):
+            await site.add_server(f"o{number}")
+        node = await site.add_node()
+        await site.all_granted()
+        work = {"orders": {5: float("nan"), 6: float("inf"), 7: -1e300}}
+        message = node.gossip.encoder.encode(KeyWork("x", "z", work))
+        node.gossip.datagram_received(message, SENDER)
+        loads = node.duty.placers["orders"].short.loads
+        assert not {5, 6, 7} & set(loads)
+
+
+async def test_no_entry_of_the_store_ends_a_process():
+    async with Site() as site:
+        await site.add_server("o0")
+        node = await site.add_node()
+        await site.all_granted()
+        entry = site.servers["o0"].registration()
+        for number, damage in enumerate(
+            (
+                b"",
+                b"\xff\xfe",
+                b"[]",
+                b"{}",
+                msgspec.json.encode(entry | {"slots": -1}),
+                msgspec.json.encode(entry | {"born": 1.5}),
+                msgspec.json.encode(entry | {"address": "nowhere:99999"}),
+                msgspec.json.encode(entry | {"state": "asleep"}),
+                msgspec.json.encode(entry | {"coldRemaining": "-1s"}),
+            )
+        ):
+            site.store.write(f"{wire.SERVERS_PREFIX}bad-{number}", damage)
+            site.store.write(wire.CONFIG_KEY, damage)
+        f1 = await site.add_server("f1", "files")
+        await site.until(lambda: f1.name in node.table.servers)
+        assert not any(name.startswith("bad-") for name in node.table.servers)
+        assert (await site.ask(node, "/read/", "r", 7)).status == 200
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -243,10 +243,14 @@
     servers = PlatformServers()
     assert servers.refusal(503, Framing([])) is None
     assert servers.refusal(429, Framing([])) is None
-    refused = servers.refusal(503, Framing([(wire.NOT_RUN, b"1")]))
+    # A late answer to another request says nothing of this one.
+    assert servers.refusal(503, Framing([(wire.NOT_RUN, b"1")])) is None
+    assert servers.refusal(421, Framing([])) is None
+    named = (wire.REQUEST_ID, b"r")
+    refused = servers.refusal(503, Framing([(wire.NOT_RUN, b"1"), named]))
     assert isinstance(refused, RequestError)
     assert refused.kind is ErrorKind.SERVER_REFUSED
-    assert servers.refusal(421, Framing([])).kind is ErrorKind.MOVED
+    assert servers.refusal(421, Framing([named])).kind is ErrorKind.MOVED
 
 
 @pytest.fixture
