A daemon that stops sends the answers that other VMs wait for

Two causes: requests that other VMs had forwarded here were not waited for, only those of gates that had a successor; and the sockets between VMs were closed without a linger, so that an answer handed over just before was dropped. Change: a stop waits for forwarded requests, and closing sends what waits, for at most 0.5 s. Ruled out: the handover of the gate itself, which waits for its requests. Tests: test_a_graceful_stop_still_sends_what_waits (times out without the change), test_a_drain_waits_for_the_requests_of_other_members.

--- a/fireflylock/forward_server.py
+++ b/fireflylock/forward_server.py
@@ -46,6 +46,9 @@
 
 DEFAULT_LIMITS = ForwardLimits()
 
+# Period of the looks at whether the last request has ended.
+DRAIN_POLL = timedelta(milliseconds=5)
+
 
 class Incoming:
     """One request that another member sent to a gate here."""
@@ -90,6 +93,12 @@
         for served in [each for each in self.incoming.values() if each.member == member]:
             self._cancel(served)
 
+    async def drain(self, timeout: timedelta) -> None:
+        """Return once no request of another VM is under way here, or after `timeout`."""
+        end = self.clock.elapsed() + timeout
+        while self.incoming and self.clock.elapsed() < end:
+            await self.clock.sleep(DRAIN_POLL)
+
     async def close(self) -> None:
         """Stop serving every request."""
         tasks = [each.task for each in self.incoming.values() if each.task is not None]
--- a/fireflylock/node.py
+++ b/fireflylock/node.py
@@ -406,10 +406,11 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.frontend.drain(timeout))
             group.create_task(self.handover.all(timeout))
-        await self.close()
+            group.create_task(self.forwarder.server.drain(timeout))
+        await self.close(flush=True)
 
-    async def close(self) -> None:
-        """Stop at once."""
+    async def close(self, flush: bool = False) -> None:
+        """Stop at once; with `flush`, answers that wait to be sent to other VMs still go."""
         self.stopping = True
         for task in self.tasks:
             task.cancel()
@@ -419,7 +420,7 @@
         await self.gatekeeper.close()
         await self.relay.stop()
         await self.store.close()
-        self.peers.stop()
+        self.peers.stop(flush)
 
 
 def as_coroutine(action: Callable[[], None]) -> Callable[[], Coroutine]:
--- a/fireflylock/peers.py
+++ b/fireflylock/peers.py
@@ -23,6 +23,9 @@
 RECONNECT_MAX_MS = 2_000
 # A connection on which data stays unacknowledged for so long is closed.
 UNACKNOWLEDGED_MS = 5_000
+# Longest wait, in milliseconds, for messages that a stopping process has still to send: the
+# answers to other VMs' requests are among them.
+FLUSH_MS = 500
 
 Callback = Callable[[str, PeerMessage], None]
 
@@ -156,10 +159,17 @@
         self.loop.add_reader(self.receiver.get(zmq.FD), self._receive)
         self.loop.call_soon(self._receive)
 
-    def stop(self) -> None:
-        """Close every socket; messages that wait are dropped."""
+    def stop(self, flush: bool = False) -> None:
+        """Close every socket.
+
+        Parameters
+        ----------
+        flush : bool
+            Whether messages that wait are still sent, for at most `FLUSH_MS`; this blocks the
+            loop, and belongs at the end of a process.  Otherwise they are dropped.
+        """
         for name in list(self.links):
-            self.disconnect(name)
+            self.disconnect(name, FLUSH_MS if flush else 0)
         if self.receiver is not None:
             self.loop.remove_reader(self.receiver.get(zmq.FD))
             self.receiver.close(linger=0)
@@ -193,11 +203,11 @@
         socket.connect(f"tcp://{address}")
         self.links[name] = PeerLink(name, address, socket)
 
-    def disconnect(self, name: str) -> None:
-        """Close the connection to `name`; messages that wait for it are dropped."""
+    def disconnect(self, name: str, linger_ms: int = 0) -> None:
+        """Close the connection to `name`; what can't be sent in the given time is dropped."""
         link = self.links.pop(name, None)
         if link is not None:
-            link.socket.close(linger=0)
+            link.socket.close(linger=linger_ms)
 
     def is_connected(self, name: str) -> bool:
         """Return whether a message to `name` would be accepted now."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -300,3 +300,24 @@
         assert caught.value.kind is ErrorKind.QUEUE_FULL
         assert caught.value.not_run
         first.cancel()
+
+
+async def test_a_drain_waits_for_the_requests_of_other_members():
+    async with two_members() as (asking, serving, gate):
+        begun, finish = asyncio.Event(), asyncio.Event()
+
+        async def slow(request):
+            begun.set()
+            await finish.wait()
+            return Response(200, [], BytesBody(b"done"), 4)
+
+        gate.answer = slow
+        asked = asyncio.create_task(asking.handle("b", request_with()))
+        await begun.wait()
+        drained = asyncio.create_task(serving.server.drain(timedelta(seconds=15)))
+        await asyncio.sleep(0.05)
+        assert not drained.done()
+        finish.set()
+        assert (await asked).status == 200
+        await drained
+        assert not serving.server.incoming
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,7 +7,7 @@
 import zmq
 
 from fireflylock.clock import SystemClock
-from fireflylock.messages import StatePull
+from fireflylock.messages import BodyChunk, StatePull
 from fireflylock.peer_keys import CurveKeys
 from fireflylock.peers import PeerLimits, Peers
 from tests.helpers import until
@@ -132,3 +132,22 @@
             a.send("b", StatePull(number))
         assert [(await queue.get())[1].since_revision for _ in range(5)] == list(range(5))
         assert b.subscriber_faults == 5
+
+
+async def test_a_graceful_stop_still_sends_what_waits():
+    """Answers to other VMs' requests are handed over just before the process ends."""
+    with started(plain("b")) as (b,):
+        a = plain("a")
+        a.start()
+        queue = asyncio.Queue()
+        b.subscribe(BodyChunk, lambda sender, message: queue.put_nowait(message))
+        a.connect("b", b.address)
+        await until(lambda: a.is_connected("b"))
+        # More than the buffers of the connection hold.
+        large = BodyChunk(1, True, 0, bytes(3_000_000))
+        accepted = sum(a.send("b", large) for _ in range(8))
+        assert accepted == 8
+        a.stop(flush=True)
+        async with asyncio.timeout(20):
+            for _ in range(accepted):
+                assert (await queue.get()).data == large.data
