VMs of a zone that is cut off send callers to the other zones

Change: a VM that for 1.2 s hears neither the zones of most servers nor the store is not ready, and its answers close their connections, for at most 15 s.

--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -187,7 +187,8 @@
 
     def must_close(self) -> bool:
         """Return whether the answer announces the end of the connection."""
-        return self.is_spoilt() or (self.frontend.draining and not self.parser.pending)
+        closes = self.frontend.draining or self.frontend.closes_connections
+        return self.is_spoilt() or (closes and not self.parser.pending)
 
     def end_exchange(self) -> None:
         """Go on with the next request, or close."""
--- /dev/null
+++ b/fireflylock/direct/isolation.py
@@ -0,0 +1,84 @@
+"""Whether this VM is cut off from most servers, so that callers are better served elsewhere.
+
+The load this answers: a zone is cut off from the others and from the store while its callers
+still reach its VMs.  These reach a third of the servers at first, and none that owns keys once
+its holds have ended; the VMs of the other zones reach all the rest.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+import structlog
+
+from fireflylock.clock import Instant
+
+# VMs report at least every 200 ms, and a lost datagram or two is no cut.
+ZONE_SILENCE = timedelta(milliseconds=1200)
+# A store that has answered this long after the other zones were last heard is not cut off with
+# them: then it is the others that are lost.
+ANSWER_MARGIN = timedelta(milliseconds=300)
+# Callers are sent elsewhere for this long at most: if nobody else serves them, this VM does.
+LONGEST = timedelta(seconds=15)
+
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True)
+class Reach:
+    """What a VM knows of its surroundings at one instant.
+
+    Attributes
+    ----------
+    zone : str
+        Its own availability zone.
+    zones_heard : dict of str to timedelta
+        When some VM of each other zone was last heard.
+    slots : dict of str to int
+        Slots of the registered servers, by zone.
+    store_answered_at : timedelta
+        When the store last answered.
+    """
+
+    zone: str
+    zones_heard: dict[str, Instant]
+    slots: dict[str, int]
+    store_answered_at: Instant
+
+
+class IsolationDetector:
+    """Says whether callers should go to the VMs of other zones."""
+
+    def __init__(self) -> None:
+        self.since: Instant | None = None
+
+    def update(self, now: Instant, reach: Reach) -> bool:
+        """Return whether this VM is isolated now."""
+        if not is_cut_off(now, reach):
+            if self.since is not None:
+                log.info("no longer isolated", seconds=(now - self.since).total_seconds())
+            self.since = None
+            return False
+        if self.since is None:
+            self.since = now
+            log.warning(
+                "isolated: most servers are out of reach",
+                zones_heard={
+                    zone: (now - at).total_seconds() for zone, at in reach.zones_heard.items()
+                },
+                slots=reach.slots,
+                store_answered=(now - reach.store_answered_at).total_seconds(),
+            )
+        return now - self.since < LONGEST
+
+
+def is_cut_off(now: Instant, reach: Reach) -> bool:
+    """Return whether neither the store nor most of the servers' zones are heard."""
+    silent = {zone for zone, at in reach.zones_heard.items() if now - at >= ZONE_SILENCE}
+    if not silent:
+        return False
+    last_heard = max(reach.zones_heard[zone] for zone in silent)
+    if reach.store_answered_at > last_heard + ANSWER_MARGIN:
+        return False
+    total = sum(reach.slots.values())
+    out_of_reach = sum(slots for zone, slots in reach.slots.items() if zone in silent)
+    return 2 * out_of_reach > total
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -24,6 +24,7 @@
     Totals,
     ZoneTotal,
 )
+from fireflylock.direct.isolation import IsolationDetector, Reach
 from fireflylock.direct.keyranges import Owner
 from fireflylock.direct.leaving import LeavingBroadcast
 from fireflylock.direct.load_exchange import LoadExchange
@@ -50,6 +51,8 @@
 WORK_EVERY = timedelta(milliseconds=150)
 # Period of what keeps tables small.
 TIDY_EVERY = timedelta(seconds=2)
+# Period of the looks at what is heard of other zones; the balancer asks once a second.
+ISOLATION_EVERY = timedelta(milliseconds=200)
 # Life of this VM's entry in the store.
 MEMBER_LIFETIME = timedelta(seconds=30)
 # Period of its renewals.  They cost a tenth of a read and show whether the store answers: it
@@ -163,6 +166,9 @@
         )
         self.tasks: list[asyncio.Task] = []
         self.member_lease = 0
+        self.store_answered_at = clock.elapsed()
+        self.isolation = IsolationDetector()
+        self.isolated = False
 
     async def start(self) -> None:
         """Listen, and begin everything that repeats."""
@@ -180,6 +186,7 @@
             self.repeat(REPORT_EVERY, self.exchange.step),
             self.repeat(WORK_EVERY, self.tell_work),
             self.repeat(TIDY_EVERY, self.tidy),
+            self.repeat(ISOLATION_EVERY, self.look_for_isolation),
             self.keep_membership(),
         ):
             self.tasks.append(loop.create_task(work))
@@ -207,6 +214,25 @@
         self.leaving.step(now)
         self.duty.step(now)
 
+    def look_for_isolation(self, now: Instant) -> None:
+        """Send callers elsewhere while this VM is cut off from most servers."""
+        self.isolated = self.isolation.update(now, self.reach())
+        # Callers on open connections learn from the answers to come back on another one.
+        self.frontend.closes_connections = self.isolated
+
+    def reach(self) -> Reach:
+        """Return what is heard of other zones and of the store."""
+        heard: dict[str, Instant] = {}
+        for peer in self.gossip.peers.values():
+            if peer.zone and peer.zone != self.place.zone:
+                heard[peer.zone] = max(peer.heard_at, heard.get(peer.zone, peer.heard_at))
+        slots: dict[str, int] = {}
+        for server in self.table.servers.values():
+            if not server.gone:
+                zone = server.entry.zone
+                slots[zone] = slots.get(zone, 0) + server.entry.slots
+        return Reach(self.place.zone, heard, slots, self.store_answered_at)
+
     def learn_leaving(self, owner: Owner) -> None:
         """Apply what a server's answer says: that it shuts down."""
         self.leaving.learn(self.clock.elapsed(), owner)
@@ -304,6 +330,7 @@
                 answered = False
                 await self.clock.sleep(MEMBER_RETRY)
                 continue
+            self.store_answered_at = self.clock.elapsed()
             if not answered:
                 self.config_follower.restart()
                 self.servers_follower.restart()
@@ -386,7 +413,7 @@
 
     def is_ready(self) -> bool:
         """Return whether callers should be sent here."""
-        if self.stopping or self.routes is None:
+        if self.stopping or self.isolated or self.routes is None:
             return False
         if all(name in self.view.maps for name in self.duty.keyed_services()):
             return True
--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -147,6 +147,8 @@
         self.server: asyncio.Server | None = None
         self.sweeper: asyncio.Task[None] | None = None
         self.draining = False
+        # Whether answers tell callers to come back on another connection.
+        self.closes_connections = False
         self.drain_started_at: Instant | None = None
 
     async def start(self, address: str, port: int, reuse_port: bool = False) -> int:
--- a/fireflylock/platform/dialect.py
+++ b/fireflylock/platform/dialect.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from fireflylock.direct.edge import CallerDialect, parse_key
+from fireflylock.direct.edge import NOT_RUN_STATUSES, CallerDialect, parse_key
 from fireflylock.direct.keyranges import Owner
 from fireflylock.direct.model import KEYS
 from fireflylock.exceptions import ErrorKind, RequestError
@@ -84,6 +84,12 @@
             return "a success without the server's signature"
         if 200 <= status < 300 and header(headers, REQUEST_ID) is None:
             return "a success that names no request"
+        if status in NOT_RUN_STATUSES and not request.idempotent:
+            # Callers would take the status for certain, and it may be about another request.
+            if header(headers, REQUEST_ID) is None:
+                return f"a status {status} that names no request"
+            if status != MISDIRECTED and header(headers, NOT_RUN) is None:
+                return f"a status {status} without the server's word that it did not run"
         if header(headers, b"content-encoding") is not None:
             return "an encoded body, which nobody asked for"
         return ""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -22,6 +22,7 @@
     SettingsError,
     VersionConflictError,
 )
+from fireflylock.exchange import BytesBody, Request
 from fireflylock.http1 import Framing
 from fireflylock.platform import cmdline, wire
 from fireflylock.platform.dialect import PlatformCallers, PlatformServers
@@ -341,6 +342,26 @@
         assert not found, f"{path.name}: {found}"
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@pytest.mark.parametrize("named", [True, False])
+def test_an_order_is_never_called_not_run_without_the_servers_word(status, named):
+    """A caller takes the status for certain; the answer may be a late one, or come after a run."""
+    servers = PlatformServers()
+    headers = [(wire.REQUEST_ID, b"order")] if named else [(wire.NOT_RUN, b"1")]
+    order, read = request_of("order", False), request_of("order", True)
+    certain = status == 421 and named
+    assert bool(servers.problem(order, status, headers)) is not certain
+    assert not servers.problem(read, status, headers)
+    told = [(wire.REQUEST_ID, b"order"), (wire.NOT_RUN, b"1")]
+    assert not servers.problem(order, status, told)
+
+
+def request_of(request_id, idempotent):
+    return Request(
+        request_id, "s", "", "", "POST", b"/", [], BytesBody(), 0, timedelta(0), idempotent
+    )
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "expected"),
     [
