Servers that took no orders for a time get keys again once they take them

Cause: a server that takes no orders gets no keys, and one without keys gets no orders that could show that it takes them again. Change: such a server is asked every 0.6 s to give back a key that it does not have. Ruled out: trying a grant, since its keys would wait for the end of the hold if it fails. Test: test_servers_that_were_cut_off_get_keys_again_soon_after_they_are_back fails before, passes after.

--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -22,6 +22,7 @@
     encode_map,
     read_record,
 )
+from fireflylock.direct.model import KEYS
 from fireflylock.direct.planner import Move, first_map, plan, spread
 from fireflylock.direct.range_board import Capacity
 from fireflylock.direct.right import PlacingRight
@@ -52,6 +53,12 @@
 # Another release is sent beside one that has no answer after this, and doubled each time up to
 # the timeout; most requests end within it.
 RELEASE_AGAIN = timedelta(milliseconds=300)
+# A server without keys that took no orders is asked this often whether it takes them again,
+# and has this long to answer.
+PROBE_EVERY = timedelta(milliseconds=600)
+PROBE_TIMEOUT = timedelta(milliseconds=300)
+# The lowest epoch, so that the probe raises no epoch that the server has seen.
+PROBE_EPOCH = 1
 # Pause after the store did not give the map.
 LOAD_PAUSE = timedelta(milliseconds=150)
 # Released keys wait at most this long for others that are being released, so that one write
@@ -145,6 +152,7 @@
         self.balance(now)
         self.record_free(now)
         self.renew(now)
+        self.probe_failing(now)
 
     def begin(self, work: Coroutine) -> asyncio.Task:
         """Run something that ends with this object."""
@@ -311,6 +319,30 @@
         finally:
             state.task = None
 
+    def probe_failing(self, now: Instant) -> None:
+        """Find out whether servers that took no orders, and own nothing now, take them again."""
+        busy = {*self.map.owners(), *(departure.part.owner for departure in self.departures)}
+        for server in self.table.of_service(self.service):
+            owner = Owner.of(server.entry)
+            state = self.owners.get(owner)
+            if state is None or state.failing_since is None or owner in busy:
+                continue
+            if state.task is not None or now - state.renewed_at < PROBE_EVERY:
+                continue
+            state.renewed_at = now
+            state.task = self.begin(self.probe(owner, state))
+
+    async def probe(self, owner: Owner, state: OwnerState) -> None:
+        """Ask a server to give back a key that it does not have, which changes nothing there."""
+        try:
+            part = KeyRange(KEYS - 1, KEYS - 1, owner, PROBE_EPOCH)
+            answer = await self.control.release(part, PROBE_EPOCH, PROBE_TIMEOUT)
+            if answer.answered:
+                log.info("server takes orders again", server=owner.name)
+                state.took_order()
+        finally:
+            state.task = None
+
     async def grant_again(self, part: KeyRange) -> bool:
         """Grant or renew one range, again if need be; False when the owner takes no orders."""
         for _ in range(GRANT_TRIES):
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -92,6 +92,22 @@
     assert_sound(world)
 
 
+async def test_servers_that_were_cut_off_get_keys_again_soon_after_they_are_back():
+    """wmtw-gateway trouble-1: after a zone cut a third of the servers stayed without keys."""
+    world = await settled_world()
+    cut = world.lives[:2]
+    links = {(vm, life.entry.name) for vm in world.vms for life in cut}
+    world.cut_links |= links
+    await world.run(7)
+    assert world.unheld() == 0
+    world.cut_links -= links
+    await world.run(2)
+    for life in cut:
+        assert any(life in world.holders(key) for key in WATCHED)
+    assert world.unheld() == 0
+    assert_sound(world)
+
+
 async def test_another_vm_takes_over_before_any_hold_ends():
     world = await settled_world()
     world.kill_vm(world.placing())
