--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -343,7 +343,7 @@
     async def stop(self) -> None:
         """Leave the placing to another VM."""
         self.stopped = True
-        await asyncio.gather(*(placer.seal() for placer in self.placers.values()))
+        await asyncio.gather(*(placer.resign() for placer in self.placers.values()))
         if self.placers:
             self.stop_placing("this process stops")
         await self.right.give_up("this process stops")
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -173,7 +173,7 @@
         for task in list(self.tasks):
             task.cancel()
 
-    async def seal(self) -> None:
+    async def resign(self) -> None:
         """Stop, and record within which time all grants end, for the next leader.
 
         Without the record it has to wait for the longest hold that anybody may grant, before
@@ -347,17 +347,21 @@
 
     def probe_failing(self, now: Instant) -> None:
         """Find out whether servers that took no orders, and own nothing now, take them again."""
-        busy = {*self.map.owners(), *(departure.part.owner for departure in self.departures)}
-        for server in self.table.of_service(self.service):
-            owner = Owner.of(server.entry)
-            state = self.owners.get(owner)
-            if state is None or state.failing_since is None or owner in busy:
+        for owner, state in self.owners.items():
+            if state.failing_since is None or state.task is not None:
+                continue
+            if now - state.renewed_at < PROBE_EVERY or self.is_in_use(owner):
                 continue
-            if state.task is not None or now - state.renewed_at < PROBE_EVERY:
+            server = self.table.life(owner)
+            if server is None or server.gone:
                 continue
             state.renewed_at = now
             state.task = self.begin(self.probe(owner, state))
 
+    def is_in_use(self, owner: Owner) -> bool:
+        """Return whether a server owns keys, or has some that leave it."""
+        return owner in self.map.owners() or any(d.part.owner == owner for d in self.departures)
+
     async def probe(self, owner: Owner, state: OwnerState) -> None:
         """Ask a server to give back a key that it does not have, which changes nothing there."""
         try:
