The next leader's first step follows the map that the others know

The record names the revision under which the others know the same map, and the next leader's first step starts from there.

--- a/fireflylock/direct/keyranges.py
+++ b/fireflylock/direct/keyranges.py
@@ -198,6 +198,8 @@
     grants_end_ms : int
         Written by a leader that resigns, after its last grant: within how many milliseconds
         of this write every grant so far ends.  Any other record says -1: unknown.
+    told_revision : int
+        With it, the revision under which the other VMs know this same map; otherwise 0.
     """
 
     service: str
@@ -206,10 +208,11 @@
     owners: list[OwnerRecord]
     ranges: list[RangeRecord]
     grants_end_ms: int = -1
+    told_revision: int = 0
 
 
 def encode_map(range_map: RangeMap, change: str = "", grants_end_ms: int = -1) -> bytes:
-    """Return the record of a map."""
+    """Return the record of a map; a leader that resigns says when its grants end."""
     owners = sorted(range_map.owners(), key=lambda owner: (owner.name, owner.born))
     places = {owner: index for index, owner in enumerate(owners)}
     record = MapRecord(
@@ -222,6 +225,7 @@
             for part in range_map.ranges
         ],
         grants_end_ms=grants_end_ms,
+        told_revision=range_map.revision if grants_end_ms >= 0 else 0,
     )
     return msgspec.json.encode(record)
 
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -207,10 +207,11 @@
                 before = self.map
                 await self.write(before)
                 # The record stood until this write, so nobody has granted anything after it.
-                within = read_record(value.data).grants_end_ms
-                if within >= 0:
-                    now = self.clock.elapsed()
-                    self.holdings.bound_others(now, timedelta(milliseconds=within))
+                record = read_record(value.data)
+                if record.grants_end_ms >= 0:
+                    within = timedelta(milliseconds=record.grants_end_ms)
+                    self.holdings.bound_others(self.clock.elapsed(), within)
+                    before = replace(before, revision=record.told_revision)
                 self.last_change = self.change(before, [])
             self.loaded = True
             log.info(
