A daemon that stops answers the requests that others still forward to it

Test: test_a_drain_waits_for_the_requests_of_other_members asks once more after the last answer; it was the drain's end before.

--- a/fireflylock/forward_server.py
+++ b/fireflylock/forward_server.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from fireflylock.clock import Clock
+from fireflylock.clock import Clock, Instant
 from fireflylock.exceptions import BodyCutShortError, ErrorKind, RequestError
 from fireflylock.exchange import Body, BytesBody, Handler, Request, Response
 from fireflylock.flow import WINDOW_BYTES, BodySender, ReceivedBody, Send
@@ -48,6 +48,9 @@
 
 # Period of the looks at whether the last request has ended.
 DRAIN_POLL = timedelta(milliseconds=5)
+# Other members still send requests here until they have heard of the next gate, which takes
+# them 0.2 s; each one that comes is answered, and this long after the last one none comes.
+DRAIN_QUIET = timedelta(milliseconds=500)
 
 
 class Incoming:
@@ -85,6 +88,7 @@
         self.limits = limits
         self.incoming: dict[tuple[str, int], Incoming] = {}
         self.counts: Counter[str] = Counter()
+        self.last_request_at: Instant = timedelta(0)
         peers.subscribe(ForwardRequest, self._on_request)
         peers.subscribe(Cancel, self._on_cancel)
 
@@ -94,9 +98,12 @@
             self._cancel(served)
 
     async def drain(self, timeout: timedelta) -> None:
-        """Return once no request of another VM is under way here, or after `timeout`."""
-        end = self.clock.elapsed() + timeout
-        while self.incoming and self.clock.elapsed() < end:
+        """Return once no request of another member runs or comes here, or after `timeout`."""
+        begun = self.clock.elapsed()
+        while self.clock.elapsed() - begun < timeout:
+            last = max(begun, self.last_request_at)
+            if not self.incoming and self.clock.elapsed() - last >= DRAIN_QUIET:
+                return
             await self.clock.sleep(DRAIN_POLL)
 
     async def close(self) -> None:
@@ -125,6 +132,7 @@
             self.peers.send(sender, forward_failure(message.exchange_id, error))
             return
         self.counts["served"] += 1
+        self.last_request_at = self.clock.elapsed()
         deadline = self.clock.elapsed() + message.deadline_ms * MILLISECOND
         send = PatientSender(self.peers, self.clock, sender, deadline)
         sender_of_body = BodySender(message.exchange_id, True, send, message.response_window)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -319,5 +319,8 @@
         assert not drained.done()
         finish.set()
         assert (await asked).status == 200
+        # Members that have not heard of the next gate yet still send requests here.
+        assert not drained.done()
+        assert (await asking.handle("b", request_with())).status == 200
         await drained
         assert not serving.server.incoming
