Nobody waits for the backoff of a server that has left

Seen on reading the change: a request waited for the end of the backoff of a server that gets no requests after its drain period anyway, and was refused then. It is refused at once. Test fails before, passes after.

--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -267,7 +267,9 @@
 
         It waits where a server's backoff ends soon enough for the latency target.
         """
-        backing_off = [s for s in servers if s.is_backing_off(now) and not s.is_resting(now)]
+        drain = self.table.drain
+        staying = [s for s in servers if s.may_get_requests(now, drain) and not s.is_resting(now)]
+        backing_off = [s for s in staying if s.is_backing_off(now)]
         if not backing_off:
             rest = min(s.rest_until - now for s in servers)
             return self.refuse(now, ticket, ErrorKind.SERVER_UNREACHABLE, "no answers", rest)
--- a/tests/test_direct_admission.py
+++ b/tests/test_direct_admission.py
@@ -355,3 +355,11 @@
         desk.table.speeds.answered("read", "s1", 0.15, 1.0)
     desk.ask(START, "read")
     assert desk.started["read"] != "s1"
+
+
+def test_nobody_waits_for_the_backoff_of_a_server_that_has_left():
+    desk = Desk()
+    desk.server().leaving_since = START - timedelta(seconds=2)
+    desk.server().back_off(START, 100 * MS)
+    desk.ask(START, "read", key=1)
+    assert "read" in desk.refused
