A new leader moves no keys before it knows their loads

Change: nothing is planned before the short average is warm (1 s), and ranges are joined only by the long one. Tests: a new leader and an empty server; ranges are not joined before their loads are known; both failed before.

--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -532,6 +532,9 @@
         """
         if now - self.planned_at < PLAN_EVERY or self.writing is not None:
             return
+        # A new leader knows no loads yet, and would give hot keys away by their number alone.
+        if not self.short.is_warm(now):
+            return
         if any(
             departure.free or not self.is_failing(departure.part.owner)
             for departure in self.departures
@@ -540,9 +543,8 @@
         self.planned_at = now
         for loads in (self.short, self.long):
             loads.decay(now)
-        short = self.short.loads if self.short.is_warm(now) else None
         long = self.long.loads if self.long.is_warm(now) else None
-        for move in plan(self.map, self.capacities(now), short, long):
+        for move in plan(self.map, self.capacities(now), self.short.loads, long):
             self.begin_move(now, move)
 
     def count_work(self, now: Instant, work: dict[int, float]) -> None:
--- a/fireflylock/direct/planner.py
+++ b/fireflylock/direct/planner.py
@@ -127,7 +127,7 @@
         relieve_busy(Board(range_map, short, servers), moves, SUDDEN)
     if long is not None and not moves:
         relieve_busy(board, moves, STEADY)
-    if not moves:
+    if long is not None and not moves:
         tidy(board, range_map, moves)
     return moves[:MOST_MOVES]
 
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -132,6 +132,24 @@
     assert_sound(world)
 
 
+async def test_a_new_leader_moves_no_keys_before_it_knows_their_loads():
+    """wmtw-gateway scale-1: it gave half of the longest range, hot keys included, to one server."""
+    world = await settled_world()
+    old = world.placing()
+    world.kill_vm(old)
+    joined = world.add_server("joined", 8100)
+    while world.placing() in ("", old):
+        await world.run(0.02)
+    await world.run(0.9)
+    placer = world.vms[world.placing()].duty.placers["orders"]
+    assert placer.loaded
+    assert placer.departures == []
+    assert not any(joined in world.holders(key) for key in WATCHED)
+    await world.run(2)
+    assert any(joined in world.holders(key) for key in WATCHED)
+    assert_sound(world)
+
+
 async def test_after_a_planned_stop_a_lost_servers_keys_wait_no_longer_than_its_hold():
     """tumblestone-za inc-fffc: the next leader waited 10.4 s, for what it could not know."""
     world = await settled_world()
--- a/tests/test_direct_planner.py
+++ b/tests/test_direct_planner.py
@@ -134,6 +134,18 @@
     assert len(known.ranges) <= 22
 
 
+def test_ranges_are_not_joined_before_their_loads_are_known():
+    """wmtw-gateway scale-1: a new leader joined ranges that had been cut apart for their load."""
+    capacities = servers(4)
+    known = first_map("s", capacities)
+    for number in range(40):
+        change = KeyRange(number * 1500, number * 1500 + 5, owner(number % 4), number + 2)
+        known = known.reassigned([change], number + 3)
+    assert plan(known, capacities, None, None) == []
+    assert plan(known, capacities, {}, None) == []
+    assert plan(known, capacities, {}, {}) != []
+
+
 def test_keys_of_a_leaving_server_go_to_the_idlest():
     capacities = servers(3)
     known = first_map("s", [*capacities, Capacity(owner(9), 4.0)])
