The wait for grants that may be in force does not begin anew with each leader

Ruled out: the release (the server was gone), the planner, the registration. Change, two parts - A range whose owner does not answer is recorded as lapsing, with a timer: a key under a lease of the store that ends after the last grant. Later leaders grant it to nobody and free it when the timer has ended. Outages of the store only lengthen it. - A leader that steps down tells the others within which time all grants end; it counts while the map's revision in the store is still its own, since each leader writes the map before it grants. Found by the test: a new leader gave freed keys, and half a range, to the lost server, which it had not tried yet. Servers get keys only once they have taken an order of this leader; those without keys are probed. Tests: leaders killed twice while a lost server's keys wait; an outage of the store with a lost server; both failed before. The told end does not count once another leader has granted.

--- a/fireflylock/direct/departure.py
+++ b/fireflylock/direct/departure.py
@@ -26,6 +26,9 @@
         Whether the owner can surely run nothing more on them.
     handover : str
         What the owner gave away.
+    timer : str
+        Timer in the store that ends once the owner surely holds the keys no more; empty while
+        none is recorded.
     """
 
     part: KeyRange
@@ -34,6 +37,7 @@
     since: Instant
     free: bool = False
     handover: str = ""
+    timer: str = ""
 
 
 @dataclass
@@ -44,6 +48,8 @@
     ----------
     lock : asyncio.Lock
         Held while a grant to the owner is under way.
+    proven : bool
+        Whether it has taken an order of this leader.
     failing_since : timedelta or None
         Since when it takes no orders.
     failed_tries : int
@@ -55,6 +61,7 @@
     """
 
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    proven: bool = False
     failing_since: Instant | None = None
     failed_tries: int = 0
     renewed_at: Instant = timedelta(0)
@@ -68,5 +75,6 @@
 
     def took_order(self) -> None:
         """Note an order that was taken."""
+        self.proven = True
         self.failed_tries = 0
         self.failing_since = None
--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -8,7 +8,8 @@
 import structlog
 
 from fireflylock.clock import Clock, Instant
-from fireflylock.direct.gossip import Gossip, Hello, MapChange, Moving, Placing
+from fireflylock.direct.gossip import Gossip, GrantsEnd, Hello, MapChange, Moving, Placing
+from fireflylock.direct.grant_ends import GrantEnds
 from fireflylock.direct.keycontrol import KeyControl
 from fireflylock.direct.model import Bounds, RouteTable
 from fireflylock.direct.ownership_view import OwnershipView
@@ -40,6 +41,9 @@
 # at most: one without an answer must not keep the next ones back until the right has ended.
 OVERDUE_FACTOR = 3
 MOST_RENEWALS = 8
+# How often, and how far apart, a leader that steps down tells when its grants end.
+END_TELLINGS = 3
+END_PAUSE = timedelta(milliseconds=60)
 # A map that is known to be newer is read from the store when nobody has sent it for this long.
 MAP_PATIENCE = timedelta(milliseconds=120)
 
@@ -107,6 +111,7 @@
         self.on_owners = on_owners
         self.routes: RouteTable | None = None
         self.placers: dict[str, Placer] = {}
+        self.grant_ends = GrantEnds()
         self.placing_vm = ""
         self.placing_heard_at: Instant = timedelta(0)
         self.try_at: Instant = timedelta(0)
@@ -168,6 +173,7 @@
                     self.right,
                     self.clock,
                     self.bounds.max_hold,
+                    self.grant_ends,
                     self.mark_changed,
                 )
         for placer in self.placers.values():
@@ -268,9 +274,29 @@
     def stop_placing(self, reason: str) -> None:
         """Place no keys any more."""
         log.info("placing of keys stops here", reason=reason)
-        for placer in self.placers.values():
+        placers, self.placers = self.placers, {}
+        for placer in placers.values():
             placer.close()
-        self.placers.clear()
+        self.begin(self.tell_grants_end(list(placers.values())))
+
+    async def tell_grants_end(self, placers: list[Placer]) -> None:
+        """Tell the others within which time everything that was granted here ends."""
+        ends = {}
+        for placer in placers:
+            end = await placer.last_grant_end()
+            if end is not None:
+                ends[placer.service] = (placer.map.revision, end)
+        for _ in range(END_TELLINGS if ends else 0):
+            now = self.clock.elapsed()
+            left = {
+                service: (revision, max(timedelta(0), end - now) // timedelta(milliseconds=1) + 1)
+                for service, (revision, end) in ends.items()
+            }
+            message = GrantsEnd(self.me.vm, self.me.zone, left)
+            self.grant_ends.apply(now, message)
+            self.gossip.send(message)
+            log.info("end of grants told", ends=left)
+            await self.clock.sleep(END_PAUSE)
 
     def consider_trying(self, now: Instant) -> None:
         """Try to win the right if nobody seems to have it."""
--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -175,6 +175,19 @@
     changes: list[MapChange]
 
 
+class GrantsEnd(Told, tag="e", array_like=True):
+    """A leader has stepped down and grants nothing more.
+
+    Attributes
+    ----------
+    ends : dict of str to (int, int)
+        By service: revision of the leader's last map, and the milliseconds, from the sending
+        on, within which everything that was granted ends.
+    """
+
+    ends: dict[str, tuple[int, int]]
+
+
 class ServerLeaving(Told, tag="s", array_like=True):
     """A server's answer said that it shuts down.
 
@@ -196,7 +209,9 @@
     placing: Placing
 
 
-Message = Hello | Report | ZoneTotal | Totals | KeyWork | Placing | ServerLeaving | Relayed
+Message = (
+    Hello | Report | ZoneTotal | Totals | KeyWork | Placing | GrantsEnd | ServerLeaving | Relayed
+)
 
 
 @dataclass
--- a/fireflylock/direct/holdings.py
+++ b/fireflylock/direct/holdings.py
@@ -41,9 +41,9 @@
     def __post_init__(self) -> None:
         self.others_end = self.started + self.end_of(self.longest)
 
-    def bound_others(self, now: Instant, within: timedelta) -> None:
-        """Take the word of the leader before that all it has granted ends within some time."""
-        self.others_end = min(self.others_end, now + within)
+    def bound_others(self, end: Instant) -> None:
+        """Take the word of the leader before that all granted until then ends by `end`."""
+        self.others_end = min(self.others_end, end)
 
     def latest_end(self) -> Instant:
         """Return from when on nobody holds anything that was granted so far."""
--- a/fireflylock/direct/keyranges.py
+++ b/fireflylock/direct/keyranges.py
@@ -73,6 +73,23 @@
         return mine == (other.owner, other.epoch, other.handover)
 
 
+@dataclass(frozen=True, slots=True)
+class LapsingRange:
+    """Keys that no leader grants to their owner any more, although it may still hold them.
+
+    Attributes
+    ----------
+    first, last : int
+        The keys, both inclusive.
+    timer : str
+        Timer in the store that ends once everything granted before has ended.
+    """
+
+    first: int
+    last: int
+    timer: str
+
+
 @dataclass(frozen=True)
 class RangeMap:
     """All keys of one service and their owners.
@@ -87,12 +104,15 @@
         Lowest epoch that was never given to anybody.
     revision : int
         Revision of the record in the store; 0 when it was not written yet.
+    lapsing : tuple of LapsingRange
+        Keys whose owner can't be reached and is granted nothing more.
     """
 
     service: str
     ranges: tuple[KeyRange, ...]
     next_epoch: int = 1
     revision: int = 0
+    lapsing: tuple[LapsingRange, ...] = ()
     starts: tuple[int, ...] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -130,7 +150,13 @@
         for old in self.ranges:
             parts += remainders(old, changes)
         parts.sort(key=lambda part: part.first)
-        return RangeMap(self.service, join_neighbours(parts), next_epoch, self.revision)
+        lapsing = tuple(
+            known
+            for known in self.lapsing
+            if not any(change.overlaps(known.first, known.last) for change in changes)
+        )
+        joined = join_neighbours(parts)
+        return RangeMap(self.service, joined, next_epoch, self.revision, lapsing)
 
 
 def remainders(old: KeyRange, changes: list[KeyRange]) -> list[KeyRange]:
@@ -182,6 +208,14 @@
     port: int
 
 
+class LapsingRecord(msgspec.Struct, array_like=True):
+    """A lapsing range as stored."""
+
+    first: int
+    last: int
+    timer: str
+
+
 class MapRecord(msgspec.Struct):
     """A service's map as stored.
 
@@ -200,6 +234,8 @@
         of this write every grant so far ends.  Any other record says -1: unknown.
     told_revision : int
         With it, the revision under which the other VMs know this same map; otherwise 0.
+    lapsing : list of LapsingRecord
+        Ranges that are granted to their owners no more.
     """
 
     service: str
@@ -209,6 +245,7 @@
     ranges: list[RangeRecord]
     grants_end_ms: int = -1
     told_revision: int = 0
+    lapsing: list[LapsingRecord] = []
 
 
 def encode_map(range_map: RangeMap, change: str = "", grants_end_ms: int = -1) -> bytes:
@@ -226,6 +263,7 @@
         ],
         grants_end_ms=grants_end_ms,
         told_revision=range_map.revision if grants_end_ms >= 0 else 0,
+        lapsing=[LapsingRecord(one.first, one.last, one.timer) for one in range_map.lapsing],
     )
     return msgspec.json.encode(record)
 
@@ -249,6 +287,8 @@
         first = part.last + 1
     if first != KEYS:
         raise ProtocolError("the map of key ranges does not cover all keys")
+    if any(not 0 <= one.first <= one.last < KEYS for one in record.lapsing):
+        raise ProtocolError("a lapsing range lies outside the keys")
     return record
 
 
@@ -261,4 +301,5 @@
     for part in record.ranges:
         ranges.append(KeyRange(first, part.last, owners[part.owner], part.epoch, part.handover))
         first = part.last + 1
-    return RangeMap(record.service, tuple(ranges), record.next_epoch, revision)
+    lapsing = tuple(LapsingRange(one.first, one.last, one.timer) for one in record.lapsing)
+    return RangeMap(record.service, tuple(ranges), record.next_epoch, revision, lapsing)
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -14,6 +14,7 @@
 from fireflylock.direct.follower import Follower
 from fireflylock.direct.gossip import (
     Gossip,
+    GrantsEnd,
     Hello,
     KeyWork,
     Message,
@@ -378,6 +379,8 @@
         elif isinstance(message, KeyWork):
             self.duty.take_work(now, message.work)
             self.learn_speeds(message.slowness)
+        elif isinstance(message, GrantsEnd):
+            self.duty.grant_ends.apply(now, message)
         elif isinstance(message, ServerLeaving):
             self.leaving.apply(now, message)
 
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -11,17 +11,20 @@
 from fireflylock.clock import Clock, Instant
 from fireflylock.direct.departure import Departure, OwnerState
 from fireflylock.direct.gossip import MapChange, Moving, NewOwner
+from fireflylock.direct.grant_ends import GrantEnds
 from fireflylock.direct.holdings import Holdings
 from fireflylock.direct.key_loads import LONG_AGE, SHORT_AGE, KeyLoads
 from fireflylock.direct.keycontrol import GrantOutcome, KeyControl
 from fireflylock.direct.keyranges import (
     KeyRange,
+    LapsingRange,
     Owner,
     RangeMap,
     decode_map,
     encode_map,
     read_record,
 )
+from fireflylock.direct.lapse_timers import LapseTimers
 from fireflylock.direct.model import KEYS
 from fireflylock.direct.planner import Move, first_map, plan, spread
 from fireflylock.direct.range_board import Capacity
@@ -59,6 +62,14 @@
 PROBE_TIMEOUT = timedelta(milliseconds=300)
 # The lowest epoch, so that the probe raises no epoch that the server has seen.
 PROBE_EPOCH = 1
+# Keys of an owner that does not answer for this long are recorded as lapsing; most owners that
+# live answer a release within it.
+LAPSE_AFTER = timedelta(milliseconds=400)
+# Added to a timer in the store, and its share: clocks run at slightly different speeds.
+TIMER_MARGIN = timedelta(milliseconds=300)
+TIMER_DRIFT = 0.02
+# The timers that leaders before have started are looked at this often.
+TIMERS_EVERY = timedelta(milliseconds=500)
 # Pause after the store did not give the map.
 LOAD_PAUSE = timedelta(milliseconds=150)
 # Released keys wait at most this long for others that are being released, so that one write
@@ -95,6 +106,8 @@
         Source of time.
     longest_hold : timedelta
         Longest time for which anybody may grant keys.
+    grant_ends : GrantEnds
+        What leaders that stepped down have told.
     on_change : callable
         Called when the map, or what is on the move, has changed.
     """
@@ -108,6 +121,7 @@
         right: PlacingRight,
         clock: Clock,
         longest_hold: timedelta,
+        grant_ends: GrantEnds,
         on_change: Callable[[], None],
     ) -> None:
         self.service = service
@@ -117,7 +131,11 @@
         self.right = right
         self.clock = clock
         self.longest_hold = longest_hold
+        self.grant_ends = grant_ends
         self.on_change = on_change
+        self.timers = LapseTimers(store)
+        self.timers_at: Instant = timedelta(0)
+        self.checking: asyncio.Task | None = None
         self.holdings = Holdings(longest_hold, right.won_at)
         self.short = KeyLoads(right.won_at, SHORT_AGE)
         self.long = KeyLoads(right.won_at, LONG_AGE)
@@ -151,8 +169,10 @@
         self.leave_bad_owners(now)
         self.balance(now)
         self.record_free(now)
+        self.record_lapsing(now)
+        self.check_timers(now)
         self.renew(now)
-        self.probe_failing(now)
+        self.probe_idle(now)
 
     def begin(self, work: Coroutine) -> asyncio.Task:
         """Run something that ends with this object."""
@@ -173,6 +193,16 @@
         for task in list(self.tasks):
             task.cancel()
 
+    async def last_grant_end(self) -> Instant | None:
+        """Return when everything that was granted has ended; None where that is not known.
+
+        It is called after `close`, and waits for the orders that are reset by it.
+        """
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.map is None or not self.loaded:
+            return None
+        return self.holdings.latest_end()
+
     async def resign(self) -> None:
         """Stop, and record within which time all grants end, for the next leader.
 
@@ -210,14 +240,20 @@
                 record = read_record(value.data)
                 if record.grants_end_ms >= 0:
                     within = timedelta(milliseconds=record.grants_end_ms)
-                    self.holdings.bound_others(self.clock.elapsed(), within)
+                    self.holdings.bound_others(self.clock.elapsed() + within)
                     before = replace(before, revision=record.told_revision)
+                told_end = self.grant_ends.end_of(self.service, value.revision)
+                if told_end is not None:
+                    self.holdings.bound_others(told_end)
                 self.last_change = self.change(before, [])
+                self.resume_lapsing(self.clock.elapsed())
             self.loaded = True
             log.info(
                 "map of keys loaded",
                 service=self.service,
                 revision=0 if self.map is None else self.map.revision,
+                others_end_in=(self.holdings.others_end - self.clock.elapsed()).total_seconds(),
+                lapsing=len(self.departures),
             )
             self.on_change()
         except VersionConflictError:
@@ -244,7 +280,7 @@
 
     def place_first(self, now: Instant) -> None:
         """Deal out all keys once the servers have registered."""
-        servers = self.capacities(now)
+        servers = self.capacities(first=True)
         if not servers or now - self.table.joined_at < SETTLING or self.writing is not None:
             return
         new = first_map(self.service, servers)
@@ -346,15 +382,14 @@
         finally:
             state.task = None
 
-    def probe_failing(self, now: Instant) -> None:
-        """Find out whether servers that took no orders, and own nothing now, take them again."""
-        for owner, state in self.owners.items():
-            if state.failing_since is None or state.task is not None:
-                continue
-            if now - state.renewed_at < PROBE_EVERY or self.is_in_use(owner):
+    def probe_idle(self, now: Instant) -> None:
+        """Find out whether servers that own nothing take orders: new ones and failing ones."""
+        for server in self.table.of_service(self.service):
+            owner = Owner.of(server.entry)
+            if self.takes_orders(owner) or self.is_in_use(owner):
                 continue
-            server = self.table.life(owner)
-            if server is None or server.gone:
+            state = self.owners.setdefault(owner, OwnerState())
+            if state.task is not None or now - state.renewed_at < PROBE_EVERY:
                 continue
             state.renewed_at = now
             state.task = self.begin(self.probe(owner, state))
@@ -368,9 +403,12 @@
         try:
             part = KeyRange(KEYS - 1, KEYS - 1, owner, PROBE_EPOCH)
             answer = await self.control.release(part, PROBE_EPOCH, PROBE_TIMEOUT)
-            if answer.answered:
+            if not answer.answered:
+                state.failed(self.clock.elapsed())
+                return
+            if state.failing_since is not None:
                 log.info("server takes orders again", server=owner.name)
-                state.took_order()
+            state.took_order()
         finally:
             state.task = None
 
@@ -491,14 +529,101 @@
             owner = departure.part.owner
             if departure.free:
                 continue
-            state = self.owners.get(owner)
-            if state is not None and state.lock.locked():
+            if not self.is_settled(owner):
                 continue
             if not self.table.is_replaced(owner) and now < self.holdings.free_at(owner):
                 continue
             departure.free = True
             log.info("keys are free", service=self.service, owner=owner.name)
 
+    # Ranges of owners that can't be reached, across leaders.
+
+    def resume_lapsing(self, now: Instant) -> None:
+        """Go on waiting for the ranges that leaders before have recorded as lapsing."""
+        for known in self.map.lapsing:
+            for part in self.map.pieces(known.first, known.last):
+                departure = Departure(part, None, "lapsing", now, timer=known.timer)
+                self.departures.append(departure)
+                # It did not answer the leader before, and gets no keys until it answers.
+                self.owners.setdefault(part.owner, OwnerState()).failed(now)
+                self.begin(self.release(departure))
+
+    def record_lapsing(self, now: Instant) -> None:
+        """Record the ranges whose owners don't answer, so that no later leader grants them."""
+        if self.writing is not None:
+            return
+        due = [
+            departure
+            for departure in self.departures
+            if not departure.free
+            and not departure.timer
+            and now - departure.since >= LAPSE_AFTER
+            and self.is_settled(departure.part.owner)
+        ]
+        if due:
+            self.writing = self.begin(self.write_lapsing(due))
+
+    def is_settled(self, owner: Owner) -> bool:
+        """Return whether no grant to an owner is under way."""
+        state = self.owners.get(owner)
+        return state is None or not state.lock.locked()
+
+    async def write_lapsing(self, due: list[Departure]) -> None:
+        """Start a timer for some ranges, and record them with it."""
+        now = self.clock.elapsed()
+        wait = max(self.holdings.free_at(departure.part.owner) for departure in due) - now
+        before = self.map
+        try:
+            timer = await self.timers.start(wait * (1.0 + TIMER_DRIFT) + TIMER_MARGIN)
+            rows = [LapsingRange(d.part.first, d.part.last, timer) for d in due if not d.free]
+            await self.write(replace(before, lapsing=(*before.lapsing, *rows)))
+        except VersionConflictError as error:
+            self.right.lose(str(error))
+            return
+        except PlatformError as error:
+            log.warning("lapsing ranges not recorded", service=self.service, error=str(error))
+            for departure in due:
+                departure.since = now
+            return
+        finally:
+            self.writing = None
+        for departure in due:
+            departure.timer = timer
+        log.info(
+            "lapsing ranges recorded",
+            service=self.service,
+            ranges=len(rows),
+            owners=sorted({departure.part.owner.name for departure in due}),
+            wait=wait.total_seconds(),
+            timer=timer,
+        )
+        self.last_change = self.change(before, [])
+        self.on_change()
+
+    def check_timers(self, now: Instant) -> None:
+        """Ask the store now and then whether the timers of leaders before have ended."""
+        if self.checking is not None or now - self.timers_at < TIMERS_EVERY:
+            return
+        timers = {d.timer for d in self.departures if d.reason == "lapsing" and not d.free}
+        if timers:
+            self.timers_at = now
+            self.checking = self.begin(self.free_lapsed(timers))
+
+    async def free_lapsed(self, timers: set[str]) -> None:
+        """Free the ranges whose timers have ended."""
+        try:
+            ended = await self.timers.ended(timers)
+        except PlatformError as error:
+            log.warning("timers not read", service=self.service, error=str(error))
+            return
+        finally:
+            self.checking = None
+        for departure in self.departures:
+            if departure.timer not in ended or departure.free:
+                continue
+            departure.free = True
+            log.info("keys are free", service=self.service, owner=departure.part.owner.name)
+
     def leave_bad_owners(self, now: Instant) -> None:
         """Let all keys leave owners that leave, are lost, or were started again."""
         reasons = {owner: self.trouble(now, owner) for owner in self.map.owners()}
@@ -544,7 +669,7 @@
         for loads in (self.short, self.long):
             loads.decay(now)
         long = self.long.loads if self.long.is_warm(now) else None
-        for move in plan(self.map, self.capacities(now), self.short.loads, long):
+        for move in plan(self.map, self.capacities(), self.short.loads, long):
             self.begin_move(now, move)
 
     def count_work(self, now: Instant, work: dict[int, float]) -> None:
@@ -558,16 +683,27 @@
             if part.owner != move.target:
                 self.depart(now, part, move.reason, move.target)
 
-    def capacities(self, now: Instant) -> list[Capacity]:
-        """Return the servers that may get keys."""
+    def capacities(self, first: bool = False) -> list[Capacity]:
+        """Return the servers that may get keys.
+
+        Parameters
+        ----------
+        first : bool
+            Whether keys are dealt out for the first time, to servers that had no order yet.
+        """
         found = []
         for server in self.table.of_service(self.service):
             owner = Owner.of(server.entry)
-            if server.leaving_since is not None or self.is_failing(owner):
+            if server.leaving_since is not None or not (first or self.takes_orders(owner)):
                 continue
             found.append(Capacity(owner, self.capacity(server)))
         return sorted(found, key=lambda item: (item.owner.name, item.owner.born))
 
+    def takes_orders(self, owner: Owner) -> bool:
+        """Return whether an owner has taken its last order of this leader."""
+        state = self.owners.get(owner)
+        return state is not None and state.proven and state.failing_since is None
+
     def is_failing(self, owner: Owner) -> bool:
         """Return whether an owner's last order had no answer."""
         state = self.owners.get(owner)
@@ -595,7 +731,7 @@
         if waiting and now - oldest < GATHER:
             return
         self.long.decay(now)
-        servers = self.capacities(now)
+        servers = self.capacities()
         known = {server.owner for server in servers}
         homeless = [d for d in free if d.target not in known]
         targets = {
--- a/tests/placing_world.py
+++ b/tests/placing_world.py
@@ -13,7 +13,7 @@
 
 from fireflylock.clock import Clock, FakeClock, Instant
 from fireflylock.direct.duty import PlacingDuty
-from fireflylock.direct.gossip import Hello, Placing
+from fireflylock.direct.gossip import GrantsEnd, Hello, Placing
 from fireflylock.direct.keycontrol import GrantOutcome, KeyControl, Release
 from fireflylock.direct.keyranges import KeyRange, Owner
 from fireflylock.direct.model import (
@@ -258,9 +258,9 @@
         """Return the number of VMs, this one included."""
         return len(self.world.vms)
 
-    def send(self, message: Placing) -> None:
+    def send(self, message: Placing | GrantsEnd) -> None:
         """Hand a message to the other VMs."""
-        if not isinstance(message, Placing):
+        if not isinstance(message, Placing | GrantsEnd):
             return
         self.world.told_bytes += len(msgspec.msgpack.encode(message))
         now = self.world.clock.elapsed()
@@ -269,6 +269,9 @@
                 continue
             if name in self.world.frozen or self.world.rng.random() < self.world.lost_datagrams:
                 continue
+            if isinstance(message, GrantsEnd):
+                vm.duty.grant_ends.apply(now, message)
+                continue
             vm.duty.heard(now, message)
 
 
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -133,7 +133,7 @@
 
 
 async def test_a_new_leader_moves_no_keys_before_it_knows_their_loads():
-    """wmtw-gateway scale-1: it gave half of the longest range, hot keys included, to one server."""
+    """wmtw-gateway scale-1: it gave half of the longest range, hot keys and all, to one server."""
     world = await settled_world()
     old = world.placing()
     world.kill_vm(old)
@@ -164,6 +164,55 @@
     assert_sound(world)
 
 
+async def test_keys_of_a_lost_server_wait_for_its_hold_once_although_leaders_change():
+    """wmtw-gateway trouble-3: each new leader began the longest wait anew, 21 s in all."""
+    world = await settled_world()
+    await world.run(12)
+    world.crash(world.lives[0])
+    await world.run(2.4)
+    assert world.unheld() > 0
+    for _ in range(2):
+        world.kill_vm(world.placing())
+        while not world.placing():
+            await world.run(0.1)
+        await world.run(0.5)
+    world.start_vm("late")
+    await world.run(1)
+    assert world.unheld() == 0
+    assert_sound(world)
+
+
+async def test_after_an_outage_of_the_store_a_lost_servers_keys_wait_for_what_was_granted():
+    """wmtw-gateway trouble-3: the next leader knew no end of the long grants of the one before."""
+    world = await settled_world()
+    await world.run(12)
+    world.store.away = True
+    await world.run(2)
+    world.crash(world.lives[0])
+    await world.run(3.5)
+    world.store.away = False
+    await world.run(6.5)
+    assert world.unheld() == 0
+    assert_sound(world)
+
+
+async def test_the_told_end_of_grants_does_not_count_once_another_leader_has_granted():
+    world = await settled_world()
+    await world.run(12)
+    old = world.placing()
+    world.cut_from_store.add(old)
+    while world.placing() in ("", old):
+        await world.run(0.1)
+    await world.run(1)
+    assert world.vms[old].duty.grant_ends.ends
+    world.cut_from_store.clear()
+    world.kill_vm(world.placing())
+    await world.run(3)
+    placer = world.vms[world.placing()].duty.placers["orders"]
+    assert placer.holdings.others_end >= placer.right.won_at + placer.longest_hold
+    assert_sound(world)
+
+
 async def test_what_a_leader_has_recorded_of_its_grants_counts_for_the_next_one_only():
     """The one after that knows nothing of what the next one has granted."""
     world = await settled_world()
