fireflylock logs: what the logs of some VMs say was lost, when and why

A ledger by cause, second, zone, service and route; leaders and outages of the store; keys without an owner and what ended that; one request's lines of all VMs; as tables, JSON and a picture. "keys placed" names its ranges, so that the time without an owner has an end.

--- a/fireflylock/cmdline.py
+++ b/fireflylock/cmdline.py
@@ -1,6 +1,7 @@
 """The operators' tool: reads the command line and hands over to `Commands`."""
 
 import argparse
+import fileinput
 import getpass
 import os
 import sys
@@ -12,7 +13,10 @@
 from fireflylock.client import AdminClient, AdminError, AdminUnreachableError
 from fireflylock.commands import FAILED, OK, Commands
 from fireflylock.keys import write_keys
+from fireflylock.ledger_views import ledger_json, plot_ledger, print_ledger
 from fireflylock.log import LEVELS
+from fireflylock.log_ledger import build as build_ledger
+from fireflylock.log_ledger import way_of_request
 from fireflylock.peer_keys import CurveKeys
 from fireflylock.top import Top
 
@@ -70,9 +74,30 @@
     _add_sheet(commands, asking, changing)
     _add_changes(commands, changing)
     _add_makers(commands, common)
+    _add_logs(commands, common)
     return root
 
 
+def _add_logs(commands, common: argparse.ArgumentParser) -> None:
+    """Add the command that reads logs."""
+    logs = commands.add_parser(
+        "logs", parents=[common], help="what the logs of some VMs say was lost, when, and why"
+    )
+    logs.add_argument(
+        "files", nargs="*", metavar="FILE", help="log files; default: standard input"
+    )
+    logs.add_argument(
+        "--request", metavar="ID", help="print the lines about one request instead of tables"
+    )
+    logs.add_argument(
+        "--begin", type=float, default=0.0, metavar="SECONDS", help="since the first line"
+    )
+    logs.add_argument(
+        "--end", type=float, default=float("inf"), metavar="SECONDS", help="since the first line"
+    )
+    logs.add_argument("--plot", metavar="PNG", help="draw all of it on one time axis as well")
+
+
 def _add_questions(commands, asking: argparse.ArgumentParser) -> None:
     """Add the commands that only ask."""
     commands.add_parser("status", parents=[asking], help="an entry VM at a glance")
@@ -185,6 +210,8 @@
         return make_keys(options)
     if options.command == "token":
         return make_token(options)
+    if options.command == "logs":
+        return show_logs(options)
     client = _client(options)
     if options.command == "top":
         return Top(client, options.json).run(options.interval, options.rounds)
@@ -253,6 +280,27 @@
     print(text, file=sys.stderr)
 
 
+def show_logs(options: argparse.Namespace) -> int:
+    """Print what the logs say was lost, or one request's lines."""
+    # Opened one after the other; a damaged byte must not end the reading.
+    with fileinput.input(options.files or ["-"], encoding="utf-8", errors="replace") as lines:
+        if options.request:
+            found = way_of_request(lines, options.request)
+            for line in found:
+                print(line)
+            return OK if found else FAILED
+        ledger = build_ledger(lines, options.begin, options.end)
+    if options.plot:
+        plot_ledger(ledger, options.plot)
+    if options.json:
+        print(ledger_json(ledger))
+    else:
+        print_ledger(ledger)
+    if ledger.bad_lines:
+        _note(f"{ledger.bad_lines} lines are no log lines, for example {ledger.bad_examples[0]!r}")
+    return OK if ledger.lines else FAILED
+
+
 def make_keys(options: argparse.Namespace) -> int:
     """Make an entry VM's key pair; print the line for the file of known keys."""
     keys = CurveKeys.new()
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -77,6 +77,8 @@
 GATHER = timedelta(milliseconds=60)
 # Time between two looks at the balance.
 PLAN_EVERY = timedelta(milliseconds=250)
+# Ranges that one line of the log names at most.
+MOST_LOGGED = 64
 # Least slowness by which capacity is judged.
 LEAST_SLOWNESS = 0.25
 
@@ -327,6 +329,7 @@
             epoch=new.next_epoch - 1,
             ranges=len(fresh),
             total=len(self.map.ranges),
+            placed=[(part.first, part.last, part.owner.name) for part in changes[:MOST_LOGGED]],
         )
         await asyncio.gather(*(self.grant_again(part) for part in fresh))
         self.on_change()
--- /dev/null
+++ b/fireflylock/ledger_views.py
@@ -0,0 +1,196 @@
+"""A ledger of what was lost as tables, as JSON and as a picture."""
+
+import math
+import sys
+from collections import Counter
+from dataclasses import asdict
+
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from fireflylock.log_ledger import DarkSpan, Ledger
+
+# Rows of each table at most.
+MOST_ROWS = 20
+# Columns of the output where it goes to no terminal.
+PIPE_WIDTH = 160
+
+
+def print_ledger(ledger: Ledger, console: Console | None = None) -> None:
+    """Print the tables."""
+    console = console or Console(width=None if sys.stdout.isatty() else PIPE_WIDTH)
+    console.print(f"{ledger.requests} requests given up; {ledger.lines} lines read")
+    for table in (causes(ledger), leaders(ledger), dark_spans(ledger), seconds(ledger)):
+        if table.row_count:
+            console.print(table)
+
+
+def columns(title: str, *names: str) -> Table:
+    """Return an empty table; columns whose names end in ``#`` are set right."""
+    table = Table(title=title, title_justify="left")
+    for name in names:
+        table.add_column(name.rstrip("#"), justify="right" if name.endswith("#") else "left")
+    return table
+
+
+def causes(ledger: Ledger) -> Table:
+    """Return requests given up by cause."""
+    names = ("requests#", "waited#", "error", "detail", "service", "route", "zones", "seconds")
+    table = columns("Requests given up", *names)
+    losses = sorted(ledger.losses.items(), key=lambda item: -item[1].requests)
+    for cause, loss in losses[:MOST_ROWS]:
+        zones = ", ".join(f"{zone or '?'} {count}" for zone, count in loss.by_zone.most_common())
+        span = f"{min(loss.by_second)} to {max(loss.by_second)}"
+        table.add_row(
+            str(loss.requests),
+            str(loss.waited),
+            cause.error,
+            cause.detail,
+            cause.service,
+            cause.route,
+            zones,
+            span,
+        )
+    return table
+
+
+def leaders(ledger: Ledger) -> Table:
+    """Return who led when, and the outages of the store."""
+    table = columns("Leaders and outages of the store", "from#", "to#", "VM", "what ended it")
+    rows = [(term.begin, term.end, term.vm, term.reason) for term in ledger.terms]
+    rows += [(begin, end, vm, "the store was away") for vm, begin, end in ledger.outages]
+    for begin, end, vm, reason in sorted(rows, key=lambda row: row[0])[: 2 * MOST_ROWS]:
+        table.add_row(f"{begin:.2f}", "" if end is None else f"{end:.2f}", vm, reason)
+    return table
+
+
+def dark_spans(ledger: Ledger) -> Table:
+    """Return the longest times for which keys were not served."""
+    names = ("from#", "to#", "seconds#", "ranges#", "service", "owner", "reason", "next owner")
+    table = columns("Keys without an owner, longest first", *names)
+    last = last_instant(ledger)
+    groups: dict[tuple, list[DarkSpan]] = {}
+    for span in ledger.spans:
+        end = math.inf if span.end is None else round(span.end, 1)
+        key = (span.service, span.owner, span.reason, round(span.begin, 1), end)
+        groups.setdefault(key, []).append(span)
+
+    def length(spans: list[DarkSpan]) -> float:
+        span = spans[0]
+        return (last if span.end is None else span.end) - span.begin
+
+    for spans in sorted(groups.values(), key=length, reverse=True)[:MOST_ROWS]:
+        span = spans[0]
+        table.add_row(
+            f"{span.begin:.2f}",
+            "" if span.end is None else f"{span.end:.2f}",
+            f"{length(spans):.2f}",
+            str(len(spans)),
+            span.service,
+            span.owner,
+            span.reason,
+            ", ".join(sorted({one.next_owner for one in spans if one.next_owner})),
+        )
+    return table
+
+
+def seconds(ledger: Ledger) -> Table:
+    """Return the seconds with the most requests given up, and their main cause."""
+    table = columns("Worst seconds", "second#", "requests#", "error", "detail")
+    total: Counter = Counter()
+    main: dict[int, Counter] = {}
+    for cause, loss in ledger.losses.items():
+        total.update(loss.by_second)
+        for second, count in loss.by_second.items():
+            main.setdefault(second, Counter())[cause] += count
+    for second, count in total.most_common(MOST_ROWS):
+        cause, _ = main[second].most_common(1)[0]
+        table.add_row(str(second), str(count), cause.error, cause.detail)
+    return table
+
+
+def last_instant(ledger: Ledger) -> float:
+    """Return the latest instant that the ledger names."""
+    instants = [span.begin for span in ledger.spans]
+    instants += [span.end for span in ledger.spans if span.end is not None]
+    instants += [term.end for term in ledger.terms if term.end is not None]
+    instants += [second for loss in ledger.losses.values() for second in loss.by_second]
+    return max(instants, default=0.0)
+
+
+def ledger_json(ledger: Ledger) -> str:
+    """Return the whole ledger as JSON."""
+    losses = [
+        asdict(cause)
+        | {
+            "requests": loss.requests,
+            "waited": loss.waited,
+            "by_second": dict(sorted(loss.by_second.items())),
+            "by_zone": dict(loss.by_zone),
+        }
+        for cause, loss in ledger.losses.items()
+    ]
+    whole = {
+        "requests": ledger.requests,
+        "losses": losses,
+        "dark_spans": [asdict(span) for span in ledger.spans],
+        "leaders": [asdict(term) for term in ledger.terms],
+        "store_outages": ledger.outages,
+        "lines": ledger.lines,
+        "bad_lines": ledger.bad_lines,
+        "bad_examples": ledger.bad_examples,
+    }
+    return msgspec.json.format(msgspec.json.encode(whole)).decode()
+
+
+def plot_ledger(ledger: Ledger, path: str) -> None:
+    """Draw refusals, leaders, outages and keys without an owner on one time axis.
+
+    Raises
+    ------
+    ValueError
+        Matplotlib is not installed.
+    """
+    try:
+        import matplotlib
+    except ImportError:
+        raise ValueError("--plot needs matplotlib; install fireflylock[dev]") from None
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    last = last_instant(ledger)
+    figure, (top, middle, bottom) = pyplot.subplots(3, 1, sharex=True, figsize=(12, 9))
+    losses = sorted(ledger.losses.items(), key=lambda item: -item[1].requests)
+    below: Counter = Counter()
+    by_text: dict[str, Counter] = {}
+    for cause, loss in losses:
+        by_text.setdefault(f"{cause.error}: {cause.detail}"[:60], Counter()).update(loss.by_second)
+    for text, counts in list(by_text.items())[:8]:
+        at = sorted(counts)
+        top.bar(
+            at, [counts[s] for s in at], bottom=[below[s] for s in at], label=text, align="edge"
+        )
+        below.update(counts)
+    top.set_ylabel("requests given up")
+    if by_text:
+        top.legend(fontsize=7)
+    vms = sorted({term.vm for term in ledger.terms} | {vm for vm, _, _ in ledger.outages})
+    for term in ledger.terms:
+        end = last if term.end is None else term.end
+        middle.barh(vms.index(term.vm), end - term.begin, left=term.begin, color="tab:green")
+    for vm, begin, end in ledger.outages:
+        middle.barh(vms.index(vm) + 0.3, end - begin, left=begin, height=0.3, color="tab:red")
+    middle.set_yticks(range(len(vms)), vms, fontsize=7)
+    middle.set_title("leader (green), no store (red)", fontsize=8)
+    spans = [span for span in ledger.spans if (span.end or last) - span.begin > 0.1]
+    owners = sorted({span.owner for span in spans})
+    for span in spans:
+        end = last if span.end is None else span.end
+        bottom.barh(owners.index(span.owner), end - span.begin, left=span.begin, alpha=0.6)
+    bottom.set_yticks(range(len(owners)), owners, fontsize=6)
+    bottom.set_title("keys without an owner, by the owner they left", fontsize=8)
+    bottom.set_xlabel("seconds since the first line")
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
