The leader records speeds for processes that start

Tests: a second VM knows the first one's speeds, not those of servers that are gone; a start and not the last word.

--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -35,6 +35,7 @@
 from fireflylock.direct.routes import RouteMatcher
 from fireflylock.direct.sender import Sender
 from fireflylock.direct.servers import ServerTable
+from fireflylock.direct.speed_record import SAVE_EVERY, SpeedRecord
 from fireflylock.direct.status_server import StatusAnswer, StatusServer
 from fireflylock.direct.stopping import plan_stop
 from fireflylock.direct.surroundings import Surroundings
@@ -152,6 +153,8 @@
             place.bounds,
             lambda: self.admission.owners_changed(self.clock.elapsed()),
         )
+        self.speeds = SpeedRecord(surroundings.store, self.table)
+        self.speeds_task: asyncio.Task | None = None
         self.status = StatusServer(
             {surroundings.readiness_path: self.readiness, "/metrics": self.scrape}
         )
@@ -187,6 +190,7 @@
             self.repeat(REPORT_EVERY, self.exchange.step),
             self.repeat(WORK_EVERY, self.tell_work),
             self.repeat(TIDY_EVERY, self.tidy),
+            self.repeat(SAVE_EVERY, self.save_speeds),
             self.repeat(ISOLATION_EVERY, self.look_for_isolation),
             self.keep_membership(),
         ):
@@ -288,6 +292,8 @@
                 log.warning("registration ignored", key=value.key, error=str(error))
         if whole:
             self.table.replace(now, entries)
+            if self.speeds_task is None and entries:
+                self.speeds_task = asyncio.get_running_loop().create_task(self.speeds.load())
         else:
             for entry in entries:
                 self.table.register(now, entry)
@@ -402,6 +408,11 @@
             message = KeyWork(self.place.vm, self.place.zone, work, slowness)
             self.gossip.send(message, to=[self.duty.placing_vm])
 
+    def save_speeds(self, now: Instant) -> None:
+        """Let the leader record speeds for processes that start later."""
+        if self.duty.placers and (self.speeds_task is None or self.speeds_task.done()):
+            self.speeds_task = asyncio.get_running_loop().create_task(self.speeds.save())
+
     def tidy(self, now: Instant) -> None:
         """Forget what is no longer needed."""
         self.sender.close_unused_pools()
@@ -448,7 +459,7 @@
 
     async def close(self) -> None:
         """End everything at once."""
-        for task in self.tasks:
+        for task in [*self.tasks, *([self.speeds_task] if self.speeds_task else [])]:
             task.cancel()
         await self.frontend.close()
         self.status.close()
--- a/fireflylock/direct/speeds.py
+++ b/fireflylock/direct/speeds.py
@@ -97,6 +97,23 @@
             for _ in range(min(count, MOST_MERGED)):
                 slowness.add(mean, SERVER_WEIGHT)
 
+    def start_from(self, costs: dict[str, float], servers: dict[str, float]) -> None:
+        """Take over what others knew, where nothing is known here; a few answers outweigh it.
+
+        Parameters
+        ----------
+        costs : dict of str to float
+            Seconds by route.
+        servers : dict of str to float
+            Slowness by server.
+        """
+        for route, cost in costs.items():
+            if cost > 0.0:
+                self.routes.setdefault(route, Average(cost))
+        for server, slowness in servers.items():
+            if LEAST_SLOWNESS <= slowness <= MOST_SLOWNESS:
+                self.servers.setdefault(server, Average(slowness))
+
     def size(self, route: str) -> float:
         """Return the mean size of the answers to a route's requests, in bytes."""
         known = self.sizes.get(route)
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -184,6 +184,22 @@
     assert (await site.ask(second, "/read/", "r3", 7)).status == 200
 
 
+async def test_a_process_that_starts_knows_the_speeds_that_the_leader_has_recorded(site):
+    """wmtw-gateway scale-1: after all processes were killed each took all servers for alike."""
+    first = await site.add_node()
+    await site.all_granted()
+    first.table.speeds.start_from({"orders": 0.3}, {"o0": 3.0, "gone": 2.0})
+    await first.speeds.save()
+    started = await site.add_node("vm-2")
+    await site.until(lambda: started.table.speeds.slowness("o0") == 3.0)
+    assert started.table.speeds.cost("orders") == 0.3
+    assert started.table.speeds.slowness("gone") == 1.0
+    # A second leader's first write meets the first one's record, and replaces it then.
+    started.speeds.revision = 0
+    await started.speeds.save()
+    assert started.speeds.revision > 0
+
+
 async def test_a_stop_finishes_what_was_begun(site):
     node = await ready(site)
     for server in site.servers.values():
--- a/tests/test_direct_speeds.py
+++ b/tests/test_direct_speeds.py
@@ -1,6 +1,6 @@
 """Tests of what is known of the servers' speeds."""
 
-from fireflylock.direct.speeds import Speeds
+from fireflylock.direct.speeds import FIRST_COST, Speeds
 
 
 def answers(speeds, server, seconds, count=1):
@@ -35,3 +35,20 @@
     seen = {"a": (float("nan"), 3), "b": (-1.0, 3), "c": (1e9, 3), "d": (2.0, 1 << 60)}
     speeds.merge(seen)
     assert set(speeds.servers) == {"d"}
+
+
+def test_speeds_of_others_are_a_start_and_not_the_last_word():
+    speeds = Speeds()
+    answers(speeds, "known", 0.1, 5)
+    before = speeds.slowness("known")
+    speeds.start_from(
+        {"read": 9.0, "order": 0.2, "odd": -1.0}, {"known": 5.0, "new": 2.0, "x": 99}
+    )
+    assert speeds.slowness("known") == before
+    assert speeds.cost("read") < 0.2
+    assert speeds.cost("order") == 0.2
+    assert speeds.cost("odd") == FIRST_COST
+    assert speeds.slowness("new") == 2.0
+    assert speeds.slowness("x") == 1.0
+    answers(speeds, "new", speeds.cost("read"), 20)
+    assert speeds.slowness("new") < 1.4
