VMs learn early until when the keys of a silent server wait

Cause: a server that is cut off or dead is taken to be lost after five orders without an answer, 1.5 to 2.3 s. Change: after three orders without an answer the leader tells the owner's ranges as unowned until the end of its hold. Requests wait as for a lost owner; if the server answers again it goes on at once and nothing migrates. Test: all VMs know it within 1.8 s of a cut, before a migration begins, and use the owner again after it.

--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -461,10 +461,15 @@
             if state.failing_since is None:
                 log.warning("server takes no orders", server=part.owner.name, why=outcome.value)
             state.failed(now)
+            if state.failed_tries == OUT_OF_REACH_TRIES:
+                self.on_change()
             return
+        was_out_of_reach = self.is_out_of_reach(part.owner)
         if state.failing_since is not None:
             log.info("server takes orders again", server=part.owner.name)
         state.took_order()
+        if was_out_of_reach:
+            self.on_change()
         if outcome is GrantOutcome.REFUSED:
             # A higher epoch was seen, or the order was not understood: the same order would
             # be refused again, so the keys get a new epoch.
@@ -772,7 +777,15 @@
             )
         if self.map is None:
             return found
+        leaving = {(move.first, move.last) for move in found}
         for part in self.map.ranges:
+            if self.is_out_of_reach(part.owner) and (part.first, part.last) not in leaving:
+                # Requests that come now can wait until the owner answers, or has none of the
+                # keys any more; a part of the range that leaves already stands before it.
+                wait = max(timedelta(0), self.holdings.free_at(part.owner) - now)
+                wait_ms = wait // timedelta(milliseconds=1)
+                found.append(Moving(self.service, part.first, part.last, wait_ms))
+                continue
             if (part.first, part.last, part.epoch) in self.granted:
                 continue
             if part.epoch == self.map.next_epoch - 1 and not self.is_failing(part.owner):
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -49,6 +49,28 @@
     assert_sound(world)
 
 
+async def test_all_vms_know_early_until_when_a_silent_servers_keys_wait():
+    """wmtw-gateway: for 2.4 s after a cut its callers were refused with nothing to go by."""
+    world = await settled_world()
+    await world.run(12)
+    life = world.lives[0]
+    key = next(key for key in WATCHED if life in world.holders(key))
+    links = {(vm, life.entry.name) for vm in world.vms}
+    world.cut_links |= links
+    await world.run(1.8)
+    for vm in world.vms.values():
+        assert vm.view.owner_of("orders", key) is None
+        wait = vm.view.unowned_for("orders", key, world.clock.elapsed())
+        assert 1 <= wait.total_seconds() <= HOLD.total_seconds()
+    assert not world.vms[world.placing()].duty.placers["orders"].departures
+    # It answers again before it is taken to be lost: nothing moves.
+    world.cut_links -= links
+    await world.run(0.6)
+    for vm in world.vms.values():
+        assert vm.view.owner_of("orders", key).entry.name == life.entry.name
+    assert_sound(world)
+
+
 async def test_a_busy_server_is_relieved_while_the_keys_of_a_lost_one_wait():
     """A hot neighbourhood meets a crash: the keys of the lost server wait for seconds."""
     world = await settled_world()
