A new leader hears all servers before it gives free keys away

Since servers get keys only once they have taken an order; the new leader had heard one then. Ruled out: the loads (none known; ranges are spread by their length then).

--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -712,6 +712,19 @@
         state = self.owners.get(owner)
         return state is not None and state.proven and state.failing_since is None
 
+    def has_untried_servers(self) -> bool:
+        """Return whether a server that may get keys was not heard by this leader yet.
+
+        A new leader would give all free keys to the server that happens to answer first.
+        """
+        for server in self.table.of_service(self.service):
+            state = self.owners.get(Owner.of(server.entry))
+            if server.leaving_since is not None:
+                continue
+            if state is None or (not state.proven and state.failing_since is None):
+                return True
+        return False
+
     def is_failing(self, owner: Owner) -> bool:
         """Return whether an owner's last order had no answer."""
         state = self.owners.get(owner)
@@ -732,7 +745,7 @@
         if self.writing is not None:
             return
         free = [d for d in self.departures if d.free]
-        if not free:
+        if not free or self.has_untried_servers():
             return
         waiting = [d for d in self.departures if not d.free]
         oldest = min(d.since for d in free)
--- a/tests/placing_world.py
+++ b/tests/placing_world.py
@@ -204,7 +204,7 @@
     async def grant(self, part, hold, still_allowed) -> GrantOutcome:
         """Grant keys."""
         world = self.world
-        await self.clock.sleep(ORDER_TIME)
+        await self.clock.sleep(world.order_times.get(part.owner.name, ORDER_TIME))
         if not still_allowed():
             return GrantOutcome.UNSENT
         if (self.vm, part.owner.name) in world.cut_links:
@@ -225,7 +225,7 @@
     async def release(self, part, epoch, timeout) -> Release:
         """Take keys back."""
         world = self.world
-        await self.clock.sleep(ORDER_TIME)
+        await self.clock.sleep(world.order_times.get(part.owner.name, ORDER_TIME))
         life = world.process_at(part.owner)
         if (self.vm, part.owner.name) in world.cut_links or life is None:
             await self.clock.sleep(timeout)
@@ -307,6 +307,8 @@
         self.told_bytes = 0
         self.due: list[tuple[Instant, object]] = []
         self.boots = 0
+        # How long orders to some servers take.
+        self.order_times: dict[str, timedelta] = {}
         # Planned stops under way.
         self.stops: list[asyncio.Task] = []
         self.problems: list[str] = []
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1,6 +1,8 @@
 """Tests of who owns keys: one scenario a fault, then random histories of all of them."""
 
 import random
+from collections import Counter
+from datetime import timedelta
 
 import pytest
 
@@ -204,6 +206,31 @@
     assert_sound(world)
 
 
+async def test_a_new_leader_spreads_free_keys_over_all_servers():
+    """wmtw-gateway trouble-1: it gave 16 ranges to the server that answered it first."""
+    world = await settled_world(servers=9)
+    await world.run(12)
+    lost = world.lives[:4]
+    for life in world.lives[5:]:
+        world.order_times[life.entry.name] = timedelta(milliseconds=150)
+    for life in lost:
+        world.crash(life, registered=False)
+    await world.run(0.5)
+    world.kill_vm(world.placing())
+    for life in lost:
+        # Others at their addresses prove that they have ended, as soon as there is a leader.
+        world.add_server(f"{life.entry.name}x", life.entry.port)
+        world.order_times[f"{life.entry.name}x"] = timedelta(milliseconds=150)
+    for _ in range(200):
+        await world.run(0.02)
+        if world.unheld() == 0:
+            break
+    assert world.unheld() == 0
+    held = Counter(world.holders(key)[0].entry.name for key in WATCHED)
+    assert max(held.values()) <= 0.3 * len(WATCHED)
+    assert_sound(world)
+
+
 async def test_after_an_outage_of_the_store_a_lost_servers_keys_wait_for_what_was_granted():
     """wmtw-gateway trouble-3: the next leader knew no end of the long grants of the one before."""
     world = await settled_world()
