The end of the wait is told for every owner that does not answer

Change: a release without an answer for 0.4 s counts like an order without one; a refusal for a move that takes longer than it should names that time again in place of 20 ms. Tests: a server that left and is cut off; the Retry-After after a wait in vain; both failed before.

--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -320,7 +320,9 @@
         work = timedelta(seconds=(1 + ahead) * self.table.speeds.cost(ticket.route.name))
         in_time = ticket.owner_due + patience + work <= ticket.deadline
         if now - ticket.owner_due > patience or (rest > patience and not in_time):
-            return self.refuse(now, ticket, ErrorKind.NO_OWNER, "the key has no owner", rest)
+            # What has taken longer than a move should is not over a moment later.
+            again = max(rest, patience)
+            return self.refuse(now, ticket, ErrorKind.NO_OWNER, "the key has no owner", again)
         return None
 
     def ahead_unowned(self, ticket: Ticket) -> int:
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -783,7 +783,8 @@
         for departure in self.departures:
             part = departure.part
             wait = timedelta(0)
-            if not departure.free and self.is_failing(part.owner):
+            silent = self.is_failing(part.owner) or now - departure.since >= LAPSE_AFTER
+            if not departure.free and silent:
                 wait = max(wait, self.holdings.free_at(part.owner) - now)
             found.append(
                 Moving(self.service, part.first, part.last, wait // timedelta(milliseconds=1))
--- a/tests/test_direct_admission.py
+++ b/tests/test_direct_admission.py
@@ -159,6 +159,8 @@
     assert "long" not in desk.refused
     desk.admission.tick(START + 250 * MS)
     assert desk.refused["long"].kind is ErrorKind.NO_OWNER
+    # The caller, with 0.55 s left, is not told to come back at once and wait in vain again.
+    assert desk.refused["long"].retry_after >= 0.25 * 550 * MS
 
 
 def test_requests_wait_for_the_known_end_of_a_lost_owners_hold():
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -73,6 +73,22 @@
     assert_sound(world)
 
 
+async def test_the_end_of_the_wait_is_told_for_a_server_that_left_and_is_cut_off():
+    """wmtw-gateway trouble-2: its registration lapsed, and callers were told to come at once."""
+    world = await settled_world()
+    await world.run(12)
+    life = world.lives[0]
+    key = next(key for key in WATCHED if life in world.holders(key))
+    world.cut_links |= {(vm, life.entry.name) for vm in world.vms}
+    for vm in world.vms.values():
+        vm.table.remove(world.clock.elapsed(), life.entry.name)
+    await world.run(0.7)
+    for vm in world.vms.values():
+        wait = vm.view.unowned_for("orders", key, world.clock.elapsed())
+        assert 1 <= wait.total_seconds() <= HOLD.total_seconds() * 1.02 + 0.15
+    assert_sound(world)
+
+
 async def test_a_busy_server_is_relieved_while_the_keys_of_a_lost_one_wait():
     """A hot neighbourhood meets a crash: the keys of the lost server wait for seconds."""
     world = await settled_world()
