--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -146,7 +146,6 @@
 
     def arrive(self, now: Instant, ticket: Ticket) -> None:
         """Start, queue or refuse a new request."""
-        self.grow_late(now, ticket)
         place, servers = self.candidates(ticket)
         line = self.lines.get(place, [])
         order = ticket.order
--- a/fireflylock/direct/edge.py
+++ b/fireflylock/direct/edge.py
@@ -8,7 +8,6 @@
 
 from fireflylock.caller import CallerBody
 from fireflylock.clock import Clock, Instant
-from fireflylock.direct.caller_times import CallerTimes
 from fireflylock.direct.keyranges import Owner
 from fireflylock.direct.model import CallerLimits, Repeat, Route
 from fireflylock.direct.routes import RouteMatcher
@@ -42,16 +41,13 @@
     arrived : timedelta
         When its head was read.
     target_at : timedelta
-        Instant of its latency target, which counts from its caller's first attempt.
-    elapsed : timedelta
-        How long its caller has been trying before.
+        Instant of its latency target.
     """
 
     route: Route | None = None
     key_number: int | None = None
     arrived: Instant = field(default=timedelta(0))
     target_at: Instant = field(default=timedelta(0))
-    elapsed: timedelta = timedelta(0)
 
 
 class CallerDialect(ABC):
@@ -111,7 +107,6 @@
         self.routes = routes
         self.dialect = dialect
         self.request_id_header = dialect.id_header
-        self.times = CallerTimes()
 
     def take_limits(self, limits: CallerLimits, connections: int) -> None:
         """Bound callers by the operator's limits from now on."""
@@ -147,11 +142,8 @@
         path = head.target.partition(b"?")[0].decode("latin-1")
         route = matcher.match(host.partition(":")[0], path)
         left = self.dialect.time_left(head.headers)
-        elapsed = timedelta(0)
         if left is None:
             left = route.timeout
-        else:
-            elapsed = self.times.elapsed(route.name, left)
         if left <= timedelta(0):
             raise RequestError(ErrorKind.DEADLINE_TOO_SHORT, "no time is left")
         return RoutedRequest(
@@ -169,8 +161,7 @@
             route=route,
             key_number=self.dialect.key(head.headers),
             arrived=now,
-            target_at=now + route.target - elapsed,
-            elapsed=elapsed,
+            target_at=now + route.target,
         )
 
     def error_answer(
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -42,6 +42,8 @@
 MOVED_PAUSE = timedelta(milliseconds=60)
 # When to come back after a refusal that will soon be over.
 SOON = timedelta(milliseconds=50)
+# A caller that gives less time than others do on its route, by this much, has come back.
+RETURN_TIME = timedelta(milliseconds=20)
 # Least connections to one server that this VM may have, however many VMs there are.
 FEWEST_CONNECTIONS = 3
 
@@ -100,6 +102,8 @@
         self.stop: StopPlan | None = None
         self.splits = SplitCounter()
         self.budgets: dict[str, SharedRetryBudget] = {}
+        # The longest time that a caller has given, by route.
+        self.longest_given: dict[str, timedelta] = {}
         self.pools: dict[Owner, ServerPool] = {}
         # Seconds of work asked for, by service and key, since it was last taken.
         self.key_work: dict[str, dict[int, float]] = {}
@@ -120,7 +124,7 @@
             raise self.final(request, error, may_have_run=False)
         budget = self.budget(spec.name)
         budget.count_request(self.clock.elapsed())
-        returned = request.elapsed > timedelta(0)
+        returned = self.has_returned(request)
         if spec.keyed:
             self.count_work(request)
         body = await self.replayable_body(request)
@@ -190,6 +194,16 @@
         owner = None if key is None else self.admission.ownership.owner_of(service, key)
         return 1 if owner is not None and owner.entry.zone == self.admission.zone else -1
 
+    def has_returned(self, request: RoutedRequest) -> bool:
+        """Return whether the caller has probably asked for the same before, and failed.
+
+        A caller's time goes on over its attempts, so that it has less of it then.
+        """
+        given = request.deadline - request.arrived
+        longest = max(given, self.longest_given.get(request.route.name, given))
+        self.longest_given[request.route.name] = longest
+        return longest - given >= RETURN_TIME
+
     def budget(self, service: str) -> SharedRetryBudget:
         """Return the budget of a service."""
         known = self.budgets.get(service)
--- a/tests/test_direct_admission.py
+++ b/tests/test_direct_admission.py
@@ -460,17 +460,3 @@
     desk.server().back_off(START, 100 * MS)
     desk.ask(START, "read", key=1)
     assert "read" in desk.refused
-
-
-def test_a_caller_that_came_back_too_late_for_its_target_goes_behind_the_others():
-    desk = Desk()
-    for number in range(5):
-        desk.ask(START, f"r{number}", key=1, left=2500)
-    back = desk.ask(START, "back", key=1, left=1500, target=-600)
-    desk.ask(START, "new", key=1, left=2500)
-    assert back.late
-    desk.end(START, "r0")
-    assert "new" in desk.started
-    assert "back" not in desk.started
-    desk.end(START, "r1")
-    assert "back" in desk.started
