--- a/fireflylock/direct/budget.py
+++ b/fireflylock/direct/budget.py
@@ -1,9 +1,4 @@
-"""How often a service's requests may be sent once more, over all entry VMs together.
-
-The load this answers: for some seconds the servers of a service reject half of what they get.
-The budget does not last for all requests then.  A caller that was refused comes back by
-itself, so most of the budget is kept for requests whose callers have come back already.
-"""
+"""How often a service's requests may be sent once more, over all entry VMs together."""
 
 from collections import deque
 from datetime import timedelta
@@ -14,8 +9,6 @@
 STEPS = 20
 # What is used of the allowance: counters of VMs and of the servers' side are not in step.
 MARGIN = 0.75
-# Part of the allowance that requests may use whose callers can still come back by themselves.
-FIRST_SHARE = 0.25
 
 
 class SharedRetryBudget:
@@ -53,7 +46,7 @@
         self.current_step(now)[1] += 1
         self.requests += 1
 
-    def try_spend(self, now: Instant, vms: int, returned: bool = True) -> bool:
+    def try_spend(self, now: Instant, vms: int) -> bool:
         """Take one repeat out of the budget; False when it is used up.
 
         Parameters
@@ -62,14 +55,9 @@
             Present instant.
         vms : int
             Entry VMs that share the fixed part.
-        returned : bool
-            Whether the caller has come back after a failure, so that it may not do so again.
         """
         step = self.current_step(now)
-        allowance = self.allowance(now, vms)
-        if not returned:
-            allowance *= FIRST_SHARE
-        if allowance - self.repeats < 1:
+        if self.allowance(now, vms) - self.repeats < 1:
             return False
         step[2] += 1
         self.repeats += 1
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -42,8 +42,6 @@
 MOVED_PAUSE = timedelta(milliseconds=60)
 # When to come back after a refusal that will soon be over.
 SOON = timedelta(milliseconds=50)
-# A caller that gives less time than others do on its route, by this much, has come back.
-RETURN_TIME = timedelta(milliseconds=20)
 # Least connections to one server that this VM may have, however many VMs there are.
 FEWEST_CONNECTIONS = 3
 
@@ -102,8 +100,6 @@
         self.stop: StopPlan | None = None
         self.splits = SplitCounter()
         self.budgets: dict[str, SharedRetryBudget] = {}
-        # The longest time that a caller has given, by route.
-        self.longest_given: dict[str, timedelta] = {}
         self.pools: dict[Owner, ServerPool] = {}
         # Seconds of work asked for, by service and key, since it was last taken.
         self.key_work: dict[str, dict[int, float]] = {}
@@ -124,7 +120,6 @@
             raise self.final(request, error, may_have_run=False)
         budget = self.budget(spec.name)
         budget.count_request(self.clock.elapsed())
-        returned = self.has_returned(request)
         if spec.keyed:
             self.count_work(request)
         body = await self.replayable_body(request)
@@ -152,7 +147,7 @@
                 sendings += 1
                 tried.add(server.name)
             again = sendings < MOST_SENDINGS and not body.touched
-            if not again or not self.may_go_again(request, error, sent, tried, spec, returned):
+            if not again or not self.may_go_again(request, error, sent, tried, spec):
                 if response is not None:
                     return response
                 raise self.final(request, error, may_have_run) from None
@@ -194,16 +189,6 @@
         owner = None if key is None else self.admission.ownership.owner_of(service, key)
         return 1 if owner is not None and owner.entry.zone == self.admission.zone else -1
 
-    def has_returned(self, request: RoutedRequest) -> bool:
-        """Return whether the caller has probably asked for the same before, and failed.
-
-        A caller's time goes on over its attempts, so that it has less of it then.
-        """
-        given = request.deadline - request.arrived
-        longest = max(given, self.longest_given.get(request.route.name, given))
-        self.longest_given[request.route.name] = longest
-        return longest - given >= RETURN_TIME
-
     def budget(self, service: str) -> SharedRetryBudget:
         """Return the budget of a service."""
         known = self.budgets.get(service)
@@ -378,7 +363,6 @@
         sent: bool,
         tried: set[str],
         spec: ServiceSpec,
-        returned: bool,
     ) -> bool:
         """Return whether a request may be sent again after an error."""
         if not (error.not_run or request.idempotent):
@@ -393,7 +377,7 @@
             return not spec.keyed
         if not spec.keyed and len(tried) >= request.route.attempts:
             return False
-        return self.budget(request.service).try_spend(now, self.vms(), returned)
+        return self.budget(request.service).try_spend(now, self.vms())
 
     def final(
         self, request: RoutedRequest, error: RequestError, may_have_run: bool
