--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -66,8 +66,6 @@
         Its key, where the service is keyed.
     target_at, deadline : timedelta
         Instants of its latency target and of its deadline.
-    caller_until : timedelta
-        Until when its caller can come back; no earlier than the deadline.
     tried : set of str
         Servers it was sent to before.
     settle : callable
@@ -92,7 +90,6 @@
     key: int | None
     target_at: Instant
     deadline: Instant
-    caller_until: Instant
     settle: Callable[[Server | None, RequestError | None], None]
     arrived: Instant
     tried: set[str] = field(default_factory=set)
@@ -360,7 +357,7 @@
         self, now: Instant, ticket: Ticket, kind: ErrorKind, why: str, wait: timedelta
     ) -> RequestError:
         """Return a refusal that tells the caller when to come back."""
-        longest = RETRY_SHARE * (ticket.caller_until - now)
+        longest = RETRY_SHARE * (ticket.deadline - now)
         return RequestError(kind, why, max(SHORTEST_RETRY, min(wait, longest)))
 
     def start(self, now: Instant, ticket: Ticket, server: Server) -> None:
--- a/fireflylock/direct/edge.py
+++ b/fireflylock/direct/edge.py
@@ -42,15 +42,12 @@
         When its head was read.
     target_at : timedelta
         Instant of its latency target.
-    caller_until : timedelta
-        Until when its caller waits and asks again; the route may allow less for one attempt.
     """
 
     route: Route | None = None
     key_number: int | None = None
     arrived: Instant = field(default=timedelta(0))
     target_at: Instant = field(default=timedelta(0))
-    caller_until: Instant = field(default=timedelta(0))
 
 
 class CallerDialect(ABC):
@@ -165,7 +162,6 @@
             key_number=self.dialect.key(head.headers),
             arrived=now,
             target_at=now + route.target,
-            caller_until=now + left,
         )
 
     def error_answer(
