Free keys wait for servers that are new to the leader for a second at most

Read again: a server in the map whose ranges all migrate is neither granted to nor probed, so it would never count as heard and free keys would wait for it. A failed record of lapsing ranges is tried again after a pause of its own.

--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -68,6 +68,8 @@
 # Added to a timer in the store, and its share: clocks run at slightly different speeds.
 TIMER_MARGIN = timedelta(milliseconds=300)
 TIMER_DRIFT = 0.02
+# Pause after lapsing ranges could not be recorded.
+LAPSE_PAUSE = timedelta(milliseconds=400)
 # The timers that leaders before have started are looked at this often.
 TIMERS_EVERY = timedelta(milliseconds=500)
 # Pause after the store did not give the map.
@@ -75,6 +77,8 @@
 # Released keys wait at most this long for others that are being released, so that one write
 # records them all.
 GATHER = timedelta(milliseconds=60)
+# Free keys wait this long at most until servers that are new to the leader have been heard.
+HEARING = timedelta(seconds=1)
 # Time between two looks at the balance.
 PLAN_EVERY = timedelta(milliseconds=250)
 # Ranges that one line of the log names at most.
@@ -137,6 +141,7 @@
         self.on_change = on_change
         self.timers = LapseTimers(store)
         self.timers_at: Instant = timedelta(0)
+        self.lapsing_at: Instant = timedelta(0)
         self.checking: asyncio.Task | None = None
         self.holdings = Holdings(longest_hold, right.won_at)
         self.short = KeyLoads(right.won_at, SHORT_AGE)
@@ -558,7 +563,7 @@
 
     def record_lapsing(self, now: Instant) -> None:
         """Record the ranges whose owners don't answer, so that no later leader grants them."""
-        if self.writing is not None:
+        if self.writing is not None or now < self.lapsing_at:
             return
         due = [
             departure
@@ -590,8 +595,7 @@
             return
         except PlatformError as error:
             log.warning("lapsing ranges not recorded", service=self.service, error=str(error))
-            for departure in due:
-                departure.since = now
+            self.lapsing_at = self.clock.elapsed() + LAPSE_PAUSE
             return
         finally:
             self.writing = None
@@ -712,11 +716,13 @@
         state = self.owners.get(owner)
         return state is not None and state.proven and state.failing_since is None
 
-    def has_untried_servers(self) -> bool:
+    def has_untried_servers(self, now: Instant) -> bool:
         """Return whether a server that may get keys was not heard by this leader yet.
 
         A new leader would give all free keys to the server that happens to answer first.
         """
+        if now - max(self.right.won_at, self.table.joined_at) > HEARING:
+            return False
         for server in self.table.of_service(self.service):
             state = self.owners.get(Owner.of(server.entry))
             if server.leaving_since is not None:
@@ -745,7 +751,7 @@
         if self.writing is not None:
             return
         free = [d for d in self.departures if d.free]
-        if not free or self.has_untried_servers():
+        if not free or self.has_untried_servers(now):
             return
         waiting = [d for d in self.departures if not d.free]
         oldest = min(d.since for d in free)
