--- a/fireflylock/direct/duty.py
+++ b/fireflylock/direct/duty.py
@@ -41,8 +41,8 @@
 # at most: one without an answer must not keep the next ones back until the right has ended.
 OVERDUE_FACTOR = 3
 MOST_RENEWALS = 8
-# How often, and how far apart, a leader that steps down tells when its grants end.
-END_TELLINGS = 3
+# How often, and how far apart, a leader that steps down broadcasts when its grants end.
+END_BROADCASTS = 3
 END_PAUSE = timedelta(milliseconds=60)
 # A map that is known to be newer is read from the store when nobody has sent it for this long.
 MAP_PATIENCE = timedelta(milliseconds=120)
@@ -277,16 +277,16 @@
         placers, self.placers = self.placers, {}
         for placer in placers.values():
             placer.close()
-        self.begin(self.tell_grants_end(list(placers.values())))
+        self.begin(self.broadcast_grants_end(list(placers.values())))
 
-    async def tell_grants_end(self, placers: list[Placer]) -> None:
-        """Tell the others within which time everything that was granted here ends."""
+    async def broadcast_grants_end(self, placers: list[Placer]) -> None:
+        """Broadcast within which time everything that was granted here ends."""
         ends = {}
         for placer in placers:
             end = await placer.last_grant_end()
             if end is not None:
                 ends[placer.service] = (placer.map.revision, end)
-        for _ in range(END_TELLINGS if ends else 0):
+        for _ in range(END_BROADCASTS if ends else 0):
             now = self.clock.elapsed()
             left = {
                 service: (revision, max(timedelta(0), end - now) // timedelta(milliseconds=1) + 1)
@@ -295,7 +295,7 @@
             message = GrantsEnd(self.me.vm, self.me.zone, left)
             self.grant_ends.apply(now, message)
             self.gossip.send(message)
-            log.info("end of grants told", ends=left)
+            log.info("end of grants broadcast", ends=left)
             await self.clock.sleep(END_PAUSE)
 
     def consider_trying(self, now: Instant) -> None:
--- a/fireflylock/direct/grant_ends.py
+++ b/fireflylock/direct/grant_ends.py
@@ -1,10 +1,9 @@
 """Until when the grants of a leader that stepped down may be in force.
 
-A leader that loses its lease, for instance because the store is away, tells the other VMs
-within which time everything that was granted so far ends.  The next leader need not assume
-then that the longest grants were made until just now.  What was told counts only while the
-map stands in the store under the revision that the message names: each leader writes the map
-before it grants anything.
+A leader that loses its lease, for instance because the store is away, broadcasts within which
+time everything that was granted so far ends.  The next leader need not assume then that the
+longest grants were made until just now.  A broadcast counts only while the map stands in the
+store under the revision that it names: each leader writes the map before it grants anything.
 """
 
 from datetime import timedelta
@@ -21,7 +20,7 @@
         self.ends: dict[str, tuple[int, Instant]] = {}
 
     def apply(self, now: Instant, message: GrantsEnd) -> None:
-        """Apply what a leader has told, at the time when it stepped down or later."""
+        """Apply the broadcast of a leader that has stepped down."""
         for service, (revision, within_ms) in message.ends.items():
             if revision <= 0 or within_ms < 0:
                 continue
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -77,8 +77,8 @@
 # Released keys wait at most this long for others that are being released, so that one write
 # records them all.
 GATHER = timedelta(milliseconds=60)
-# Free keys wait this long at most until servers that are new to the leader have been heard.
-HEARING = timedelta(seconds=1)
+# Free keys wait this long at most for servers that have had no order of the leader yet.
+UNTRIED_PATIENCE = timedelta(seconds=1)
 # Time between two looks at the balance.
 PLAN_EVERY = timedelta(milliseconds=250)
 # Ranges that one line of the log names at most.
@@ -113,7 +113,7 @@
     longest_hold : timedelta
         Longest time for which anybody may grant keys.
     grant_ends : GrantEnds
-        What leaders that stepped down have told.
+        What leaders that stepped down have broadcast.
     on_change : callable
         Called when the map, or what is on the move, has changed.
     """
@@ -249,9 +249,9 @@
                     within = timedelta(milliseconds=record.grants_end_ms)
                     self.holdings.bound_others(self.clock.elapsed() + within)
                     before = replace(before, revision=record.told_revision)
-                told_end = self.grant_ends.end_of(self.service, value.revision)
-                if told_end is not None:
-                    self.holdings.bound_others(told_end)
+                known_end = self.grant_ends.end_of(self.service, value.revision)
+                if known_end is not None:
+                    self.holdings.bound_others(known_end)
                 self.last_change = self.change(before, [])
                 self.resume_lapsing(self.clock.elapsed())
             self.loaded = True
@@ -717,11 +717,11 @@
         return state is not None and state.proven and state.failing_since is None
 
     def has_untried_servers(self, now: Instant) -> bool:
-        """Return whether a server that may get keys was not heard by this leader yet.
+        """Return whether a server that may get keys has had no order of this leader yet.
 
         A new leader would give all free keys to the server that happens to answer first.
         """
-        if now - max(self.right.won_at, self.table.joined_at) > HEARING:
+        if now - max(self.right.won_at, self.table.joined_at) > UNTRIED_PATIENCE:
             return False
         for server in self.table.of_service(self.service):
             state = self.owners.get(Owner.of(server.entry))
