--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -346,7 +346,7 @@
         """
         present = set(self.map.owners())
         for owner, state in self.owners.items():
-            if owner not in present and not state.lock.locked():
+            if owner not in present and not state.lock.locked() and state.task is None:
                 self.control.forget(owner)
 
     def change(self, new: RangeMap, changes: list[KeyRange]) -> MapChange:
