--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -549,8 +549,12 @@
                 continue
             if not self.table.is_replaced(owner) and now < self.holdings.free_at(owner):
                 continue
-            departure.free = True
-            log.info("keys are free", service=self.service, owner=owner.name)
+            self.mark_free(departure)
+
+    def mark_free(self, departure: Departure) -> None:
+        """Note that the owner can surely run nothing more, although it has not answered."""
+        departure.free = True
+        log.info("keys are free", service=self.service, owner=departure.part.owner.name)
 
     # Ranges of owners that can't be reached, across leaders.
 
@@ -634,10 +638,8 @@
         finally:
             self.checking = None
         for departure in self.departures:
-            if departure.timer not in ended or departure.free:
-                continue
-            departure.free = True
-            log.info("keys are free", service=self.service, owner=departure.part.owner.name)
+            if departure.timer in ended and not departure.free:
+                self.mark_free(departure)
 
     def leave_bad_owners(self, now: Instant) -> None:
         """Let all keys leave owners that leave, are lost, or were started again."""
--- a/fireflylock/direct/speed_record.py
+++ b/fireflylock/direct/speed_record.py
@@ -12,7 +12,7 @@
 
 from fireflylock.direct.servers import ServerTable
 from fireflylock.exceptions import PlatformError, VersionConflictError
-from fireflylock.store import Store
+from fireflylock.store import Store, Value
 
 SPEEDS_KEY = "fireflylock/speeds"
 # Time between two writes: speeds change slowly, and each write is a call.
@@ -55,11 +55,7 @@
 
     async def load(self) -> None:
         """Take over recorded speeds of the servers that are registered, where none are known."""
-        try:
-            value = await self.store.get(SPEEDS_KEY)
-        except PlatformError as error:
-            log.warning("speeds not read", error=str(error))
-            return
+        value = await self.current()
         if value is None:
             return
         self.revision = value.revision
@@ -94,7 +90,7 @@
         except PlatformError as error:
             log.warning("speeds not written", error=str(error))
 
-    async def current(self):
+    async def current(self) -> Value | None:
         """Return the record that stands, or None where it can't be read."""
         try:
             return await self.store.get(SPEEDS_KEY)
