Request limits that servers name are logged and counted

Answers are parsed, changes logged with the limit before, and requests sent to a server with a limit are counted by VM and server. Nothing is limited yet. Answers on several connections can overtake each other: a higher limit, or none, counts only if its request was sent after the last limit was received. A limit that can't be parsed, or is repeated, is logged and changes nothing.

--- a/fireflylock/backend.py
+++ b/fireflylock/backend.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from fireflylock.clock import Clock
+from fireflylock.clock import Clock, Instant
 from fireflylock.exceptions import ErrorKind, RequestError
 from fireflylock.exchange import Headers, Request, Response
 from fireflylock.model import BackendServer
@@ -47,7 +47,7 @@
     ack_timeout : timedelta or None
         Time without an acknowledgement after which the kernel ends a connection.
     on_notice : callable or None
-        Called with what a response says about the server itself.
+        Called with what a response says about the server itself, and when its request was sent.
     """
 
     def __init__(
@@ -59,7 +59,7 @@
         idle_timeout: timedelta = IDLE_TIMEOUT,
         dialect: ServerDialect | None = None,
         ack_timeout: timedelta | None = None,
-        on_notice: Callable[[ServerNotice], None] | None = None,
+        on_notice: Callable[[ServerNotice, Instant], None] | None = None,
     ) -> None:
         self.server = server
         self.on_notice = on_notice
@@ -104,7 +104,8 @@
         """
         connection = await self.acquire(request)
         # There must be no await between the checks here and the first write.
-        remaining = request.deadline - self.clock.elapsed()
+        now = self.clock.elapsed()
+        remaining = request.deadline - now
         try:
             if remaining <= timedelta(0):
                 raise RequestError(ErrorKind.DEADLINE_TOO_SHORT, "The deadline passed unsent.")
@@ -112,7 +113,7 @@
         except BaseException:
             connection.release()
             raise
-        exchange = ServerExchange(connection, request, self.dialect)
+        exchange = ServerExchange(connection, request, self.dialect, now)
         exchange.start(extra_headers, remaining)
         return await exchange.wait_for_response()
 
@@ -236,10 +237,10 @@
             self.idle.remove(connection)
         self.wake_waiter()
 
-    def notice_received(self, notice: ServerNotice) -> None:
+    def notice_received(self, notice: ServerNotice, sent_at: Instant) -> None:
         """Pass on what a response said about the server itself."""
         if self.on_notice is not None:
-            self.on_notice(notice)
+            self.on_notice(notice, sent_at)
 
     def schedule_idle_check(self) -> None:
         """Schedule a check of the free connections after the idle timeout."""
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -32,6 +32,7 @@
 from fireflylock.direct.model import NodeSettings, RouteTable
 from fireflylock.direct.ownership_view import OwnershipView
 from fireflylock.direct.platform_adapter import PlatformAdapter
+from fireflylock.direct.request_limits import RequestLimits
 from fireflylock.direct.routes import RouteMatcher
 from fireflylock.direct.sender import Sender
 from fireflylock.direct.servers import ServerTable
@@ -120,9 +121,11 @@
         self.view = OwnershipView(self.table)
         self.admission = Admission(self.table, self.view, node_settings.zone)
         self.gossip = Gossip(node_settings.vm, clock, self.on_message)
+        self.limits = RequestLimits(clock, self.table)
         self.sender = Sender(
             self.admission,
             self.table,
+            self.limits,
             clock,
             platform.callers,
             platform.servers,
@@ -130,6 +133,7 @@
             lambda: self.gossip.fleet_size(self.clock.elapsed()),
         )
         self.metrics = Metrics()
+        self.metrics.state.state_metrics += self.limits.metrics()
         self.frontend = DirectFrontend(
             self.sender,
             lambda: self.matcher,
@@ -443,6 +447,7 @@
         self.gossip.greet_silent_peers(now, self.leadership.hello)
         self.exchange.tidy(now)
         self.table.evict_gone(now)
+        self.limits.forget_unregistered()
         placing = bool(self.leadership.placers)
         self.platform.store.set_fleet_size(
             store_rate_divisor(self.gossip.fleet_size(now), placing)
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -8,12 +8,13 @@
 
 from fireflylock.backend import ServerPool
 from fireflylock.callback_body import CallbackBody
-from fireflylock.clock import Clock
+from fireflylock.clock import Clock, Instant
 from fireflylock.direct.admission import Admission, Ticket
 from fireflylock.direct.frontend import CallerDialect, RoutedRequest
 from fireflylock.direct.key_ranges import Owner
 from fireflylock.direct.log_budget import LogBudget
 from fireflylock.direct.model import Bounds, RouteTable, ServiceSpec
+from fireflylock.direct.request_limits import RequestLimits
 from fireflylock.direct.retry_budget import SharedRetryBudget
 from fireflylock.direct.routes import SplitBalancer
 from fireflylock.direct.servers import Server, ServerTable
@@ -66,6 +67,8 @@
         Decides when and where a request is sent.
     table : ServerTable
         All servers.
+    limits : RequestLimits
+        Request rate limits of the servers.
     clock : Clock
         Source of time.
     callers, servers : CallerDialect, ServerDialect
@@ -80,6 +83,7 @@
         self,
         admission: Admission,
         table: ServerTable,
+        limits: RequestLimits,
         clock: Clock,
         callers: CallerDialect,
         servers: ServerDialect,
@@ -88,6 +92,7 @@
     ) -> None:
         self.admission = admission
         self.table = table
+        self.limits = limits
         self.clock = clock
         self.callers = callers
         self.servers = servers
@@ -290,8 +295,10 @@
 
         try:
             extra = self.callers.added_headers(request, owner, left)
-            response = await pool.exchange(request, extra, lambda: None)
+            response = await pool.exchange(request, extra, lambda: self.limits.record_sent(server))
             responded_at = self.clock.elapsed()
+            if self.limits.limit_of(server) is not None and not self.servers.names_limit(response):
+                self.limits.record_limit(owner, None, now)
             failed = response.status >= SERVER_ERROR
             server.record_response(responded_at, failed)
             if not failed:
@@ -339,10 +346,14 @@
         if error.kind is ErrorKind.OUTCOME_UNKNOWN:
             server.record_response(now, failed=True)
 
-    def apply_notice(self, owner: Owner, notice: ServerNotice) -> None:
-        """Apply what a response says about its server: a shutdown, or a backoff."""
+    def apply_notice(self, owner: Owner, notice: ServerNotice, sent_at: Instant) -> None:
+        """Apply what a response says about its server: a shutdown, a backoff or a limit."""
         if notice.leaving:
             self.on_leaving(owner)
+        if notice.request_limit is not None:
+            self.limits.record_limit(owner, notice.request_limit, sent_at)
+        if notice.invalid_limit is not None:
+            self.limits.record_invalid(owner, notice.invalid_limit)
         server = self.table.find_incarnation(owner)
         if notice.backoff is None or server is None:
             return
@@ -462,7 +473,7 @@
             IDLE_TIMEOUT,
             dialect=self.servers,
             ack_timeout=ACK_TIMEOUT,
-            on_notice=lambda notice: self.apply_notice(owner, notice),
+            on_notice=lambda notice, sent_at: self.apply_notice(owner, notice, sent_at),
         )
         self.pools[owner] = known
         return known
--- a/fireflylock/platform/dialect.py
+++ b/fireflylock/platform/dialect.py
@@ -6,7 +6,7 @@
 from fireflylock.direct.key_ranges import Owner
 from fireflylock.direct.model import KEY_COUNT
 from fireflylock.exceptions import ErrorKind, RequestError
-from fireflylock.exchange import Headers, Request
+from fireflylock.exchange import Headers, Request, Response
 from fireflylock.http1 import Framing, bad_request, header
 from fireflylock.platform.wire import (
     EXPECTED_SERVER,
@@ -15,8 +15,10 @@
     NOT_RUN,
     REQUEST_ID,
     RETRY_AFTER,
+    SERVER_LIMIT,
     SIGNATURE,
     TIME_LEFT,
+    parse_rate,
     parse_seconds,
 )
 from fireflylock.server_exchange import ServerDialect, ServerNotice
@@ -29,6 +31,9 @@
 # The server refused the request.
 UNAVAILABLE = 503
 
+# Longest part of an invalid header value that is kept for the log.
+MAX_LOGGED_VALUE_BYTES = 64
+
 
 class PlatformCallerDialect(CallerDialect):
     """Headers between callers, this process and the servers."""
@@ -94,6 +99,13 @@
             return "an encoded body, which nobody asked for"
         return ""
 
+    def names_limit(self, response: Response) -> bool:
+        """Return whether a server's response names a request limit, valid or not.
+
+        A misdirected request may have been answered by another process, which proves nothing.
+        """
+        return response.status == MISDIRECTED or header(response.headers, SERVER_LIMIT) is not None
+
     def notice(self, status: int, headers: Headers) -> ServerNotice | None:
         """Return what the head of an answer reports about the server itself, or None.
 
@@ -104,6 +116,12 @@
         leaving = header(headers, LEAVING) == b"1"
         value = header(headers, RETRY_AFTER) if status == UNAVAILABLE else None
         backoff = None if value is None else parse_seconds(value)
-        if not leaving and backoff is None:
+        limits = [value for name, value in headers if name == SERVER_LIMIT]
+        if not leaving and backoff is None and not limits:
             return None
-        return ServerNotice(leaving, backoff)
+        # A repeated header is as ambiguous as one that can't be parsed.
+        limit = parse_rate(limits[0]) if len(limits) == 1 else None
+        invalid = None
+        if limits and limit is None:
+            invalid = b", ".join(limits)[:MAX_LOGGED_VALUE_BYTES]
+        return ServerNotice(leaving, backoff, limit, invalid)
--- a/fireflylock/platform/wire.py
+++ b/fireflylock/platform/wire.py
@@ -24,6 +24,9 @@
 # that it answers.
 RETRY_AFTER = b"retry-after"
 
+# Requests a second, a decimal number, that the server takes from all VMs together.
+SERVER_LIMIT = b"server-limit"
+
 READINESS_PATH = "/-/readiness"
 
 GRANT_PATH = "/-/grant"
@@ -41,6 +44,7 @@
 SERVERS_PREFIX = "servers/"
 
 _SECONDS = re.compile(rb"\d{1,6}(?:\.\d{1,9})?")
+_RATE = re.compile(rb"\d{1,9}(?:\.\d{1,9})?")
 _DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 
 
@@ -70,6 +74,11 @@
     return None if match is None else timedelta(seconds=float(match[0]))
 
 
+def parse_rate(value: bytes) -> float | None:
+    """Parse a header's number of requests a second; return None if it is not a valid number."""
+    return None if _RATE.fullmatch(value) is None else float(value)
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Split an address into host and port.
 
--- a/fireflylock/server_connection.py
+++ b/fireflylock/server_connection.py
@@ -52,8 +52,8 @@
     def connection_closed(self, connection: "ServerConnection") -> None:
         """Handle that the connection has ended."""
 
-    def notice_received(self, notice: "ServerNotice") -> None:
-        """Handle what a response said about the server itself."""
+    def notice_received(self, notice: "ServerNotice", sent_at: Instant) -> None:
+        """Handle what the response to a request sent at `sent_at` said about the server itself."""
 
 
 class ServerConnection(FlowProtocol):
--- a/fireflylock/server_exchange.py
+++ b/fireflylock/server_exchange.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from fireflylock.clock import Instant
 from fireflylock.exceptions import BodyCutShortError, ErrorKind, RequestError
 from fireflylock.exchange import Headers, Request, Response
 from fireflylock.http1 import BODY_BUFFER_BYTES, Framing, header, read_framing
@@ -42,10 +43,16 @@
         Whether the server is shutting down and wants no new requests.
     backoff : timedelta or None
         How long the server wants no requests from this VM.
+    request_limit : float or None
+        Requests a second that the server takes from all VMs together.
+    invalid_limit : bytes or None
+        The server's limit as received if it can't be parsed, shortened.
     """
 
     leaving: bool = False
     backoff: timedelta | None = None
+    request_limit: float | None = None
+    invalid_limit: bytes | None = None
 
 
 class ServerDialect(ABC):
@@ -67,6 +74,10 @@
         """Return what the head of a response says about the server itself, if anything."""
         return None
 
+    def names_limit(self, response: Response) -> bool:
+        """Return whether an accepted response names a request limit, valid or not."""
+        return False
+
 
 class RefusedHeaderDialect(ServerDialect):
     """Dialect of servers that refuse with a status and the header ``Fireflylock-Refused``."""
@@ -123,6 +134,8 @@
         What to send.
     dialect : ServerDialect or None
         How the server reports outcomes; None for `RefusedHeaderDialect`.
+    sent_at : timedelta
+        When the request is sent.
     """
 
     def __init__(
@@ -130,9 +143,11 @@
         connection: ServerConnection,
         request: Request,
         dialect: ServerDialect | None = None,
+        sent_at: Instant = timedelta(0),
     ) -> None:
         self.connection = connection
         self.request = request
+        self.sent_at = sent_at
         self.dialect = dialect or RefusedHeaderDialect()
         self.counters = connection.owner.counters
         self.http = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
@@ -265,7 +280,7 @@
             raise h11.RemoteProtocolError(framing.problem)
         notice = self.dialect.notice(head.status_code, framing.headers)
         if notice is not None:
-            self.connection.owner.notice_received(notice)
+            self.connection.owner.notice_received(notice, self.sent_at)
         if self.dialect.belongs_to_other_request(self.request, framing.headers):
             self.skipping = True
             return
--- a/standins/platform_backend_server.py
+++ b/standins/platform_backend_server.py
@@ -52,6 +52,10 @@
         Whether its answers say that it is shutting down.
     backoff : str
         ``Retry-After`` header of its refusals; "" for none.
+    limit : str
+        ``Server-Limit`` header of its answers; "" for none.
+    arrivals : list of float
+        When requests for keys that it owns, or without a key, have arrived, in seconds.
     """
 
     name: str
@@ -68,6 +72,8 @@
     unsigned: bool = False
     leaving: bool = False
     backoff: str = ""
+    limit: str = ""
+    arrivals: list[float] = field(default_factory=list)
     status: int = 200
     address: str = ""
 
@@ -118,6 +124,8 @@
             reply.headers.append((wire.REQUEST_ID.decode(), request_id))
         if self.leaving:
             reply.headers.append((wire.LEAVING.decode(), "1"))
+        if self.limit and call.path not in (wire.GRANT_PATH, wire.RELEASE_PATH):
+            reply.headers.append((wire.SERVER_LIMIT.decode(), self.limit))
         return reply
 
     async def reply(self, call: Call) -> Reply:
@@ -129,6 +137,7 @@
         number = None if key is None else int(key)
         if expected != self.name or (self.keyed and not self.key_grants.has_grant(number)):
             return Reply(421, headers=list(NOT_RUN))
+        self.arrivals.append(self.clock.elapsed().total_seconds())
         if self.refuse_next:
             self.refuse_next -= 1
             headers = list(NOT_RUN)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -382,6 +382,19 @@
             [(b"retry-after", b"2"), (b"server-leaving", b"1")],
             ServerNotice(True, timedelta(seconds=2)),
         ),
+        (200, [(b"server-limit", b"11.8")], ServerNotice(request_limit=11.8)),
+        (503, [(b"server-limit", b"0")], ServerNotice(request_limit=0.0)),
+        (421, [(b"server-limit", b"5")], None),
+        *(
+            (200, [(b"server-limit", value)], ServerNotice(invalid_limit=value))
+            for value in (b"", b"-1", b"nan", b"inf", b"1e3", b"5, 6", b"5 ", b"0x1")
+        ),
+        (200, [(b"server-limit", b"9" * 400)], ServerNotice(invalid_limit=b"9" * 64)),
+        (
+            200,
+            [(b"server-limit", b"5"), (b"server-limit", b"5")],
+            ServerNotice(invalid_limit=b"5, 5"),
+        ),
     ],
 )
 def test_server_notice_is_decoded_from_the_answer(status, headers, expected):
