VMs share the request limit that a server names

Servers that named limits of 11.9 and 8.4 requests a second got 140 and 184 requests in 4 s, allowed 76 and 55.

Cause: nothing applied the limit.

The class of fault: what a server wishes for the sum of all VMs, each VM must know and share with the others.

Change - A limit that a response names to one VM is reported to all with the load reports. Messages hold running totals, so that lost and repeated ones make no difference; unused permits go back. - An issuer uses only the part of the limit of the VMs that it hears, and a VM without an answer its own part: VMs that don't hear each other keep the limit together. A new issuer starts without permits. - Admission predicts waits from the permits; what can't be served in time is refused at once as "server-limited", with the time to come back. - A server without keys that is not chosen gets a request every 2 s, so that the end of its limit is noticed; at most one in 4 s at a limit of 0.

--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -17,6 +17,7 @@
 
 from fireflylock.clock import Instant
 from fireflylock.direct.model import Route
+from fireflylock.direct.request_permits import SendPermits, Unlimited
 from fireflylock.direct.servers import Server, ServerTable
 from fireflylock.exceptions import ErrorKind, RequestError
 
@@ -132,12 +133,21 @@
         Owners of keys.
     zone : str
         Availability zone of this VM.
+    permits : SendPermits or None
+        Permits for requests to servers with a request limit; None if no server has one.
     """
 
-    def __init__(self, table: ServerTable, ownership: Ownership, zone: str) -> None:
+    def __init__(
+        self,
+        table: ServerTable,
+        ownership: Ownership,
+        zone: str,
+        permits: SendPermits | None = None,
+    ) -> None:
         self.table = table
         self.ownership = ownership
         self.zone = zone
+        self.permits = permits or Unlimited()
         # Queued tickets: by owner for keyed services, under "" while there is none; by service
         # for the others.
         self.queues: dict[tuple[str, str], list[Ticket]] = {}
@@ -153,6 +163,7 @@
             chosen = self.choose_server(now, ticket, servers)
             if chosen is not None:
                 self.start(now, ticket, chosen)
+                self.request_permits(now, servers)
                 return
         error = self.refusal_on_arrival(now, ticket, queue_key, servers)
         if error is not None:
@@ -160,6 +171,32 @@
             return
         ticket.queued_at = now
         insort(self.queues.setdefault(queue_key, []), ticket, key=lambda waiting: waiting.sort_key)
+        self.request_permits(now, servers)
+
+    def request_permits(self, now: Instant, servers: list[Server]) -> None:
+        """Ask for permits for those of some servers that have a request limit."""
+        if not self.permits.limited:
+            return
+        for server in servers:
+            if server.name in self.permits.limited:
+                self.permits.request(now, server)
+
+    def demand_of(self, server: Server) -> tuple[int, int]:
+        """Return how many requests wait for permits for a server, and the highest priority."""
+        service = server.entry.service
+        queue = self.queues.get((service, server.name))
+        sharing = 1
+        if not queue:
+            queue = self.queues.get((service, ""))
+            if not queue:
+                return 0, 0
+            limited = self.permits.limited
+            sharing = sum(s.name in limited for s in self.table.of_service(service)) or 1
+        return -(-len(queue) // sharing), min(ticket.route.priority for ticket in queue)
+
+    def permits_arrived(self, now: Instant, server: Server) -> None:
+        """Start requests that waited for permits for a server."""
+        self.dispatch(now, self.queues_of(server))
 
     def queue_and_candidates(self, ticket: Ticket) -> tuple[tuple[str, str], list[Server]]:
         """Return the key of a ticket's queue, and the servers it may be sent to."""
@@ -184,6 +221,8 @@
         A VM without requests there may exceed the limit, or the callers of one VM could keep
         out those of all others.
         """
+        if server.name in self.permits.limited and not self.permits.has_permit(now, server):
+            return False
         request_count = server.request_count(now)
         if request_count < server.entry.slots + EXTRA_IN_FLIGHT:
             return True
@@ -200,9 +239,14 @@
         missing = self.table.missing
         staying = [s for s in others if s.leaving_since is None and s.name not in missing]
         staying = staying or others
+        limited = self.permits.limited
+        ticket.waits_for_local = False
         for server in staying:
             if not self.has_capacity(now, server) or not self.is_usable(now, server, route):
                 continue
+            if server.name in limited and self.permits.is_confirmation_due(now, server):
+                # Nothing else may ever choose it again.
+                return server
             seconds = self.table.expected_seconds(server, route, server.request_count(now) + 1)
             seconds *= 1.0 + FAILURE_PENALTY * server.failure_rate
             if best is None or seconds < best_seconds:
@@ -211,7 +255,6 @@
                 continue
             if local is None or seconds < local_seconds:
                 local, local_seconds = server, seconds
-        ticket.waits_for_local = False
         if best is None:
             return None
         if self.table.speeds.mean_response_size(route) < LARGE_RESPONSE_BYTES:
@@ -245,6 +288,8 @@
         for server in servers:
             if server.entry.zone != self.zone or not self.is_usable(now, server, route):
                 continue
+            if server.name in self.permits.limited:
+                continue
             seconds = self.table.expected_seconds(server, route, server.request_count(now) + 1)
             first = min(first, seconds)
             rate += server.entry.slots / self.table.expected_seconds(server, route, 1.0)
@@ -268,7 +313,7 @@
         may_wait = wait <= MAX_LATE_WAIT_SHARE * (ticket.deadline - now)
         if may_wait and not self.has_on_time_waiting(queue_key):
             return None
-        return self.refuse(now, ticket, ErrorKind.QUEUE_FULL, "the wait is too long", wait)
+        return self.refuse_long_wait(now, ticket, usable, "the wait is too long", wait)
 
     def refusal_without_usable_server(
         self, now: Instant, ticket: Ticket, servers: list[Server]
@@ -358,10 +403,38 @@
             surplus += server.request_count(now) - server.entry.slots
         sort_key = ticket.sort_key
         ahead = sum(1 for waiting in self.queues.get(queue_key, ()) if waiting.sort_key < sort_key)
+        permit_wait = self.permit_wait(now, servers, ahead)
         ahead += sum(counts.get(queue_key, 0) for counts in self.remote_waiting.values())
         slots = sum(server.entry.slots for server in servers)
         wait = max(0.0, surplus + ahead + 1) / rate
-        return timedelta(seconds=wait), timedelta(seconds=slots / rate)
+        return max(timedelta(seconds=wait), permit_wait), timedelta(seconds=slots / rate)
+
+    def permit_wait(self, now: Instant, servers: list[Server], ahead: int) -> timedelta:
+        """Return the expected wait for a permit for one of some servers.
+
+        Parameters
+        ----------
+        now : timedelta
+            Current instant.
+        servers : list of Server
+            The servers that may run the request.
+        ahead : int
+            Requests of this VM that wait for the same servers, and start before.
+        """
+        limited = self.permits.limited
+        if not limited or any(server.name not in limited for server in servers):
+            return timedelta(0)
+        ahead //= len(servers)
+        return min(self.permits.expected_wait(now, server, ahead) for server in servers)
+
+    def refuse_long_wait(
+        self, now: Instant, ticket: Ticket, servers: list[Server], reason: str, wait: timedelta
+    ) -> RequestError:
+        """Return a refusal for a wait that is too long, with what it is for."""
+        limited = self.permits.limited
+        if limited and all(server.name in limited for server in servers):
+            return self.refuse(now, ticket, ErrorKind.SERVER_LIMITED, reason, wait)
+        return self.refuse(now, ticket, ErrorKind.QUEUE_FULL, reason, wait)
 
     def refuse(
         self, now: Instant, ticket: Ticket, kind: ErrorKind, reason: str, wait: timedelta
@@ -370,9 +443,15 @@
         longest = MAX_RETRY_AFTER_SHARE * (ticket.deadline - now)
         return RequestError(kind, reason, max(MIN_RETRY_AFTER, min(wait, longest)))
 
+    def assign(self, now: Instant, ticket: Ticket, server: Server) -> None:
+        """Count a request at the server that it will be sent to."""
+        server.running[ticket.number] = now
+        if server.name in self.permits.limited:
+            self.permits.use(now, server)
+
     def start(self, now: Instant, ticket: Ticket, server: Server) -> None:
         """Assign a request to a server and let it be sent."""
-        server.running[ticket.number] = now
+        self.assign(now, ticket, server)
         ticket.on_decision(server, None)
 
     def request_finished(self, now: Instant, server: Server, number: int) -> None:
@@ -406,12 +485,12 @@
                 if chosen is not None:
                     started.append((ticket, chosen))
                     # Counted at once, so that the choice for the next ticket sees it.
-                    chosen.running[ticket.number] = now
+                    self.assign(now, ticket, chosen)
                 elif not ticket.waits_for_local:
                     break
             for ticket, chosen in started:
                 queue.remove(ticket)
-                self.start(now, ticket, chosen)
+                ticket.on_decision(chosen, None)
             if not queue:
                 self.queues.pop(queue_key, None)
 
@@ -473,8 +552,8 @@
         may_wait = waited <= MAX_LATE_WAIT_SHARE * (ticket.deadline - ticket.queued_at)
         if may_wait and not self.has_on_time_waiting(queue_key):
             return None
-        wait = waited / 2
-        return self.refuse(now, ticket, ErrorKind.QUEUE_FULL, "the wait was too long", wait)
+        wait = max(waited / 2, self.permit_wait(now, servers, 0))
+        return self.refuse_long_wait(now, ticket, servers, "the wait was too long", wait)
 
     def refuse_waiting(self, now: Instant) -> None:
         """Refuse all waiting requests because the process is about to end."""
--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -47,6 +47,25 @@
     """Introduction of a VM to the others, sent at its start and to silent VMs."""
 
 
+class SeenLimit(msgspec.Struct, array_like=True):
+    """What a response has said about the request limit of a server.
+
+    Attributes
+    ----------
+    server, born
+        The server's incarnation, as in `Owner`.
+    limit : float or None
+        Requests a second that it takes from all VMs together; None for no limit.
+    age_ms : int
+        For how long this has been known to be true.
+    """
+
+    server: str
+    born: int
+    limit: float | None
+    age_ms: int
+
+
 class Report(Told, tag="r", array_like=True):
     """The requests that one VM has running at the servers, and waiting for them.
 
@@ -56,10 +75,13 @@
         Number of requests at each server.
     waiting : list of (str, str, int)
         Service, server and number of the requests that wait for that server.
+    limits : list of SeenLimit
+        What responses to this VM have said lately about limits.
     """
 
     running: dict[str, int]
     waiting: list[tuple[str, str, int]]
+    limits: list[SeenLimit] = []
 
 
 class Summed(Told, array_like=True):
@@ -71,11 +93,14 @@
         As in `Report`.
     vms : list of str
         The VMs whose reports are summed.
+    limits : list of SeenLimit
+        The latest of these VMs' reports on each server's limit.
     """
 
     running: dict[str, int]
     waiting: list[tuple[str, str, int]]
     vms: list[str]
+    limits: list[SeenLimit] = []
 
 
 class ZoneTotal(Summed, tag="z", array_like=True):
@@ -203,6 +228,65 @@
     port: int
 
 
+class PermitAsk(msgspec.Struct, array_like=True):
+    """The permits that a VM needs for one server.
+
+    Attributes
+    ----------
+    server, born
+        The server's incarnation, as in `Owner`.
+    stream : int
+        The VM's account at the issuer, in which the next two count.
+    waiting, spare, priority : int
+        As in `Demand`.
+    received, returned : int
+        Permits that the VM has received so far, and given back.
+    seen : SeenLimit or None
+        The limit as the VM knows it.
+    """
+
+    server: str
+    born: int
+    stream: int
+    waiting: int
+    spare: int
+    priority: int
+    received: int
+    returned: int
+    seen: SeenLimit | None
+
+
+class PermitAsks(Told, tag="a", array_like=True):
+    """Asks the VM that issues the permits for some servers for permits."""
+
+    asks: list[PermitAsk]
+
+
+class PermitGrant(msgspec.Struct, array_like=True):
+    """The permits that a VM has got for one server.
+
+    Attributes
+    ----------
+    server, stream
+        As in `PermitAsk`.
+    issued : int
+        Permits issued so far under this account.
+    wait_ms : int
+        How long one more request would wait for its permit.
+    """
+
+    server: str
+    stream: int
+    issued: int
+    wait_ms: int
+
+
+class PermitGrants(Told, tag="g", array_like=True):
+    """Answers `PermitAsks`."""
+
+    grants: list[PermitGrant]
+
+
 class Relayed(Told, tag="l", array_like=True):
     """A message of the leader of another zone, relayed to the other VMs of the sender's zone."""
 
@@ -210,7 +294,17 @@
 
 
 Message = (
-    Hello | Report | ZoneTotal | Totals | KeyWork | Placing | GrantsEnd | ServerLeaving | Relayed
+    Hello
+    | Report
+    | ZoneTotal
+    | Totals
+    | KeyWork
+    | Placing
+    | GrantsEnd
+    | ServerLeaving
+    | PermitAsks
+    | PermitGrants
+    | Relayed
 )
 
 
@@ -341,9 +435,13 @@
         alive = set(self.alive(now))
         self.send(hello, to=[vm for vm in self.peers if vm not in alive])
 
+    def is_alive(self, now: Instant, vm: str) -> bool:
+        """Return whether another VM was heard within `PEER_TIMEOUT`."""
+        return now - self.peers[vm].heard_at < PEER_TIMEOUT
+
     def alive(self, now: Instant) -> list[str]:
         """Return the other VMs that were heard within `PEER_TIMEOUT`."""
-        return [vm for vm, peer in self.peers.items() if now - peer.heard_at < PEER_TIMEOUT]
+        return [vm for vm in self.peers if self.is_alive(now, vm)]
 
     def fleet_size(self, now: Instant) -> int:
         """Return the number of VMs that share limits, this one included."""
--- a/fireflylock/direct/load_exchange.py
+++ b/fireflylock/direct/load_exchange.py
@@ -6,7 +6,7 @@
 their own zone.  The leader's broadcasts take the same paths.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from fireflylock.clock import Instant
@@ -16,10 +16,12 @@
     Placing,
     Relayed,
     Report,
+    SeenLimit,
     Summed,
     Totals,
     ZoneTotal,
 )
+from fireflylock.direct.request_limits import RequestLimits, merge_seen
 from fireflylock.direct.servers import ServerTable
 
 # Up to this number, all VMs report directly to each other.
@@ -48,12 +50,15 @@
         Running VMs that the sums are of.
     at : timedelta
         When it was received.
+    limits : list of SeenLimit
+        The servers' request limits as these VMs have seen them.
     """
 
     running: dict[str, int]
     waiting: dict[tuple[str, str], int]
     vms: list[str]
     at: Instant
+    limits: list[SeenLimit] = field(default_factory=list)
 
 
 class LoadExchange:
@@ -69,6 +74,8 @@
         All servers.
     admission : Admission
         Queues of this VM.
+    limits : RequestLimits
+        Request limits of the servers.
     """
 
     def __init__(
@@ -78,7 +85,9 @@
         gossip: Gossip,
         table: ServerTable,
         admission: Admission,
+        limits: RequestLimits,
     ) -> None:
+        self.limits = limits
         self.vm = vm
         self.zone = zone
         self.gossip = gossip
@@ -111,11 +120,12 @@
         running, waiting = self.own_load()
         aggregator = self.aggregator(now)
         mesh = self.is_mesh()
-        state = (running, waiting)
+        limits = self.limits.own_observations(now)
+        state = (running, waiting, [(seen.server, seen.limit) for seen in limits])
         if state != self.last_report or now - self.last_report_at >= REPORT_REPEAT_INTERVAL:
             self.last_report = state
             self.last_report_at = now
-            report = Report(self.vm, self.zone, running, encode_waiting(waiting))
+            report = Report(self.vm, self.zone, running, encode_waiting(waiting), limits)
             if mesh:
                 self.gossip.send(report)
             elif aggregator != self.vm:
@@ -128,15 +138,21 @@
         self, now: Instant, running: dict[str, int], waiting: dict[tuple[str, str], int]
     ) -> None:
         """Send this zone's sums to other zones, and the sums of all zones to this one."""
-        own_load = LoadSum(running, waiting, [self.vm], now)
+        limits = self.limits.own_observations(now)
+        own_load = LoadSum(running, waiting, [self.vm], now, limits)
         zone = add_loads([own_load, *self.recent(now, self.member_sums)], now)
         total = add_loads([zone, *self.recent(now, self.zone_sums)], now)
         message = ZoneTotal(
-            self.vm, self.zone, zone.running, encode_waiting(zone.waiting), zone.vms
+            self.vm, self.zone, zone.running, encode_waiting(zone.waiting), zone.vms, zone.limits
         )
         self.gossip.send(message, to=self.recipients_in_other_zones(now))
         totals = Totals(
-            self.vm, self.zone, total.running, encode_waiting(total.waiting), total.vms
+            self.vm,
+            self.zone,
+            total.running,
+            encode_waiting(total.waiting),
+            total.vms,
+            total.limits,
         )
         self.gossip.send(totals, to=self.peers_in_zone())
         self.store_load_sum(now, ALL_ZONES, total, running, waiting)
@@ -185,7 +201,10 @@
 
     def apply_report(self, now: Instant, report: Report) -> None:
         """Apply another VM's report."""
-        sums = LoadSum(report.running, decode_waiting(report.waiting), [report.vm], now)
+        self.limits.apply_seen(now, report.vm, report.limits)
+        sums = LoadSum(
+            report.running, decode_waiting(report.waiting), [report.vm], now, report.limits
+        )
         if self.is_mesh():
             self.store_load_sum(now, report.vm, sums, {}, {})
             return
@@ -193,11 +212,13 @@
 
     def apply_zone_total(self, now: Instant, message: ZoneTotal) -> None:
         """Apply the sums of another zone."""
+        self.limits.apply_seen(now, message.vm, message.limits)
         self.zone_sums[message.zone] = load_sum_of(message, now)
         self.gossip.mark_heard(now, message.vms)
 
     def apply_totals(self, now: Instant, message: Totals) -> None:
         """Apply the sums of all zones, which include this VM's requests."""
+        self.limits.apply_seen(now, message.vm, message.limits)
         self.gossip.mark_heard(now, message.vms)
         self.store_load_sum(now, ALL_ZONES, load_sum_of(message, now), *self.own_load())
 
@@ -236,12 +257,14 @@
         for queue_key, count in part.waiting.items():
             total.waiting[queue_key] = total.waiting.get(queue_key, 0) + count
         total.vms += part.vms
+    total.limits = merge_seen(now, [(part.at, part.limits) for part in parts])
     return total
 
 
 def load_sum_of(message: Summed, now: Instant) -> LoadSum:
     """Return a received message as sums."""
-    return LoadSum(message.running, decode_waiting(message.waiting), message.vms, now)
+    waiting = decode_waiting(message.waiting)
+    return LoadSum(message.running, waiting, message.vms, now, message.limits)
 
 
 def encode_waiting(waiting: dict[tuple[str, str], int]) -> list[tuple[str, str, int]]:
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -16,6 +16,8 @@
     Hello,
     KeyWork,
     Message,
+    PermitAsks,
+    PermitGrants,
     Placing,
     Relayed,
     Report,
@@ -33,6 +35,7 @@
 from fireflylock.direct.ownership_view import OwnershipView
 from fireflylock.direct.platform_adapter import PlatformAdapter
 from fireflylock.direct.request_limits import RequestLimits
+from fireflylock.direct.request_permits import RequestPermits
 from fireflylock.direct.routes import RouteMatcher
 from fireflylock.direct.sender import Sender
 from fireflylock.direct.servers import ServerTable
@@ -119,9 +122,14 @@
         self.stopping = False
         self.table = ServerTable(node_settings.bounds.drain)
         self.view = OwnershipView(self.table)
-        self.admission = Admission(self.table, self.view, node_settings.zone)
         self.gossip = Gossip(node_settings.vm, clock, self.on_message)
         self.limits = RequestLimits(clock, self.table)
+        self.permits = RequestPermits(
+            node_settings.vm, node_settings.zone, clock, self.gossip, self.table, self.limits
+        )
+        self.admission = Admission(self.table, self.view, node_settings.zone, self.permits)
+        self.permits.demand_of = self.admission.demand_of
+        self.permits.on_permits = self.admission.permits_arrived
         self.sender = Sender(
             self.admission,
             self.table,
@@ -143,7 +151,12 @@
         )
         leader_lease = LeaderLease(platform.store, clock, Holder(node_settings.vm, self.boot))
         self.exchange = LoadExchange(
-            node_settings.vm, node_settings.zone, self.gossip, self.table, self.admission
+            node_settings.vm,
+            node_settings.zone,
+            self.gossip,
+            self.table,
+            self.admission,
+            self.limits,
         )
         self.leaving = LeavingBroadcast(
             node_settings.vm, node_settings.zone, self.gossip, self.table
@@ -232,6 +245,7 @@
             log.info("servers are gone", servers=gone)
         if self.view.tick(now):
             self.admission.owners_changed(now)
+        self.permits.step(now)
         self.admission.tick(now)
         if self.sender.stop is not None and now >= self.sender.stop.queues_until:
             self.admission.refuse_waiting(now)
@@ -416,6 +430,10 @@
             self.leadership.expiry_broadcasts.apply(now, message)
         elif isinstance(message, ServerLeaving):
             self.leaving.apply(now, message)
+        elif isinstance(message, PermitAsks):
+            self.permits.apply_asks(now, message)
+        elif isinstance(message, PermitGrants):
+            self.permits.apply_grants(now, message)
 
     def merge_speeds(self, slowness: dict[str, tuple[float, int]]) -> None:
         """Merge slowness that another VM has reported for servers that are registered here."""
@@ -447,7 +465,8 @@
         self.gossip.greet_silent_peers(now, self.leadership.hello)
         self.exchange.tidy(now)
         self.table.evict_gone(now)
-        self.limits.forget_unregistered()
+        self.limits.forget_replaced()
+        self.permits.tidy(now)
         placing = bool(self.leadership.placers)
         self.platform.store.set_fleet_size(
             store_rate_divisor(self.gossip.fleet_size(now), placing)
--- /dev/null
+++ b/fireflylock/direct/request_permits.py
@@ -0,0 +1,592 @@
+"""Shares the request rate limits of backend servers among all entry VMs.
+
+A server's limit holds for the requests of all VMs together.  One VM issues the permits for a
+server, and every VM sends one request for each permit it gets.  VMs that don't hear each other
+may choose different issuers, so an issuer uses only the part of the limit that belongs to the
+VMs it hears; a VM that gets no answer uses its own part.
+"""
+
+import hashlib
+import itertools
+import random
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+
+from fireflylock.clock import Clock, Instant
+from fireflylock.direct.gossip import Gossip, PermitAsk, PermitAsks, PermitGrant, PermitGrants
+from fireflylock.direct.request_limits import RequestLimits
+from fireflylock.direct.servers import Server, ServerTable
+
+# Permits that are not used for so long go back to the issuer.
+PERMIT_LIFETIME = timedelta(milliseconds=300)
+# A VM's demand is dropped after this, and is repeated more often while it lasts.
+DEMAND_LIFETIME = timedelta(milliseconds=500)
+ASK_REPEAT_INTERVAL = timedelta(milliseconds=100)
+# An issuer that has not answered for so long is taken to be out of reach.
+ANSWER_TIMEOUT = timedelta(milliseconds=250)
+# A server is wanted for this long after a request that it could have run.
+INTEREST_LIFETIME = timedelta(milliseconds=200)
+# Unused permits accumulate for this part of a second, and one permit always may.
+BURST_SECONDS = 0.25
+# Requests a second at a server with a lower limit, even none: only a response can end a limit.
+MIN_RATE = 0.25
+# Permits a second for a server whose limit has just ended.
+UNLIMITED_RATE = 1000.0
+# A limit that no response has named for this long is confirmed by a request.
+CONFIRM_INTERVAL = timedelta(seconds=2)
+# Accounts of VMs that have not asked for so long are removed.
+ACCOUNT_LIFETIME = timedelta(seconds=30)
+
+
+@dataclass(frozen=True)
+class Demand:
+    """The permits that a VM needs for one server.
+
+    Attributes
+    ----------
+    waiting : int
+        Requests that wait for a permit.
+    spare : int
+        Permits for requests that are expected, but could also go to other servers.
+    priority : int
+        Priority of the most urgent waiting request; 0 is the highest.
+    """
+
+    waiting: int = 0
+    spare: int = 0
+    priority: int = 0
+
+
+class SendPermits(ABC):
+    """Tells the admission whether a request may be sent to a server with a limit.
+
+    Attributes
+    ----------
+    limited : dict of str to float
+        Requests a second that all VMs together may send to a server, by server; the methods
+        are only called for these.
+    """
+
+    limited: dict[str, float]
+
+    @abstractmethod
+    def has_permit(self, now: Instant, server: Server) -> bool:
+        """Return whether a request may be sent to a server now."""
+
+    @abstractmethod
+    def use(self, now: Instant, server: Server) -> None:
+        """Use up the permit for a request that is about to be sent."""
+
+    @abstractmethod
+    def is_confirmation_due(self, now: Instant, server: Server) -> bool:
+        """Return whether a request should find out whether a server still has its limit."""
+
+    @abstractmethod
+    def expected_wait(self, now: Instant, server: Server, ahead: int) -> timedelta:
+        """Return the expected wait for a permit behind `ahead` other requests of this VM."""
+
+    @abstractmethod
+    def request(self, now: Instant, server: Server) -> None:
+        """Ask for the permits that are needed for a server."""
+
+
+class Unlimited(SendPermits):
+    """Permits where no server has a limit."""
+
+    def __init__(self) -> None:
+        self.limited = {}
+
+    def has_permit(self, now: Instant, server: Server) -> bool:
+        """Return True."""
+        return True
+
+    def use(self, now: Instant, server: Server) -> None:
+        """Do nothing."""
+
+    def is_confirmation_due(self, now: Instant, server: Server) -> bool:
+        """Return False."""
+        return False
+
+    def expected_wait(self, now: Instant, server: Server, ahead: int) -> timedelta:
+        """Return no wait."""
+        return timedelta(0)
+
+    def request(self, now: Instant, server: Server) -> None:
+        """Do nothing."""
+
+
+@dataclass
+class Account:
+    """The permits that an issuer has given one VM for one server.
+
+    Attributes
+    ----------
+    stream : int
+        Number that the VM has chosen for this account.
+    issued, received, returned : int
+        Permits issued; of these, permits that the VM has confirmed and given back.
+    demand : Demand
+        The VM's last demand.
+    asked_at, issued_at : timedelta
+        When the VM last asked, and last got a permit.
+    """
+
+    stream: int
+    issued: int
+    received: int
+    returned: int
+    demand: Demand
+    asked_at: Instant
+    issued_at: Instant = timedelta(0)
+
+    def needed(self, now: Instant) -> int:
+        """Return the permits for waiting requests that are not issued yet."""
+        if now - self.asked_at >= DEMAND_LIFETIME:
+            return 0
+        return max(0, self.demand.waiting - (self.issued - self.received))
+
+    def spare_needed(self, now: Instant) -> int:
+        """Return the permits that are needed, those for expected requests included."""
+        if now - self.asked_at >= DEMAND_LIFETIME:
+            return 0
+        wanted = self.demand.waiting + self.demand.spare
+        return max(0, wanted - (self.issued - self.received))
+
+
+class PermitIssuer:
+    """Issues the permits for one incarnation of a server.
+
+    Parameters
+    ----------
+    now : timedelta
+        Current instant.
+    """
+
+    def __init__(self, now: Instant) -> None:
+        # Starts empty: an earlier issuer may have used the limit up to now.
+        self.tokens = 0.0
+        self.refilled_at = now
+        self.accounts: dict[str, Account] = {}
+
+    def apply_ask(self, now: Instant, vm: str, ask: PermitAsk) -> None:
+        """Apply a VM's demand; repeated and lost messages make no difference."""
+        account = self.accounts.get(vm)
+        if account is None or account.stream != ask.stream:
+            # The account of an earlier issuer, or a new one.
+            account = Account(ask.stream, ask.received, ask.received, ask.returned, Demand(), now)
+            self.accounts[vm] = account
+        if ask.received < account.received or ask.returned < account.returned:
+            # An older message, which has been overtaken.
+            return
+        account.received = min(ask.received, account.issued)
+        self.tokens += ask.returned - account.returned
+        account.returned = ask.returned
+        account.demand = Demand(ask.waiting, ask.spare, ask.priority)
+        account.asked_at = now
+
+    def issue(self, now: Instant, rate: float) -> list[str]:
+        """Issue permits at `rate` a second; return the VMs that got any."""
+        passed = (now - self.refilled_at).total_seconds()
+        self.refilled_at = now
+        burst = max(1.0, rate * BURST_SECONDS)
+        self.tokens = min(burst, self.tokens + passed * rate)
+        served = []
+        while self.tokens >= 1.0:
+            vm = self.next_vm(now)
+            if vm is None:
+                break
+            account = self.accounts[vm]
+            account.issued += 1
+            account.issued_at = now
+            self.tokens -= 1.0
+            served.append(vm)
+        return served
+
+    def next_vm(self, now: Instant) -> str | None:
+        """Return the VM that gets the next permit: waiting requests first, VMs in turn."""
+        best = None
+        best_rank: tuple = ()
+        for vm, account in self.accounts.items():
+            if not account.spare_needed(now):
+                continue
+            waits = account.needed(now) > 0
+            rank = (not waits, account.demand.priority if waits else 0, account.issued_at)
+            # A VM that has got a permit in this round has waited least.
+            rank += (account.issued - account.returned,)
+            if best is None or rank < best_rank:
+                best, best_rank = vm, rank
+        return best
+
+    def wait(self, now: Instant, rate: float) -> timedelta:
+        """Return how long one more request would wait for its permit."""
+        ahead = sum(account.needed(now) for account in self.accounts.values())
+        return timedelta(seconds=max(0.0, ahead + 1 - self.tokens) / rate)
+
+    def vms_asking(self, now: Instant) -> int:
+        """Return the number of VMs that have asked recently."""
+        return sum(now - a.asked_at < 2 * DEMAND_LIFETIME for a in self.accounts.values())
+
+    def forget_silent(self, now: Instant) -> None:
+        """Remove the accounts of VMs that have not asked for long."""
+        for vm, account in list(self.accounts.items()):
+            if now - account.asked_at >= ACCOUNT_LIFETIME:
+                del self.accounts[vm]
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """Allows this VM to send one request.
+
+    Attributes
+    ----------
+    ends_at : timedelta
+        When it ends unused.
+    returnable : bool
+        Whether it goes back to its issuer then.
+    """
+
+    ends_at: Instant
+    returnable: bool
+
+
+@dataclass
+class Holding:
+    """The permits of this VM for one incarnation of a server.
+
+    Attributes
+    ----------
+    born : int
+        Unix time of the server's start in milliseconds.
+    issuer : str
+        VM that issues the permits.
+    stream : int
+        Identifies this VM's account at that issuer.
+    received, returned : int
+        Permits received from it, and given back to it.
+    permits : deque of Permit
+        Unused permits, in the order in which they end.
+    demand : Demand
+        The demand that was sent last.
+    asked_at, waiting_since : timedelta or None
+        When it was sent, and since when the issuer has not answered.
+    ready_at : timedelta
+        When one more request would get its permit, as the issuer has said.
+    interest_until : timedelta
+        Until when requests are expected that the server could run.
+    own_tokens : float
+        Permits that this VM may use without an issuer.
+    tokens_at : timedelta
+        When they were last computed.
+    """
+
+    born: int
+    issuer: str
+    stream: int
+    received: int = 0
+    returned: int = 0
+    permits: deque[Permit] = field(default_factory=deque)
+    demand: Demand = field(default_factory=Demand)
+    asked_at: Instant | None = None
+    waiting_since: Instant | None = None
+    ready_at: Instant = timedelta(0)
+    interest_until: Instant = timedelta(0)
+    own_tokens: float = 0.0
+    tokens_at: Instant = timedelta(0)
+
+
+class RequestPermits(SendPermits):
+    """One VM's part in sharing the limits.
+
+    Parameters
+    ----------
+    vm, zone : str
+        Name and availability zone of this VM.
+    clock : Clock
+        Source of time.
+    gossip : Gossip
+        Link to the other VMs.
+    table : ServerTable
+        All servers.
+    limits : RequestLimits
+        The limits of the servers.
+
+    Attributes
+    ----------
+    demand_of : callable
+        Returns how many requests wait for a server, and the priority of the most urgent one.
+    on_permits : callable
+        Called with a server for which permits have arrived.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        zone: str,
+        clock: Clock,
+        gossip: Gossip,
+        table: ServerTable,
+        limits: RequestLimits,
+    ) -> None:
+        self.vm = vm
+        self.zone = zone
+        self.clock = clock
+        self.gossip = gossip
+        self.table = table
+        self.limits = limits
+        self.limited = limits.limited
+        self.holdings: dict[str, Holding] = {}
+        self.issuers: dict[str, PermitIssuer] = {}
+        self.demand_of: Callable[[Server], tuple[int, int]] = lambda server: (0, 0)
+        self.on_permits: Callable[[Instant, Server], None] = lambda now, server: None
+        # VMs in the order in which they are chosen as issuers, by server.
+        self.rankings: dict[str, list[str]] = {}
+        self.ranked_vms: set[str] = set()
+        # Account numbers of an earlier process of this VM must not occur again.
+        self.streams = itertools.count(random.getrandbits(48))
+
+    # What the admission asks.
+
+    def has_permit(self, now: Instant, server: Server) -> bool:
+        """Return whether a request may be sent to a server now."""
+        holding = self.holding_of(now, server)
+        return any(now < permit.ends_at for permit in holding.permits)
+
+    def use(self, now: Instant, server: Server) -> None:
+        """Use up the permit for a request that is about to be sent."""
+        holding = self.holding_of(now, server)
+        self.return_unused(now, holding)
+        if holding.permits:
+            holding.permits.popleft()
+
+    def is_confirmation_due(self, now: Instant, server: Server) -> bool:
+        """Return whether a request should find out whether a server still has its limit."""
+        known = self.limits.known.get(server.name)
+        return known is not None and now - known.as_of >= CONFIRM_INTERVAL
+
+    def expected_wait(self, now: Instant, server: Server, ahead: int) -> timedelta:
+        """Return the expected wait for a permit behind `ahead` other requests of this VM."""
+        quoted = max(timedelta(0), self.holding_of(now, server).ready_at - now)
+        rate = max(self.limited.get(server.name, MIN_RATE), MIN_RATE)
+        return max(quoted, timedelta(seconds=ahead / rate))
+
+    def request(self, now: Instant, server: Server) -> None:
+        """Ask for the permits that are needed for a server."""
+        holding = self.holding_of(now, server)
+        holding.interest_until = now + INTEREST_LIFETIME
+        if self.is_ask_due(now, server, holding):
+            self.ask(now, [(server, holding)])
+
+    # Asking.
+
+    def holding_of(self, now: Instant, server: Server) -> Holding:
+        """Return the permits for a server, under an account at its present issuer."""
+        holding = self.holdings.get(server.name)
+        if holding is None or holding.born != server.entry.born:
+            issuer = self.choose_issuer(now, server)
+            holding = Holding(server.entry.born, issuer, next(self.streams), tokens_at=now)
+            self.holdings[server.name] = holding
+        return holding
+
+    def choose_issuer(self, now: Instant, server: Server) -> str:
+        """Return the VM that issues the permits for a server: the same one on all VMs."""
+        peers = self.gossip.peers
+        if self.ranked_vms != peers.keys():
+            self.ranked_vms = set(peers)
+            self.rankings.clear()
+        ranking = self.rankings.get(server.name)
+        if ranking is None:
+            ranking = sorted((self.vm, *peers), key=lambda vm: rendezvous_weight(vm, server.name))
+            self.rankings[server.name] = ranking
+        for vm in ranking:
+            if vm == self.vm or self.gossip.is_alive(now, vm):
+                return vm
+        return self.vm
+
+    def demand(self, now: Instant, server: Server, holding: Holding) -> Demand:
+        """Return the demand of this VM for a server's permits."""
+        waiting, priority = self.demand_of(server)
+        in_hand = sum(now < permit.ends_at for permit in holding.permits)
+        if waiting > in_hand:
+            return Demand(waiting - in_hand, 0, priority)
+        spare = not waiting and not in_hand and now < holding.interest_until
+        return Demand(0, int(spare), 0)
+
+    def is_ask_due(self, now: Instant, server: Server, holding: Holding) -> bool:
+        """Return whether the issuer must be told of this VM's demand."""
+        demand = self.demand(now, server, holding)
+        if demand != holding.demand or holding.asked_at is None:
+            return demand != Demand() or holding.demand != Demand()
+        return demand != Demand() and now - holding.asked_at >= ASK_REPEAT_INTERVAL
+
+    def ask(self, now: Instant, due: list[tuple[Server, Holding]]) -> None:
+        """Send the demand for some servers to their issuers."""
+        by_issuer: dict[str, list[PermitAsk]] = {}
+        for server, holding in due:
+            holding.demand = self.demand(now, server, holding)
+            holding.asked_at = now
+            if holding.waiting_since is None and holding.demand != Demand():
+                holding.waiting_since = now
+            by_issuer.setdefault(holding.issuer, []).append(
+                PermitAsk(
+                    server.name,
+                    holding.born,
+                    holding.stream,
+                    holding.demand.waiting,
+                    holding.demand.spare,
+                    holding.demand.priority,
+                    holding.received,
+                    holding.returned,
+                    self.limits.seen_limit(now, server.name),
+                )
+            )
+        for issuer, asks in by_issuer.items():
+            message = PermitAsks(self.vm, self.zone, asks)
+            if issuer == self.vm:
+                self.apply_asks(now, message)
+            else:
+                self.gossip.send(message, to=[issuer])
+
+    def return_unused(self, now: Instant, holding: Holding) -> None:
+        """Give back the permits that were not used in time."""
+        while holding.permits and now >= holding.permits[0].ends_at:
+            holding.returned += holding.permits.popleft().returnable
+
+    def apply_grants(self, now: Instant, message: PermitGrants) -> None:
+        """Apply the permits that an issuer has sent."""
+        for grant in message.grants:
+            holding = self.holdings.get(grant.server)
+            server = self.table.servers.get(grant.server)
+            if holding is None or server is None or holding.stream != grant.stream:
+                continue
+            holding.waiting_since = None
+            holding.own_tokens = 0.0
+            holding.ready_at = now + timedelta(milliseconds=grant.wait_ms)
+            new = grant.issued - holding.received
+            if new <= 0:
+                continue
+            holding.received = grant.issued
+            holding.permits.extend([Permit(now + PERMIT_LIFETIME, returnable=True)] * new)
+            self.on_permits(now, server)
+
+    # Issuing.
+
+    def apply_asks(self, now: Instant, message: PermitAsks) -> None:
+        """Apply the demand of a VM, and answer it."""
+        known = []
+        for ask in message.asks:
+            server = self.table.servers.get(ask.server)
+            if server is None or server.entry.born != ask.born:
+                continue
+            if ask.seen is not None:
+                self.limits.apply_seen(now, message.vm, [ask.seen])
+            issuer = self.issuers.setdefault(ask.server, PermitIssuer(now))
+            issuer.apply_ask(now, message.vm, ask)
+            known.append(ask.server)
+        for name in known:
+            self.issue(now, name, {message.vm})
+
+    def issue(self, now: Instant, name: str, answered: set[str]) -> None:
+        """Issue the permits for a server that are due.
+
+        Parameters
+        ----------
+        now : timedelta
+            Current instant.
+        name : str
+            The server.
+        answered : set of str
+            VMs that get an answer, with or without new permits.
+        """
+        server = self.table.servers.get(name)
+        if server is None:
+            del self.issuers[name]
+            return
+        issuer = self.issuers[name]
+        rate = self.rate(now, server, issuer)
+        recipients = answered | set(issuer.issue(now, rate))
+        wait_ms = issuer.wait(now, rate) // timedelta(milliseconds=1)
+        for vm in sorted(recipients):
+            account = issuer.accounts[vm]
+            grant = PermitGrant(name, account.stream, account.issued, wait_ms)
+            message = PermitGrants(self.vm, self.zone, [grant])
+            if vm == self.vm:
+                self.apply_grants(now, message)
+            else:
+                self.gossip.send(message, to=[vm])
+
+    def rate(self, now: Instant, server: Server, issuer: PermitIssuer) -> float:
+        """Return the permits a second that this VM may issue for a server.
+
+        VMs that are not heard may have another issuer, which uses their part of the limit.
+        """
+        limit = self.limited.get(server.name)
+        if limit is None:
+            # Newer responses name no limit; the VM that asks will learn of it.
+            return UNLIMITED_RATE
+        rate = max(limit, MIN_RATE)
+        fleet = self.gossip.fleet_size(now)
+        if self.choose_issuer(now, server) == self.vm:
+            heard = 1 + len(self.gossip.alive(now))
+        else:
+            heard = issuer.vms_asking(now)
+        return rate * max(1, min(heard, fleet)) / fleet
+
+    def step(self, now: Instant) -> None:
+        """Issue, ask for and give back the permits that are due."""
+        for name in list(self.issuers):
+            self.issue(now, name, set())
+        due = []
+        for name, holding in list(self.holdings.items()):
+            server = self.table.servers.get(name)
+            if server is None or name not in self.limited:
+                del self.holdings[name]
+                continue
+            self.return_unused(now, holding)
+            self.change_issuer(now, server, holding)
+            self.use_own_part(now, server, holding)
+            if self.is_ask_due(now, server, holding):
+                due.append((server, holding))
+        self.ask(now, due)
+
+    def change_issuer(self, now: Instant, server: Server, holding: Holding) -> None:
+        """Open an account at another issuer if the present one is lost or replaced."""
+        issuer = self.choose_issuer(now, server)
+        if issuer == holding.issuer:
+            return
+        holding.issuer = issuer
+        holding.stream = next(self.streams)
+        holding.received = holding.returned = 0
+        holding.permits = deque(replace(permit, returnable=False) for permit in holding.permits)
+        holding.demand = Demand()
+        holding.asked_at = None
+
+    def use_own_part(self, now: Instant, server: Server, holding: Holding) -> None:
+        """Use this VM's own part of the limit while the issuer does not answer."""
+        passed = (now - holding.tokens_at).total_seconds()
+        holding.tokens_at = now
+        if holding.waiting_since is None or now - holding.waiting_since < ANSWER_TIMEOUT:
+            return
+        if self.demand(now, server, holding) == Demand():
+            return
+        limit = max(self.limited[server.name], MIN_RATE)
+        fleet = self.gossip.fleet_size(now)
+        holding.own_tokens = min(1.0, holding.own_tokens + passed * limit / fleet)
+        if holding.own_tokens >= 1.0:
+            holding.own_tokens -= 1.0
+            holding.permits.append(Permit(now + PERMIT_LIFETIME, returnable=False))
+            self.on_permits(now, server)
+
+    def tidy(self, now: Instant) -> None:
+        """Remove unused state."""
+        for name, issuer in list(self.issuers.items()):
+            issuer.forget_silent(now)
+            if not issuer.accounts:
+                del self.issuers[name]
+
+
+def rendezvous_weight(vm: str, server: str) -> bytes:
+    """Return the weight of a VM as the issuer for a server; the lowest one is chosen."""
+    return hashlib.blake2b(f"{vm}\0{server}".encode(), digest_size=8).digest()
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -297,7 +297,7 @@
             extra = self.callers.added_headers(request, owner, left)
             response = await pool.exchange(request, extra, lambda: self.limits.record_sent(server))
             responded_at = self.clock.elapsed()
-            if self.limits.limit_of(server) is not None and not self.servers.names_limit(response):
+            if server.name in self.limits.limited and not self.servers.names_limit(response):
                 self.limits.record_limit(owner, None, now)
             failed = response.status >= SERVER_ERROR
             server.record_response(responded_at, failed)
--- a/fireflylock/exceptions.py
+++ b/fireflylock/exceptions.py
@@ -30,6 +30,7 @@
     DRAINING = "draining"
     STOPPING = "stopping"
     QUEUE_FULL = "queue-full"
+    SERVER_LIMITED = "server-limited"
     DEADLINE_TOO_SHORT = "deadline-too-short"
     SERVER_REFUSED = "server-refused"
     SERVER_UNREACHABLE = "server-unreachable"
@@ -93,6 +94,9 @@
     ErrorKind.DRAINING: Answer(503, _NOT_RUN, True, "The backend server is leaving."),
     ErrorKind.STOPPING: Answer(503, _NOT_RUN, True, "This VM is stopping."),
     ErrorKind.QUEUE_FULL: Answer(503, _NOT_RUN, True, "The backend server's queue is full."),
+    ErrorKind.SERVER_LIMITED: Answer(
+        503, _NOT_RUN, True, "The backend server takes no more requests a second."
+    ),
     ErrorKind.DEADLINE_TOO_SHORT: Answer(
         503, _NOT_RUN, True, "The expected wait is longer than the request's deadline."
     ),
