Placement takes the request limits of servers into account

With the limit shared, callers of such a server's keys would be refused for as long as it keeps the limit.

Cause: the leader computed a server's capacity from its slots and its speed.

Change: the capacity of a limited server is what its limit allows, at the mean cost of its service's requests, and at least a fiftieth of what it could do: only responses can say that the limit has ended. Moves away from it are worth making if they are large for that capacity, and a limited server without keys gets no range with more load than its part.

Result: test_keys_that_a_limited_server_cannot_serve_migrate_and_it_gets_no_ others: 1.0 seconds of work a second stayed at a server allowed 0.2, now at most 0.3.

--- a/fireflylock/direct/load_distribution.py
+++ b/fireflylock/direct/load_distribution.py
@@ -15,10 +15,13 @@
         The server.
     work : float
         Seconds of an average server's work that it does per second.
+    limited : bool
+        Whether it takes a limited number of requests.
     """
 
     owner: Owner
     work: float
+    limited: bool = False
 
 
 @dataclass
@@ -51,6 +54,7 @@
         self, range_map: RangeMap, loads: dict[int, float], servers: list[Capacity]
     ) -> None:
         self.capacity = {server.owner: server.work for server in servers}
+        self.limited = {server.owner for server in servers if server.limited}
         self.range_loads: dict[Owner, list[RangeLoad]] = {}
         by_first = {}
         for key_range in range_map.ranges:
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -85,6 +85,9 @@
 MAX_LOGGED_RANGES = 64
 # Lower bound of the slowness from which capacity is computed.
 MIN_SLOWNESS = 0.25
+# A server with a request limit keeps at least this part of its capacity: only the responses to
+# requests can say that the limit has ended.
+MIN_LIMITED_SHARE = 0.02
 
 log = structlog.get_logger()
 
@@ -754,7 +757,8 @@
             owner = Owner.of(server.entry)
             if server.leaving_since is not None or not (first or self.is_responsive(owner)):
                 continue
-            found.append(Capacity(owner, self.capacity(server)))
+            limited = server.name in self.table.limited
+            found.append(Capacity(owner, self.capacity(server), limited))
         return sorted(found, key=lambda item: (item.owner.name, item.owner.born))
 
     def is_responsive(self, owner: Owner) -> bool:
@@ -791,9 +795,14 @@
         return state is not None and state.consecutive_failures >= UNREACHABLE_FAILURES
 
     def capacity(self, server: Server) -> float:
-        """Return the seconds of work that a server does per second."""
+        """Return the seconds of work that a server does per second, within its request limit."""
         slowness = max(MIN_SLOWNESS, self.table.speeds.slowness(server.name))
-        return server.entry.slots / slowness
+        work = server.entry.slots / slowness
+        limit = self.table.limited.get(server.name)
+        if limit is None:
+            return work
+        allowed = limit * self.table.speeds.mean_cost(self.service)
+        return min(work, max(allowed, MIN_LIMITED_SHARE * work))
 
     def assign_free_keys(self, now: Instant) -> None:
         """Record new owners for the free keys."""
--- a/fireflylock/direct/planner.py
+++ b/fireflylock/direct/planner.py
@@ -29,7 +29,8 @@
 # A server is filled up to this utilization, or this multiple of the mean if that is more.
 FILL_UTILIZATION = 0.5
 FILL_MEAN_FACTOR = 1.08
-# Moves of less than this part of a server's capacity are lost in the noise of the loads.
+# Moves of less than this part of a server's capacity are lost in the noise of the loads.  A
+# server with a request limit refuses what exceeds it, so that its own small capacity counts.
 MIN_RELIEF = 0.06
 # After a move the target's utilization is at most this multiple of the source's: server speeds
 # are estimates, and a hot key must not move back and forth.
@@ -155,6 +156,8 @@
         if run is None:
             continue
         first, last, load = run
+        if owner in distribution.limited and load > FILL_OVERSHOOT * wanted:
+            continue
         moves.append(Move(first, last, owner, load, "fill"))
         remove_keys(distribution.range_loads[source], first, last)
         distribution.move_load(source, owner, load)
@@ -194,7 +197,8 @@
             target = distribution.least_utilized(exclude=source)
             headroom = distribution.headroom(target, level)
             wanted = min(headroom, -distribution.headroom(source, level))
-            if wanted < MIN_RELIEF * distribution.capacity[target]:
+            relieved = source if source in distribution.limited else target
+            if wanted < MIN_RELIEF * distribution.capacity[relieved]:
                 break
             run = select_run(distribution.range_loads.get(source, []), wanted)
             if run is None:
--- a/fireflylock/direct/request_limits.py
+++ b/fireflylock/direct/request_limits.py
@@ -70,7 +70,7 @@
     Attributes
     ----------
     limited : dict of str to float
-        The limits in effect: requests a second, by server.
+        The limits in effect: requests a second, by server; the table's.
     observed : dict of str to LimitObservation
         Observations of this VM itself, by server.
     known : dict of str to LimitObservation
@@ -82,7 +82,7 @@
     def __init__(self, clock: Clock, table: ServerTable) -> None:
         self.clock = clock
         self.table = table
-        self.limited: dict[str, float] = {}
+        self.limited = table.limited
         self.observed: dict[str, LimitObservation] = {}
         self.known: dict[str, LimitObservation] = {}
         self.sent: Counter[str] = Counter()
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -212,7 +212,7 @@
     def add_key_work(self, request: RoutedRequest) -> None:
         """Add the expected cost of a request to the work of its key."""
         work = self.key_work.setdefault(request.service, {})
-        cost = self.table.speeds.cost(request.route.name)
+        cost = self.table.speeds.record_request(request.service, request.route.name)
         work[request.key_number] = work.get(request.key_number, 0.0) + cost
 
     async def replayable_body(self, request: RoutedRequest) -> ReadTrackingBody | BufferedBody:
--- a/fireflylock/direct/servers.py
+++ b/fireflylock/direct/servers.py
@@ -148,10 +148,17 @@
     ----------
     drain : timedelta
         Drain period, after which a server that shuts down gets no more requests.
+
+    Attributes
+    ----------
+    limited : dict of str to float
+        Requests a second that all VMs together may send to a server, by server, for those that
+        have a limit.
     """
 
     def __init__(self, drain: timedelta) -> None:
         self.drain = drain
+        self.limited: dict[str, float] = {}
         self.servers: dict[str, Server] = {}
         # The incarnation that started last, by address.
         self.addresses: dict[tuple[str, int], ServerEntry] = {}
--- a/fireflylock/direct/speed_estimates.py
+++ b/fireflylock/direct/speed_estimates.py
@@ -48,6 +48,8 @@
     def __init__(self) -> None:
         self.routes: dict[str, MovingAverage] = {}
         self.servers: dict[str, MovingAverage] = {}
+        # Mean cost of the requests to each service.
+        self.services: dict[str, MovingAverage] = {}
         # Slowness measured here since the last report: sum and number of samples, by server.
         self.unreported: dict[str, tuple[float, int]] = {}
         # Mean response size in bytes, by route.
@@ -58,6 +60,21 @@
         known = self.routes.get(route)
         return INITIAL_COST if known is None else known.value
 
+    def record_request(self, service: str, route: str) -> float:
+        """Count a request in the mean cost of its service, and return its own cost."""
+        cost = self.cost(route)
+        self.services.setdefault(service, MovingAverage(cost)).add(cost, ROUTE_WEIGHT)
+        return cost
+
+    def mean_cost(self, service: str) -> float:
+        """Return the mean seconds that a request to `service` takes at an average server."""
+        known = self.services.get(service)
+        if known is not None:
+            return known.value
+        # No caller has asked this VM; the costs of routes may come from the record in the store.
+        costs = [route.value for route in self.routes.values()]
+        return sum(costs) / len(costs) if costs else INITIAL_COST
+
     def slowness(self, server: str) -> float:
         """Return the factor by which requests take longer at `server` than on average."""
         known = self.servers.get(server)
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -8,7 +8,8 @@
 
 from fireflylock.direct.gossip import Moving, Placing
 from fireflylock.direct.placer import HOLD_TIME
-from tests.simulated_cluster import TRACKED_KEYS, SimulatedCluster, settled_cluster
+from fireflylock.direct.speed_estimates import MovingAverage
+from tests.simulated_cluster import SERVICE, TRACKED_KEYS, SimulatedCluster, settled_cluster
 
 
 def assert_no_violations(cluster: SimulatedCluster) -> None:
@@ -112,6 +113,27 @@
     assert_no_violations(cluster)
 
 
+async def test_keys_that_a_limited_server_cannot_serve_migrate_and_it_gets_no_others():
+    """arpillera-litoral inc1: a server with a limit was given more keys."""
+    cluster = await settled_cluster()
+    limited, busy = cluster.processes[0], cluster.processes[1]
+    keys = [key for key in TRACKED_KEYS if limited in cluster.holders(key)]
+    busy_keys = [key for key in TRACKED_KEYS if busy in cluster.holders(key)]
+    # A quarter of what its slots can do, but five times its limit.
+    work = dict.fromkeys(keys, 1.0 / len(keys)) | dict.fromkeys(busy_keys, 6.0 / len(busy_keys))
+    for vm in cluster.vms.values():
+        vm.table.limited[limited.entry.name] = 2.5
+        vm.table.speeds.services[SERVICE] = MovingAverage(0.08)
+    for _ in range(20):
+        leadership = cluster.vms[cluster.leader()].leadership
+        interval = {key: seconds * 0.15 for key, seconds in work.items()}
+        leadership.add_key_work(cluster.clock.elapsed(), {SERVICE: interval})
+        await cluster.run(0.15)
+    load = sum(seconds for key, seconds in work.items() if limited in cluster.holders(key))
+    assert load <= 1.5 * 2.5 * 0.08
+    assert_no_violations(cluster)
+
+
 async def test_a_restart_proves_that_the_previous_incarnation_has_ended():
     cluster = await settled_cluster()
     dead = cluster.processes[0]
--- a/tests/test_direct_planner.py
+++ b/tests/test_direct_planner.py
@@ -279,3 +279,23 @@
     hot = range_map.ranges[0].first
     range_map = range_map.reassigned([KeyRange(hot, hot, owner(2), 2)], 3)
     assert plan(range_map, capacities, {hot: 5.0}, {hot: 5.0}) == []
+
+
+def test_a_limited_server_without_keys_is_not_given_more_than_it_may_serve():
+    capacities = servers(3)
+    range_map = initial_map("s", capacities[:2])
+    # A few keys have all the load, so that no run of keys has a small part of it.
+    loads = dict.fromkeys((16000, 32000, 49000, 65000), 1.0)
+    limited = [*capacities[:2], Capacity(owner(2), 0.1, limited=True)]
+    assert plan(range_map, limited, loads, loads) == []
+    assert plan(range_map, capacities, loads, loads) != []
+
+
+def test_a_limited_server_is_relieved_of_requests_that_take_little_work():
+    capacities = [Capacity(owner(0), 0.04, limited=True), *servers(3)[1:]]
+    range_map = initial_map("s", capacities)
+    # 40 requests a second of 4 ms at each server, and a limit of 10.
+    loads = dict.fromkeys(range(0, KEY_COUNT, 512), 0.16 * 3 / 128)
+    moved = apply_moves(range_map, plan(range_map, capacities, loads, loads))
+    distribution = LoadDistribution(moved, loads, capacities)
+    assert distribution.utilization(owner(0)) <= 1.0
