VMs share a server's connections as the fleet is now, not as it was

What was seen: no report. In test_vms_that_learn_of_each_other_late_share_ the_connections_of_a_server a VM that used a server before it knew of three others kept the server's whole connection limit for itself.

Cause: the limit of a pool was computed once, from the size of the fleet at the pool's creation.

--- a/fireflylock/backend.py
+++ b/fireflylock/backend.py
@@ -63,7 +63,7 @@
     ) -> None:
         self.server = server
         self.on_notice = on_notice
-        self.limit = max(1, connection_limit - RESERVED_CONNECTIONS)
+        self.set_connection_limit(connection_limit)
         self.clock = clock
         self.connect_timeout = connect_timeout
         self.idle_timeout = idle_timeout
@@ -81,6 +81,16 @@
         self.load_connection = ReservedConnection(server, clock, self.connect)
         self.closed = False
 
+    def set_connection_limit(self, connection_limit: int) -> None:
+        """Set the maximum number of connections; those beyond it are closed once free.
+
+        Parameters
+        ----------
+        connection_limit : int
+            As for the constructor.
+        """
+        self.limit = max(1, connection_limit - RESERVED_CONNECTIONS)
+
     async def exchange(
         self, request: Request, extra_headers: Headers, before_send: Callable[[], None]
     ) -> Response:
@@ -218,7 +228,7 @@
 
     def connection_released(self, connection: ServerConnection) -> None:
         """Keep a connection that has become free for the next request."""
-        if self.closed:
+        if self.closed or self.open_count > self.limit:
             connection.abort()
             return
         connection.idle_since = self.clock.elapsed()
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -460,7 +460,7 @@
 
     def tidy(self, now: Instant) -> None:
         """Clean up unused state, and adapt the store's rate limits to the fleet size."""
-        self.sender.close_unused_pools()
+        self.sender.maintain_pools()
         self.gossip.forget_silent_peers(now)
         self.gossip.greet_silent_peers(now, self.leadership.hello)
         self.exchange.tidy(now)
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -460,14 +460,12 @@
         if known is not None:
             return known
         entry = server.entry
-        spec = self.routes.services.get(entry.service)
-        limit = MIN_CONNECTIONS if spec is None else spec.max_connections // self.vms()
         backend = BackendServer(
             entry.name, entry.service, entry.name, entry.zone, entry.host, entry.port
         )
         known = ServerPool(
             backend,
-            max(MIN_CONNECTIONS, limit),
+            self.connection_limit(entry.service),
             self.clock,
             CONNECT_TIMEOUT,
             IDLE_TIMEOUT,
@@ -478,11 +476,18 @@
         self.pools[owner] = known
         return known
 
-    def close_unused_pools(self) -> None:
-        """Close the pools of servers that are gone and run no request of this VM."""
+    def connection_limit(self, service: str) -> int:
+        """Return this VM's share of the connections that a server of a service accepts."""
+        spec = self.routes.services.get(service)
+        share = MIN_CONNECTIONS if spec is None else spec.max_connections // self.vms()
+        return max(MIN_CONNECTIONS, share)
+
+    def maintain_pools(self) -> None:
+        """Adapt the pools' limits to the fleet size, and close those of servers that are gone."""
         for owner, pool in list(self.pools.items()):
             server = self.table.find_incarnation(owner)
             if server is not None and (not server.gone or server.running):
+                pool.set_connection_limit(self.connection_limit(server.entry.service))
                 continue
             pool.close()
             del self.pools[owner]
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from fireflylock.direct.node import TIDY_INTERVAL
 from fireflylock.http_client import HTTPClient
 from fireflylock.platform import wire
 from standins.operator_files import config_json
@@ -204,6 +205,16 @@
     assert started.speeds.revision > 0
 
 
+async def test_vms_that_learn_of_each_other_late_share_the_connections_of_a_server(site):
+    node = await start_node(site)
+    assert (await site.send_request(node, "/plain/", "r1")).status == 200
+    alone = next(iter(node.sender.pools.values())).limit
+    for number in range(2, 5):
+        await site.add_node(f"vm-{number}")
+    await asyncio.sleep(2 * TIDY_INTERVAL.total_seconds())
+    assert all(pool.limit <= alone / 4 for pool in node.sender.pools.values())
+
+
 async def test_a_graceful_stop_finishes_running_requests(site):
     node = await start_node(site)
     for server in site.servers.values():
