Platform run: some servers name a request limit, and it must be kept

Three servers name half of their usual requests a second as their limit. From 3 s on every window of 4 s is checked, also while VMs are killed, paused and cut off. The demo prints what they got.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from demo.deployment import PLANS
-from demo.platform_run import PlatformRun
+from demo.platform_run import LIMIT_WINDOW, PlatformRun
 from demo.run import DemoError, Run
 
 # Name of the run on the users' platform.
@@ -67,6 +67,11 @@
     outcome = await run.run()
     faults = ", ".join(f"{name} {count}" for name, count in sorted(outcome.faults.items()))
     print(f"  {outcome.served} of {outcome.asked} calls served; faults: {faults}")
+    for limited in outcome.limited:
+        print(
+            f"  {limited.server.name}, limit {limited.limit} a second: at most {limited.most()} "
+            f"requests in {LIMIT_WINDOW:.0f} s, allowed {limited.allowed():.0f}"
+        )
     for text in outcome.broken:
         print(f"  broken: {text}")
     return len(outcome.broken)
--- a/demo/platform_run.py
+++ b/demo/platform_run.py
@@ -54,6 +54,18 @@
 CALM_SECONDS = 16.0
 HEALED_AFTER = 13.0
 
+# Servers that name a limit of requests a second, and the limit as a part of their requests.
+LIMITED = ("orders-0", "orders-3", "files-1")
+LIMIT_PART = 0.5
+# From this many seconds after the limit is named on, every window of this length must keep it:
+# so many times what it allows, and a few requests more.
+LIMIT_GRACE = 3.0
+LIMIT_WINDOW = 4.0
+LIMIT_TOLERANCE = 1.5
+LIMIT_EXTRA = 5
+# Seconds for which limits last beyond the last fault.
+LIMIT_CALM = 2.0
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -68,6 +80,49 @@
     problem: str = ""
 
 
+@dataclass
+class LimitedServer:
+    """A server that names a limit for some time.
+
+    Attributes
+    ----------
+    server : PlatformBackendServer
+        The server.
+    limit : float
+        Requests a second that it takes.
+    start, end : float
+        When it begins and stops to name the limit, in seconds of the run's clock.
+    """
+
+    server: PlatformBackendServer
+    limit: float
+    start: float
+    end: float = float("inf")
+
+    def arrivals(self) -> list[float]:
+        """Return when requests have arrived while the limit had to be kept."""
+        start = self.start + LIMIT_GRACE
+        return [at for at in self.server.arrivals if start <= at < self.end]
+
+    def most(self) -> int:
+        """Return the most requests that have arrived in any window."""
+        arrivals = self.arrivals()
+        first = most = 0
+        for last, at in enumerate(arrivals):
+            while at - arrivals[first] >= LIMIT_WINDOW:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+    def allowed(self) -> float:
+        """Return the most requests that may arrive in a window."""
+        return LIMIT_TOLERANCE * self.limit * LIMIT_WINDOW + LIMIT_EXTRA
+
+    def use(self) -> float:
+        """Return the requests a second that have arrived, as a multiple of the limit."""
+        return len(self.arrivals()) / (self.end - self.start - LIMIT_GRACE) / self.limit
+
+
 @dataclass
 class Outcome:
     """What a run has shown."""
@@ -76,6 +131,7 @@
     sent: list[Sent] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
     faults: Counter[str] = field(default_factory=Counter)
+    limited: list[LimitedServer] = field(default_factory=list)
     served: int = 0
     asked: int = 0
 
@@ -145,9 +201,12 @@
             await self.start()
             looking = asyncio.create_task(self.look_at_holders())
             calls = asyncio.create_task(self.call_on())
+            self.name_limits()
             await self.disturb()
             self.say(f"  no more faults; {self.calm:.0f} s to recover")
-            await asyncio.sleep(self.calm)
+            await asyncio.sleep(min(self.calm, LIMIT_CALM))
+            self.end_limits()
+            await asyncio.sleep(max(0.0, self.calm - LIMIT_CALM))
             self.stop_calls.set()
             await calls
             looking.cancel()
@@ -313,6 +372,23 @@
             await asyncio.sleep(self.rng.uniform(*FAULT_PAUSE))
         await asyncio.gather(*running)
 
+    def name_limits(self) -> None:
+        """Let some servers name a limit in their answers."""
+        now = self.clock.elapsed().total_seconds()
+        shares = {KEYED: 2 / 3 / KEYED_SERVERS, PLAIN: 1 / 3 / PLAIN_SERVERS}
+        for name in LIMITED:
+            server = self.servers[name]
+            limit = round(LIMIT_PART * shares[server.service] * self.rate, 1)
+            server.limit = str(limit)
+            self.outcome.limited.append(LimitedServer(server, limit, now))
+
+    def end_limits(self) -> None:
+        """Let no server name a limit any more."""
+        now = self.clock.elapsed().total_seconds()
+        for limited in self.outcome.limited:
+            limited.server.limit = ""
+            limited.end = now
+
     def keyed_server(self) -> PlatformBackendServer:
         """Return some keyed server that is registered and not leaving."""
         return self.rng.choice([s for n, s in self.servers.items() if s.keyed and n == s.name])
@@ -447,6 +523,12 @@
                 self.outcome.rule_broken(f"order {sent.request_id} ran after a {sent.status}")
             if sent.status in (400, 401, 403, 404):
                 self.outcome.rule_broken(f"{sent.request_id} was denied with {sent.status}")
+        for limited in self.outcome.limited:
+            if limited.most() > limited.allowed():
+                self.outcome.rule_broken(
+                    f"{limited.server.name} with a limit of {limited.limit} a second got "
+                    f"{limited.most()} requests in {LIMIT_WINDOW:.0f} s"
+                )
         if self.calm > HEALED_AFTER:
             self.check_recovery()
         for name in self.names:
--- a/tests/test_platform_run.py
+++ b/tests/test_platform_run.py
@@ -20,5 +20,6 @@
     outcome = await run.run()
     assert outcome.broken == [], "\n".join(messages)
     assert outcome.served
+    assert any(limited.arrivals() for limited in outcome.limited)
     assert sum(outcome.faults.values()) >= 3
     assert all(process.poll() is not None for process in run.processes.running.values())
