--- a/tests/test_direct_request_permits.py
+++ b/tests/test_direct_request_permits.py
@@ -1,16 +1,24 @@
 """Tests of how entry VMs share the request limits of servers."""
 
 import random
+from datetime import timedelta
 
 import pytest
 
-from fireflylock.direct.request_permits import MIN_RATE
+from fireflylock.direct.gossip import PermitAsk
+from fireflylock.direct.request_permits import MIN_RATE, PermitIssuer
 from fireflylock.exceptions import ErrorKind
 from tests.permit_fleet import MS, PermitFleet, allowed
 
 # Seconds until a new limit must be kept.
 GRACE = 3
 SEEDS = range(12)
+START = timedelta(seconds=100)
+RATE = 10.0
+
+
+def ask(waiting, received=0, returned=0, stream=7, priority=0):
+    return PermitAsk("s0", 1, stream, waiting, 0, priority, received, returned, None)
 
 
 def started_fleet(vms, limit, rate, seed=1):
@@ -161,3 +169,53 @@
             fleet.down.clear()
         fleet.run(rng.uniform(0.3, 3.0), rate, weights)
     assert fleet.most_in_a_window(start) <= allowed(limit)
+
+
+def test_a_new_issuer_has_no_permits_yet():
+    issuer = PermitIssuer(START)
+    issuer.apply_ask(START, "vm-0", ask(5))
+    assert issuer.issue(START, RATE) == []
+    assert issuer.issue(START + 100 * MS, RATE) == ["vm-0"]
+
+
+def test_a_repeated_ask_gets_no_second_permit():
+    issuer = PermitIssuer(START)
+    for _ in range(3):
+        issuer.apply_ask(START, "vm-0", ask(1))
+    assert issuer.issue(START + 250 * MS, RATE) == ["vm-0"]
+    # The grant is lost, or its answer is on the way.
+    issuer.apply_ask(START + 300 * MS, "vm-0", ask(1))
+    assert issuer.accounts["vm-0"].needed(START + 300 * MS) == 0
+    assert issuer.issue(START + 450 * MS, RATE) == []
+
+
+def test_permits_that_are_not_used_go_to_other_vms():
+    issuer = PermitIssuer(START)
+    issuer.apply_ask(START, "vm-0", ask(1))
+    assert issuer.issue(START + 100 * MS, RATE) == ["vm-0"]
+    issuer.apply_ask(START + 100 * MS, "vm-0", ask(0, received=1, returned=1))
+    # A late copy of the same message changes nothing.
+    issuer.apply_ask(START + 100 * MS, "vm-0", ask(0, received=1, returned=1))
+    issuer.apply_ask(START + 100 * MS, "vm-1", ask(2))
+    assert issuer.issue(START + 100 * MS, RATE) == ["vm-1"]
+
+
+def test_the_most_urgent_request_of_all_vms_gets_the_next_permit():
+    issuer = PermitIssuer(START)
+    issuer.apply_ask(START, "vm-0", ask(3, priority=2))
+    issuer.apply_ask(START, "vm-1", ask(1, priority=1))
+    assert issuer.issue(START + 200 * MS, RATE) == ["vm-1", "vm-0"]
+
+
+def test_a_new_issuer_continues_the_account_of_the_previous_one():
+    issuer = PermitIssuer(START)
+    issuer.apply_ask(START, "vm-0", ask(1, received=41, returned=3))
+    assert issuer.issue(START + 100 * MS, RATE) == ["vm-0"]
+    assert issuer.accounts["vm-0"].issued == 42
+
+
+def test_an_ask_that_was_overtaken_is_ignored():
+    issuer = PermitIssuer(START)
+    issuer.apply_ask(START, "vm-0", ask(1, received=5))
+    issuer.apply_ask(START, "vm-0", ask(9, received=4))
+    assert issuer.accounts["vm-0"].needed(START) == 1
