The issuer of permits and the admission's interface get modules of their own

Pure moves, but for two things: waits are computed only if somebody is told, and a limit ends with its server's incarnation at once instead of within 2 s (test_a_limit_does_not_hold_for_another_incarnation).

--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -17,7 +17,7 @@
 
 from fireflylock.clock import Instant
 from fireflylock.direct.model import Route
-from fireflylock.direct.request_permits import SendPermits, Unlimited
+from fireflylock.direct.send_permits import SendPermits, Unlimited
 from fireflylock.direct.servers import Server, ServerTable
 from fireflylock.exceptions import ErrorKind, RequestError
 
--- /dev/null
+++ b/fireflylock/direct/permit_issuer.py
@@ -0,0 +1,151 @@
+"""Issues the permits to send requests to one server with a request limit."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from fireflylock.clock import Instant
+from fireflylock.direct.gossip import PermitAsk
+
+# A VM's demand is dropped if it is not repeated for this long.
+DEMAND_LIFETIME = timedelta(milliseconds=500)
+# Unused permits accumulate for this part of a second, and one permit always may.
+BURST_SECONDS = 0.25
+# Accounts of VMs that have not asked for so long are removed.
+ACCOUNT_LIFETIME = timedelta(seconds=30)
+
+
+@dataclass(frozen=True)
+class Demand:
+    """The permits that a VM needs for one server.
+
+    Attributes
+    ----------
+    waiting : int
+        Requests that wait for a permit.
+    spare : int
+        Permits for requests that are expected, but could also go to other servers.
+    priority : int
+        Priority of the most urgent waiting request; 0 is the highest.
+    """
+
+    waiting: int = 0
+    spare: int = 0
+    priority: int = 0
+
+
+@dataclass
+class Account:
+    """The permits that an issuer has given one VM for one server.
+
+    Attributes
+    ----------
+    stream : int
+        Number that the VM has chosen for this account.
+    issued, received, returned : int
+        Permits issued; of these, permits that the VM has confirmed and given back.
+    demand : Demand
+        The VM's last demand.
+    asked_at, issued_at : timedelta
+        When the VM last asked, and last got a permit.
+    """
+
+    stream: int
+    issued: int
+    received: int
+    returned: int
+    demand: Demand
+    asked_at: Instant
+    issued_at: Instant = timedelta(0)
+
+    def needed(self, now: Instant) -> int:
+        """Return the permits for waiting requests that are not issued yet."""
+        if now - self.asked_at >= DEMAND_LIFETIME:
+            return 0
+        return max(0, self.demand.waiting - (self.issued - self.received))
+
+    def spare_needed(self, now: Instant) -> int:
+        """Return the permits that are needed, those for expected requests included."""
+        if now - self.asked_at >= DEMAND_LIFETIME:
+            return 0
+        wanted = self.demand.waiting + self.demand.spare
+        return max(0, wanted - (self.issued - self.received))
+
+
+class PermitIssuer:
+    """Issues the permits for one incarnation of a server.
+
+    Parameters
+    ----------
+    now : timedelta
+        Current instant.
+    """
+
+    def __init__(self, now: Instant) -> None:
+        # Starts empty: an earlier issuer may have used the limit up to now.
+        self.tokens = 0.0
+        self.refilled_at = now
+        self.accounts: dict[str, Account] = {}
+
+    def apply_ask(self, now: Instant, vm: str, ask: PermitAsk) -> None:
+        """Apply a VM's demand; repeated and lost messages make no difference."""
+        account = self.accounts.get(vm)
+        if account is None or account.stream != ask.stream:
+            # The account of an earlier issuer, or a new one.
+            account = Account(ask.stream, ask.received, ask.received, ask.returned, Demand(), now)
+            self.accounts[vm] = account
+        if ask.received < account.received or ask.returned < account.returned:
+            # An older message, which has been overtaken.
+            return
+        account.received = min(ask.received, account.issued)
+        self.tokens += ask.returned - account.returned
+        account.returned = ask.returned
+        account.demand = Demand(ask.waiting, ask.spare, ask.priority)
+        account.asked_at = now
+
+    def issue(self, now: Instant, rate: float) -> list[str]:
+        """Issue permits at `rate` a second; return the VMs that got any."""
+        passed = (now - self.refilled_at).total_seconds()
+        self.refilled_at = now
+        burst = max(1.0, rate * BURST_SECONDS)
+        self.tokens = min(burst, self.tokens + passed * rate)
+        served = []
+        while self.tokens >= 1.0:
+            vm = self.next_vm(now)
+            if vm is None:
+                break
+            account = self.accounts[vm]
+            account.issued += 1
+            account.issued_at = now
+            self.tokens -= 1.0
+            served.append(vm)
+        return served
+
+    def next_vm(self, now: Instant) -> str | None:
+        """Return the VM that gets the next permit: waiting requests first, VMs in turn."""
+        best = None
+        best_rank: tuple = ()
+        for vm, account in self.accounts.items():
+            if not account.spare_needed(now):
+                continue
+            waits = account.needed(now) > 0
+            rank = (not waits, account.demand.priority if waits else 0, account.issued_at)
+            # VMs that get their permits at the same instant get them in turn too.
+            rank += (account.issued - account.returned,)
+            if best is None or rank < best_rank:
+                best, best_rank = vm, rank
+        return best
+
+    def wait(self, now: Instant, rate: float) -> timedelta:
+        """Return how long one more request would wait for its permit."""
+        ahead = sum(account.needed(now) for account in self.accounts.values())
+        return timedelta(seconds=max(0.0, ahead + 1 - self.tokens) / rate)
+
+    def vms_asking(self, now: Instant) -> int:
+        """Return the number of VMs that have asked recently."""
+        return sum(now - a.asked_at < 2 * DEMAND_LIFETIME for a in self.accounts.values())
+
+    def forget_silent(self, now: Instant) -> None:
+        """Remove the accounts of VMs that have not asked for long."""
+        for vm, account in list(self.accounts.items()):
+            if now - account.asked_at >= ACCOUNT_LIFETIME:
+                del self.accounts[vm]
--- a/fireflylock/direct/request_permits.py
+++ b/fireflylock/direct/request_permits.py
@@ -9,7 +9,6 @@
 import hashlib
 import itertools
 import random
-from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -17,223 +16,25 @@
 
 from fireflylock.clock import Clock, Instant
 from fireflylock.direct.gossip import Gossip, PermitAsk, PermitAsks, PermitGrant, PermitGrants
+from fireflylock.direct.permit_issuer import Demand, PermitIssuer
 from fireflylock.direct.request_limits import RequestLimits
+from fireflylock.direct.send_permits import SendPermits
 from fireflylock.direct.servers import Server, ServerTable
 
 # Permits that are not used for so long go back to the issuer.
 PERMIT_LIFETIME = timedelta(milliseconds=300)
-# A VM's demand is dropped after this, and is repeated more often while it lasts.
-DEMAND_LIFETIME = timedelta(milliseconds=500)
+# A demand is repeated at this interval while it lasts.
 ASK_REPEAT_INTERVAL = timedelta(milliseconds=100)
 # An issuer that has not answered for so long is taken to be out of reach.
 ANSWER_TIMEOUT = timedelta(milliseconds=250)
 # A server is wanted for this long after a request that it could have run.
 INTEREST_LIFETIME = timedelta(milliseconds=200)
-# Unused permits accumulate for this part of a second, and one permit always may.
-BURST_SECONDS = 0.25
 # Requests a second at a server with a lower limit, even none: only a response can end a limit.
 MIN_RATE = 0.25
 # Permits a second for a server whose limit has just ended.
 UNLIMITED_RATE = 1000.0
 # A limit that no response has named for this long is confirmed by a request.
 CONFIRM_INTERVAL = timedelta(seconds=2)
-# Accounts of VMs that have not asked for so long are removed.
-ACCOUNT_LIFETIME = timedelta(seconds=30)
-
-
-@dataclass(frozen=True)
-class Demand:
-    """The permits that a VM needs for one server.
-
-    Attributes
-    ----------
-    waiting : int
-        Requests that wait for a permit.
-    spare : int
-        Permits for requests that are expected, but could also go to other servers.
-    priority : int
-        Priority of the most urgent waiting request; 0 is the highest.
-    """
-
-    waiting: int = 0
-    spare: int = 0
-    priority: int = 0
-
-
-class SendPermits(ABC):
-    """Tells the admission whether a request may be sent to a server with a limit.
-
-    Attributes
-    ----------
-    limited : dict of str to float
-        Requests a second that all VMs together may send to a server, by server; the methods
-        are only called for these.
-    """
-
-    limited: dict[str, float]
-
-    @abstractmethod
-    def has_permit(self, now: Instant, server: Server) -> bool:
-        """Return whether a request may be sent to a server now."""
-
-    @abstractmethod
-    def use(self, now: Instant, server: Server) -> None:
-        """Use up the permit for a request that is about to be sent."""
-
-    @abstractmethod
-    def is_confirmation_due(self, now: Instant, server: Server) -> bool:
-        """Return whether a request should find out whether a server still has its limit."""
-
-    @abstractmethod
-    def expected_wait(self, now: Instant, server: Server, ahead: int) -> timedelta:
-        """Return the expected wait for a permit behind `ahead` other requests of this VM."""
-
-    @abstractmethod
-    def request(self, now: Instant, server: Server) -> None:
-        """Ask for the permits that are needed for a server."""
-
-
-class Unlimited(SendPermits):
-    """Permits where no server has a limit."""
-
-    def __init__(self) -> None:
-        self.limited = {}
-
-    def has_permit(self, now: Instant, server: Server) -> bool:
-        """Return True."""
-        return True
-
-    def use(self, now: Instant, server: Server) -> None:
-        """Do nothing."""
-
-    def is_confirmation_due(self, now: Instant, server: Server) -> bool:
-        """Return False."""
-        return False
-
-    def expected_wait(self, now: Instant, server: Server, ahead: int) -> timedelta:
-        """Return no wait."""
-        return timedelta(0)
-
-    def request(self, now: Instant, server: Server) -> None:
-        """Do nothing."""
-
-
-@dataclass
-class Account:
-    """The permits that an issuer has given one VM for one server.
-
-    Attributes
-    ----------
-    stream : int
-        Number that the VM has chosen for this account.
-    issued, received, returned : int
-        Permits issued; of these, permits that the VM has confirmed and given back.
-    demand : Demand
-        The VM's last demand.
-    asked_at, issued_at : timedelta
-        When the VM last asked, and last got a permit.
-    """
-
-    stream: int
-    issued: int
-    received: int
-    returned: int
-    demand: Demand
-    asked_at: Instant
-    issued_at: Instant = timedelta(0)
-
-    def needed(self, now: Instant) -> int:
-        """Return the permits for waiting requests that are not issued yet."""
-        if now - self.asked_at >= DEMAND_LIFETIME:
-            return 0
-        return max(0, self.demand.waiting - (self.issued - self.received))
-
-    def spare_needed(self, now: Instant) -> int:
-        """Return the permits that are needed, those for expected requests included."""
-        if now - self.asked_at >= DEMAND_LIFETIME:
-            return 0
-        wanted = self.demand.waiting + self.demand.spare
-        return max(0, wanted - (self.issued - self.received))
-
-
-class PermitIssuer:
-    """Issues the permits for one incarnation of a server.
-
-    Parameters
-    ----------
-    now : timedelta
-        Current instant.
-    """
-
-    def __init__(self, now: Instant) -> None:
-        # Starts empty: an earlier issuer may have used the limit up to now.
-        self.tokens = 0.0
-        self.refilled_at = now
-        self.accounts: dict[str, Account] = {}
-
-    def apply_ask(self, now: Instant, vm: str, ask: PermitAsk) -> None:
-        """Apply a VM's demand; repeated and lost messages make no difference."""
-        account = self.accounts.get(vm)
-        if account is None or account.stream != ask.stream:
-            # The account of an earlier issuer, or a new one.
-            account = Account(ask.stream, ask.received, ask.received, ask.returned, Demand(), now)
-            self.accounts[vm] = account
-        if ask.received < account.received or ask.returned < account.returned:
-            # An older message, which has been overtaken.
-            return
-        account.received = min(ask.received, account.issued)
-        self.tokens += ask.returned - account.returned
-        account.returned = ask.returned
-        account.demand = Demand(ask.waiting, ask.spare, ask.priority)
-        account.asked_at = now
-
-    def issue(self, now: Instant, rate: float) -> list[str]:
-        """Issue permits at `rate` a second; return the VMs that got any."""
-        passed = (now - self.refilled_at).total_seconds()
-        self.refilled_at = now
-        burst = max(1.0, rate * BURST_SECONDS)
-        self.tokens = min(burst, self.tokens + passed * rate)
-        served = []
-        while self.tokens >= 1.0:
-            vm = self.next_vm(now)
-            if vm is None:
-                break
-            account = self.accounts[vm]
-            account.issued += 1
-            account.issued_at = now
-            self.tokens -= 1.0
-            served.append(vm)
-        return served
-
-    def next_vm(self, now: Instant) -> str | None:
-        """Return the VM that gets the next permit: waiting requests first, VMs in turn."""
-        best = None
-        best_rank: tuple = ()
-        for vm, account in self.accounts.items():
-            if not account.spare_needed(now):
-                continue
-            waits = account.needed(now) > 0
-            rank = (not waits, account.demand.priority if waits else 0, account.issued_at)
-            # A VM that has got a permit in this round has waited least.
-            rank += (account.issued - account.returned,)
-            if best is None or rank < best_rank:
-                best, best_rank = vm, rank
-        return best
-
-    def wait(self, now: Instant, rate: float) -> timedelta:
-        """Return how long one more request would wait for its permit."""
-        ahead = sum(account.needed(now) for account in self.accounts.values())
-        return timedelta(seconds=max(0.0, ahead + 1 - self.tokens) / rate)
-
-    def vms_asking(self, now: Instant) -> int:
-        """Return the number of VMs that have asked recently."""
-        return sum(now - a.asked_at < 2 * DEMAND_LIFETIME for a in self.accounts.values())
-
-    def forget_silent(self, now: Instant) -> None:
-        """Remove the accounts of VMs that have not asked for long."""
-        for vm, account in list(self.accounts.items()):
-            if now - account.asked_at >= ACCOUNT_LIFETIME:
-                del self.accounts[vm]
 
 
 @dataclass(frozen=True, slots=True)
@@ -507,6 +308,8 @@
         issuer = self.issuers[name]
         rate = self.rate(now, server, issuer)
         recipients = answered | set(issuer.issue(now, rate))
+        if not recipients:
+            return
         wait_ms = issuer.wait(now, rate) // timedelta(milliseconds=1)
         for vm in sorted(recipients):
             account = issuer.accounts[vm]
--- a/fireflylock/direct/servers.py
+++ b/fireflylock/direct/servers.py
@@ -198,6 +198,7 @@
         known = self.servers.get(entry.name)
         if known is None or known.entry.born != entry.born:
             self.speeds.forget(entry.name)
+            self.limited.pop(entry.name, None)
             known = Server(entry)
             self.servers[entry.name] = known
             self.last_new_server_at = now
--- a/tests/mutants_limits.py
+++ b/tests/mutants_limits.py
@@ -1,9 +1,10 @@
 """Mutants of how entry VMs learn and share the request limits of backend servers."""
 
 from fireflylock.direct.load_exchange import LoadExchange
+from fireflylock.direct.permit_issuer import Account, PermitIssuer
 from fireflylock.direct.placer import Placer
 from fireflylock.direct.request_limits import LimitObservation, RequestLimits
-from fireflylock.direct.request_permits import Account, PermitIssuer, RequestPermits
+from fireflylock.direct.request_permits import RequestPermits
 from tests.mutant import Mutant
 
 PERMITS = "tests/test_direct_request_permits.py::"
--- a/tests/test_direct_request_limits.py
+++ b/tests/test_direct_request_limits.py
@@ -79,8 +79,8 @@
     observer = Observer()
     observer.record(3.0, START)
     observer.table.register(START, server_entry(born=2))
-    observer.limits.forget_replaced()
     assert observer.limit is None
+    observer.limits.forget_replaced()
     observer.record(3.0, START)
     observer.hear(4.0, timedelta(0))
     assert observer.limit is None
--- a/tests/test_direct_request_permits.py
+++ b/tests/test_direct_request_permits.py
@@ -6,7 +6,8 @@
 import pytest
 
 from fireflylock.direct.gossip import PermitAsk
-from fireflylock.direct.request_permits import MIN_RATE, PermitIssuer
+from fireflylock.direct.permit_issuer import PermitIssuer
+from fireflylock.direct.request_permits import MIN_RATE
 from fireflylock.exceptions import ErrorKind
 from tests.permit_fleet import MS, PermitFleet, allowed
 
