Messages about permits with absurd numbers do no harm

Found by reading: a damaged PermitGrants could make a VM create 10^15 permits, and a damaged PermitAsks keep the issuer's loop busy at a very high limit. Tests: test_absurd_numbers_in_a_message_do_no_harm and new rows in test_direct_messages.

--- a/fireflylock/direct/permit_issuer.py
+++ b/fireflylock/direct/permit_issuer.py
@@ -10,6 +10,8 @@
 DEMAND_LIFETIME = timedelta(milliseconds=500)
 # Unused permits accumulate for this part of a second, and one permit always may.
 BURST_SECONDS = 0.25
+# Most permits that a VM may need for one server, and get in one message.
+MAX_PERMITS = 1000
 # Accounts of VMs that have not asked for so long are removed.
 ACCOUNT_LIFETIME = timedelta(seconds=30)
 
@@ -99,7 +101,8 @@
         account.received = min(ask.received, account.issued)
         self.tokens += ask.returned - account.returned
         account.returned = ask.returned
-        account.demand = Demand(ask.waiting, ask.spare, ask.priority)
+        waiting, spare = min(ask.waiting, MAX_PERMITS), min(ask.spare, MAX_PERMITS)
+        account.demand = Demand(waiting, spare, ask.priority)
         account.asked_at = now
 
     def issue(self, now: Instant, rate: float) -> list[str]:
--- a/fireflylock/direct/request_permits.py
+++ b/fireflylock/direct/request_permits.py
@@ -16,7 +16,7 @@
 
 from fireflylock.clock import Clock, Instant
 from fireflylock.direct.gossip import Gossip, PermitAsk, PermitAsks, PermitGrant, PermitGrants
-from fireflylock.direct.permit_issuer import Demand, PermitIssuer
+from fireflylock.direct.permit_issuer import MAX_PERMITS, Demand, PermitIssuer
 from fireflylock.direct.request_limits import RequestLimits
 from fireflylock.direct.send_permits import SendPermits
 from fireflylock.direct.servers import Server, ServerTable
@@ -256,16 +256,24 @@
             holding.returned += holding.permits.popleft().returnable
 
     def apply_grants(self, now: Instant, message: PermitGrants) -> None:
-        """Apply the permits that an issuer has sent."""
+        """Apply the permits that an issuer has sent.
+
+        Raises
+        ------
+        ValueError
+            The message has more permits than an issuer ever sends.
+        """
         for grant in message.grants:
             holding = self.holdings.get(grant.server)
             server = self.table.servers.get(grant.server)
             if holding is None or server is None or holding.stream != grant.stream:
                 continue
+            new = grant.issued - holding.received
+            if new > MAX_PERMITS:
+                raise ValueError(f"{new} permits in one message")
             holding.waiting_since = None
             holding.own_tokens = 0.0
             holding.ready_at = now + timedelta(milliseconds=grant.wait_ms)
-            new = grant.issued - holding.received
             if new <= 0:
                 continue
             holding.received = grant.issued
--- a/tests/test_direct_messages.py
+++ b/tests/test_direct_messages.py
@@ -10,8 +10,13 @@
     MapChange,
     Moving,
     NewOwner,
+    PermitAsk,
+    PermitAsks,
+    PermitGrant,
+    PermitGrants,
     Placing,
     Report,
+    SeenLimit,
     ServerLeaving,
     ZoneTotal,
 )
@@ -58,6 +63,10 @@
     yield KeyWork("x", "z", {"orders": {-1: 1.0, KEY_COUNT: 1.0, 5: float("nan")}})
     yield KeyWork("x", "z", {"orders": {6: float("inf"), 7: -1e300}})
     yield ServerLeaving("x", "z", "none", -1, "", -1)
+    seen = SeenLimit("o0", 1, float("nan"), -(1 << 60))
+    yield Report("x", "z", {}, [], [seen])
+    yield PermitAsks("x", "z", [PermitAsk("o0", 1, -1, 1 << 60, -5, -9, -1, 1 << 60, seen)])
+    yield PermitGrants("x", "z", [PermitGrant("o0", -1, 1 << 60, -(1 << 60))])
 
 
 async def test_no_message_of_another_vm_crashes_a_process_or_corrupts_its_map():
--- a/tests/test_direct_request_permits.py
+++ b/tests/test_direct_request_permits.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from fireflylock.direct.gossip import PermitAsk
-from fireflylock.direct.permit_issuer import PermitIssuer
+from fireflylock.direct.gossip import PermitAsk, PermitGrant, PermitGrants, SeenLimit
+from fireflylock.direct.permit_issuer import MAX_PERMITS, PermitIssuer
 from fireflylock.direct.request_permits import MIN_RATE
 from fireflylock.exceptions import ErrorKind
 from tests.permit_fleet import MS, PermitFleet, allowed
@@ -220,3 +220,21 @@
     issuer.apply_ask(START, "vm-0", ask(1, received=5))
     issuer.apply_ask(START, "vm-0", ask(9, received=4))
     assert issuer.accounts["vm-0"].needed(START) == 1
+
+
+def test_absurd_numbers_in_a_message_do_no_harm():
+    issuer = PermitIssuer(START)
+    issuer.apply_ask(START, "vm-0", ask(10**15, returned=-(10**15)))
+    issuer.apply_ask(START, "vm-0", ask(10**15, returned=10**15))
+    assert len(issuer.issue(START + 100 * MS, 10.0**9)) <= MAX_PERMITS
+    fleet, _ = started_fleet(2, 10, 60)
+    vm = fleet.vms["vm-0"]
+    holding = vm.permits.holdings["s0"]
+    grant = PermitGrant("s0", holding.stream, 10**15, -5)
+    received = holding.received
+    with pytest.raises(ValueError, match="permits in one message"):
+        vm.permits.apply_grants(fleet.now, PermitGrants("vm-1", "a", [grant]))
+    assert holding.received == received
+    seen = SeenLimit("s0", 1, 1.0, 10**300)
+    with pytest.raises(OverflowError):
+        vm.limits.apply_seen(fleet.now, "vm-1", [seen])
