--- a/tests/test_direct_admission.py
+++ b/tests/test_direct_admission.py
@@ -9,6 +9,7 @@
 
 from fireflylock.direct.admission import Admission, Ownership, Ticket
 from fireflylock.direct.model import Repeat, Route, ServerEntry, Share
+from fireflylock.direct.send_permits import SendPermits
 from fireflylock.direct.servers import REPORT_LIFETIME, ServerTable
 from fireflylock.exceptions import ErrorKind
 
@@ -46,6 +47,31 @@
         return self.wait
 
 
+class FakePermits(SendPermits):
+    """A number of permits for the server s0."""
+
+    def __init__(self, left, wait=ZERO):
+        self.limited = {"s0": 10.0}
+        self.left = left
+        self.wait = wait
+        self.requested = 0
+
+    def has_permit(self, now, server):
+        return self.left > 0
+
+    def use(self, now, server):
+        self.left -= 1
+
+    def is_confirmation_due(self, now, server):
+        return False
+
+    def expected_wait(self, now, server, ahead):
+        return self.wait
+
+    def request(self, now, server):
+        self.requested += 1
+
+
 class AdmissionHarness:
     """An admission with some servers, and the outcome of each request."""
 
@@ -461,3 +487,60 @@
     harness.server().back_off(START, 100 * MS)
     harness.ask(START, "read", key=1)
     assert "read" in harness.refused
+
+
+def test_requests_that_waited_for_an_owner_need_permits_once_it_is_a_limited_server():
+    harness = AdmissionHarness()
+    harness.ownership.owner = None
+    for number in range(4):
+        harness.ask(START, f"r{number}", key=1)
+    permits = FakePermits(left=1)
+    harness.admission.permits = permits
+    harness.ownership.owner = "s0"
+    harness.admission.owners_changed(START + 10 * MS)
+    assert list(harness.started) == ["r0"]
+    assert permits.requested
+    permits.left = 2
+    harness.admission.permits_arrived(START + 20 * MS, harness.server())
+    assert sorted(harness.started) == ["r0", "r1", "r2"]
+    assert permits.left == 0
+
+
+def test_a_retry_needs_a_permit_of_its_own():
+    harness = AdmissionHarness()
+    harness.admission.permits = FakePermits(left=1)
+    harness.ask(START, "first", key=1)
+    harness.finish_request(START, "first")
+    harness.ask(START, "again", key=1)
+    assert list(harness.started) == ["first"]
+
+
+def test_a_request_that_gets_no_permit_in_time_is_refused_with_the_time_until_one_is_due():
+    harness = AdmissionHarness()
+    harness.admission.permits = FakePermits(left=0, wait=230 * MS)
+    harness.ask(START, "read", key=1)
+    error = harness.refused["read"]
+    assert (error.kind, error.retry_after) == (ErrorKind.SERVER_LIMITED, 230 * MS)
+    assert error.not_run
+
+
+def test_requests_without_a_key_go_to_other_servers_while_a_limited_one_has_no_permit():
+    harness = AdmissionHarness(zones=("a", "a"))
+    permits = FakePermits(left=1)
+    harness.admission.permits = permits
+    for number in range(4):
+        harness.ask(START, f"r{number}")
+    assert sorted(harness.started.values()).count("s0") == 1
+    assert permits.requested == 4
+    assert not harness.refused
+
+
+def test_a_limit_changes_neither_the_speed_nor_the_health_of_a_server():
+    harness = AdmissionHarness()
+    before = harness.table.expected_seconds(harness.server(), "read", 1.0)
+    harness.admission.permits = FakePermits(left=0, wait=500 * MS)
+    for number in range(20):
+        harness.ask(START, f"r{number}", key=1)
+    assert harness.table.expected_seconds(harness.server(), "read", 1.0) == before
+    assert not harness.server().is_ejected(START)
+    assert harness.server().failure_rate == 0.0
