A limit that a server names to one VM is not ended by its answers to another

Found with a stand-in that names its limit to one VM of four only (a case of the issue's list): the limit came and went 92 times in 12 s, as each answer to another VM ended it.

Cause: the latest observation of any VM counted, as if a server told all VMs the same.

Change: each VM's observations count for themselves. The lowest limit that any VM has seen in the last 5 s is in effect; a VM's own later answers replace what it has seen. A limit that nobody has seen replaced stays in effect.

--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -242,7 +242,7 @@
     received, returned : int
         Permits that the VM has received so far, and given back.
     seen : SeenLimit or None
-        The limit as the VM knows it.
+        The limit as the VM itself has seen it.
     """
 
     server: str
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -465,7 +465,7 @@
         self.gossip.greet_silent_peers(now, self.leadership.hello)
         self.exchange.tidy(now)
         self.table.evict_gone(now)
-        self.limits.forget_replaced()
+        self.limits.tidy(now)
         self.permits.tidy(now)
         placing = bool(self.leadership.placers)
         self.platform.store.set_fleet_size(
--- a/fireflylock/direct/request_limits.py
+++ b/fireflylock/direct/request_limits.py
@@ -17,11 +17,11 @@
 from fireflylock.direct.servers import Server, ServerTable
 from fireflylock.metrics import StateMetric
 
-# A limit is replaced by a higher one, or by none, once it has not been named for this long.
-# Responses may overtake each other, and the ages in reports leave out their time on the way.
+# A limit is replaced by a higher one, or by none, once it has not been named for this long:
+# responses may overtake each other, and not all of them may name it.
 SETTLE_TIME = timedelta(milliseconds=500)
-# Observations are reported to the other VMs for this long.
-REPORTED_FOR = timedelta(seconds=10)
+# An observation is reported to the other VMs, and counts if there are later ones, for this long.
+OBSERVATION_LIFETIME = timedelta(seconds=5)
 # Log lines per second about limits.
 LOG_RATE = 5.0
 
@@ -49,17 +49,25 @@
     as_of: Instant
 
     def supersedes(self, other: "LimitObservation | None") -> bool:
-        """Return whether this observation replaces another one of the same server."""
+        """Return whether this observation replaces an earlier one of the same VM."""
         if other is None or self.born != other.born:
             return other is None or self.born > other.born
         if lowers(self.limit, other.limit):
             return self.as_of > other.as_of - SETTLE_TIME
         return self.as_of > other.as_of + SETTLE_TIME
 
+    def is_older(self, other: "LimitObservation") -> bool:
+        """Return whether this observation comes from an earlier report than another one."""
+        margin = SETTLE_TIME if lowers(self.limit, other.limit) else timedelta(0)
+        return self.born == other.born and self.as_of < other.as_of - margin
+
 
 class RequestLimits:
     """The limits of all servers, as far as this VM knows them.
 
+    A server may name its limit to some VMs and not to others.  The lowest limit that it has
+    lately named to any VM is in effect, until its responses to that VM name it no longer.
+
     Parameters
     ----------
     clock : Clock
@@ -73,8 +81,10 @@
         The limits in effect: requests a second, by server; the table's.
     observed : dict of str to LimitObservation
         Observations of this VM itself, by server.
+    reported : dict of str to dict of str to LimitObservation
+        Observations that others have reported, by sender and server.
     known : dict of str to LimitObservation
-        The observations of all VMs that are in effect, by server.
+        The observation that is in effect, by server.
     sent : Counter of str
         Requests sent to servers while they had a limit, by server.
     """
@@ -84,6 +94,7 @@
         self.table = table
         self.limited = table.limited
         self.observed: dict[str, LimitObservation] = {}
+        self.reported: dict[str, dict[str, LimitObservation]] = {}
         self.known: dict[str, LimitObservation] = {}
         self.sent: Counter[str] = Counter()
         self.log_budget = LogBudget(LOG_RATE, LOG_RATE)
@@ -103,49 +114,61 @@
         sent_at : timedelta
             When the request was sent.
         """
-        server = self.table.find_incarnation(owner)
-        if server is None:
+        if self.table.find_incarnation(owner) is None:
             return
         now = self.clock.elapsed()
-        as_of = now if lowers(limit, self.limited.get(owner.name)) else sent_at
+        known = self.observed.get(owner.name)
+        before = None if known is None or known.born != owner.born else known.limit
+        as_of = now if lowers(limit, before) else sent_at
         observation = LimitObservation(owner.born, limit, as_of)
-        if observation.supersedes(self.observed.get(owner.name)):
+        if observation.supersedes(known):
             self.observed[owner.name] = observation
-        self.apply(now, server, observation, "its answer")
+            self.update(now, owner.name, "its answer")
 
     def apply_seen(self, now: Instant, source: str, limits: Iterable[SeenLimit]) -> None:
-        """Apply the observations that another VM has reported."""
+        """Replace the observations that `source` has reported before."""
+        before = self.reported.pop(source, {})
+        reported = {}
         for seen in limits:
-            server = self.table.servers.get(seen.server)
-            if server is None or server.entry.born != seen.born:
-                continue
-            if seen.limit is not None and not 0.0 <= seen.limit < float("inf"):
-                raise ValueError(f"a limit of {seen.limit} requests a second")
-            as_of = now - max(0, seen.age_ms) * ONE_MS
-            self.apply(now, server, LimitObservation(seen.born, seen.limit, as_of), source)
-
-    def apply(
-        self, now: Instant, server: Server, observation: LimitObservation, source: str
-    ) -> None:
-        """Put an observation into effect unless a later one is known."""
-        known = self.known.get(server.name)
-        if not observation.supersedes(known):
+            observation = decode_observation(now, seen)
+            known = before.get(seen.server)
+            if known is not None and observation.is_older(known):
+                # A report that was overtaken by a later one.
+                observation = known
+            reported[seen.server] = observation
+        if reported:
+            self.reported[source] = reported
+        for name in before.keys() | reported.keys():
+            self.update(now, name, source)
+
+    def apply_one_seen(self, now: Instant, source: str, seen: SeenLimit) -> None:
+        """Apply one observation of another VM."""
+        self.reported.setdefault(source, {})[seen.server] = decode_observation(now, seen)
+        self.update(now, seen.server, source)
+
+    def update(self, now: Instant, name: str, source: str) -> None:
+        """Put the limit of a server into effect that follows from all observations."""
+        server = self.table.servers.get(name)
+        if server is None:
             return
-        self.known[server.name] = observation
-        before = self.limited.get(server.name)
-        if known is not None and known.born != observation.born:
-            before = None
-        if observation.limit == before:
+        found = [self.observed.get(name), *(limits.get(name) for limits in self.reported.values())]
+        effective = lowest_limit(now, (o for o in found if o and o.born == server.entry.born))
+        if effective is None:
+            # Nobody has had a response lately.
             return
-        if observation.limit is None:
-            del self.limited[server.name]
+        before = self.limited.get(name)
+        self.known[name] = effective
+        if effective.limit == before:
+            return
+        if effective.limit is None:
+            del self.limited[name]
         else:
-            self.limited[server.name] = observation.limit
-        self.log_change(now, server, before, observation, source)
+            self.limited[name] = effective.limit
+        self.log_change(now, server, before, effective, source)
 
-    def seen_limit(self, now: Instant, name: str) -> SeenLimit | None:
-        """Return what is known of a server's limit, for a message."""
-        known = self.known.get(name)
+    def own_observation(self, now: Instant, name: str) -> SeenLimit | None:
+        """Return the observation of this VM itself of a server's limit, for a message."""
+        known = self.observed.get(name)
         return None if known is None else encode_observation(now, name, known)
 
     def own_observations(self, now: Instant) -> list[SeenLimit]:
@@ -153,7 +176,7 @@
         return [
             encode_observation(now, name, known)
             for name, known in self.observed.items()
-            if now - known.as_of < REPORTED_FOR
+            if now - known.as_of < OBSERVATION_LIFETIME
         ]
 
     def record_invalid(self, owner: Owner, value: bytes) -> None:
@@ -211,11 +234,18 @@
             ),
         ]
 
-    def forget_replaced(self) -> None:
-        """Remove what is known about servers that are gone or have been started again."""
+    def tidy(self, now: Instant) -> None:
+        """End limits that are no longer named, and forget servers that are gone."""
+        for source, limits in list(self.reported.items()):
+            for name, known in list(limits.items()):
+                if now - known.as_of >= OBSERVATION_LIFETIME:
+                    del limits[name]
+            if not limits:
+                del self.reported[source]
         for name, known in list(self.known.items()):
             server = self.table.servers.get(name)
             if server is not None and server.entry.born == known.born:
+                self.update(now, name, "no answers")
                 continue
             del self.known[name]
             self.observed.pop(name, None)
@@ -228,11 +258,43 @@
     return limit is not None and (before is None or limit <= before)
 
 
+def lowest_limit(
+    now: Instant, observations: Iterable[LimitObservation]
+) -> LimitObservation | None:
+    """Return the lowest limit among recent observations of several VMs, or None without any."""
+    lowest = None
+    for observation in observations:
+        if now - observation.as_of >= OBSERVATION_LIFETIME:
+            continue
+        if lowest is None or observation.limit == lowest.limit:
+            if lowest is None or observation.as_of > lowest.as_of:
+                lowest = observation
+            continue
+        if lowers(observation.limit, lowest.limit):
+            lowest = observation
+    return lowest
+
+
 def encode_observation(now: Instant, name: str, known: LimitObservation) -> SeenLimit:
     """Return an observation in the form used by messages."""
     return SeenLimit(name, known.born, known.limit, max(timedelta(0), now - known.as_of) // ONE_MS)
 
 
+def decode_observation(now: Instant, seen: SeenLimit) -> LimitObservation:
+    """Return an observation received in a message.
+
+    Raises
+    ------
+    ValueError
+        The limit is not a number of requests.
+    OverflowError
+        The age is not one.
+    """
+    if seen.limit is not None and not 0.0 <= seen.limit < float("inf"):
+        raise ValueError(f"a limit of {seen.limit} requests a second")
+    return LimitObservation(seen.born, seen.limit, now - max(0, seen.age_ms) * ONE_MS)
+
+
 def merge_seen(now: Instant, parts: Iterable[tuple[Instant, list[SeenLimit]]]) -> list[SeenLimit]:
     """Return the observations in effect of several reports.
 
@@ -243,11 +305,14 @@
     parts : iterable of (timedelta, list of SeenLimit)
         When each report was received, and its observations.
     """
-    merged: dict[str, LimitObservation] = {}
+    found: dict[str, list[LimitObservation]] = {}
     for received_at, limits in parts:
         for seen in limits:
-            as_of = received_at - seen.age_ms * ONE_MS
-            observation = LimitObservation(seen.born, seen.limit, as_of)
-            if observation.supersedes(merged.get(seen.server)):
-                merged[seen.server] = observation
-    return [encode_observation(now, name, known) for name, known in merged.items()]
+            found.setdefault(seen.server, []).append(decode_observation(received_at, seen))
+    merged = []
+    for name, observations in found.items():
+        born = max(observation.born for observation in observations)
+        effective = lowest_limit(now, (o for o in observations if o.born == born))
+        if effective is not None:
+            merged.append(encode_observation(now, name, effective))
+    return merged
--- a/fireflylock/direct/request_permits.py
+++ b/fireflylock/direct/request_permits.py
@@ -240,7 +240,7 @@
                     holding.demand.priority,
                     holding.received,
                     holding.returned,
-                    self.limits.seen_limit(now, server.name),
+                    self.limits.own_observation(now, server.name),
                 )
             )
         for issuer, asks in by_issuer.items():
@@ -290,7 +290,7 @@
             if server is None or server.entry.born != ask.born:
                 continue
             if ask.seen is not None:
-                self.limits.apply_seen(now, message.vm, [ask.seen])
+                self.limits.apply_one_seen(now, message.vm, ask.seen)
             issuer = self.issuers.setdefault(ask.server, PermitIssuer(now))
             issuer.apply_ask(now, message.vm, ask)
             known.append(ask.server)
--- a/tests/test_direct_request_permits.py
+++ b/tests/test_direct_request_permits.py
@@ -85,6 +85,16 @@
     assert len(fleet.sends) - sent >= 30
 
 
+def test_a_limit_that_is_named_to_one_vm_only_is_shared_by_all():
+    fleet = PermitFleet(4, 8)
+    fleet.told = {"vm-1"}
+    fleet.run(GRACE, 60)
+    start = fleet.now
+    fleet.run(12, 60)
+    assert fleet.most_in_a_window(start) <= allowed(8)
+    assert 0.85 <= fleet.use(start) <= 1.15
+
+
 def test_a_lower_limit_and_a_higher_one_come_into_effect():
     fleet, _ = started_fleet(4, 40, 100)
     fleet.limit = 5
