A server gets its capacity back gradually after its request limit has ended

Possible cause: a server that stops naming its limit once it gets less. The leader then took it for the emptiest one and gave it keys again at once, whose requests were refused as soon as the limit returned.

Change: the capacity that placement sees starts from what the limit allowed and doubles every 2 s.

Test: test_a_server_gets_its_capacity_back_gradually_after_its_limit_has_ended.

--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -88,6 +88,10 @@
 # A server with a request limit keeps at least this part of its capacity: only the responses to
 # requests can say that the limit has ended.
 MIN_LIMITED_SHARE = 0.02
+# After a limit has ended, the capacity doubles in this time up to the usual one: keys must not
+# move back to a server that names its limit again once it has them.
+LIMIT_RECOVERY_TIME = timedelta(seconds=2)
+MAX_LIMIT_DOUBLINGS = 10.0
 
 log = structlog.get_logger()
 
@@ -799,10 +803,15 @@
         slowness = max(MIN_SLOWNESS, self.table.speeds.slowness(server.name))
         work = server.entry.slots / slowness
         limit = self.table.limited.get(server.name)
+        growth = 1.0
         if limit is None:
-            return work
+            if server.name not in self.table.ended_limits:
+                return work
+            limit, ended_at = self.table.ended_limits[server.name]
+            doublings = (self.clock.elapsed() - ended_at) / LIMIT_RECOVERY_TIME
+            growth = 2.0 ** min(doublings, MAX_LIMIT_DOUBLINGS)
         allowed = limit * self.table.speeds.mean_cost(self.service)
-        return min(work, max(allowed, MIN_LIMITED_SHARE * work))
+        return min(work, growth * max(allowed, MIN_LIMITED_SHARE * work))
 
     def assign_free_keys(self, now: Instant) -> None:
         """Record new owners for the free keys."""
--- a/fireflylock/direct/request_limits.py
+++ b/fireflylock/direct/request_limits.py
@@ -161,9 +161,10 @@
         if effective.limit == before:
             return
         if effective.limit is None:
-            del self.limited[name]
+            self.table.ended_limits[name] = (self.limited.pop(name), now)
         else:
             self.limited[name] = effective.limit
+            self.table.ended_limits.pop(name, None)
         self.log_change(now, server, before, effective, source)
 
     def own_observation(self, now: Instant, name: str) -> SeenLimit | None:
@@ -250,6 +251,7 @@
             del self.known[name]
             self.observed.pop(name, None)
             self.limited.pop(name, None)
+            self.table.ended_limits.pop(name, None)
             self.sent.pop(name, None)
 
 
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -134,6 +134,23 @@
     assert_no_violations(cluster)
 
 
+async def test_a_server_gets_its_capacity_back_gradually_after_its_limit_has_ended():
+    cluster = await settled_cluster()
+    vm = cluster.vms[cluster.leader()]
+    server = vm.table.servers[cluster.processes[0].entry.name]
+    placer = vm.leadership.placers[SERVICE]
+    usual = placer.capacity(server)
+    vm.table.ended_limits[server.name] = (2.5, cluster.clock.elapsed())
+    vm.table.speeds.services[SERVICE] = MovingAverage(0.08)
+    capacities = []
+    for _ in range(6):
+        capacities.append(placer.capacity(server) / usual)
+        await cluster.run(2)
+    assert capacities[0] == pytest.approx(0.05)
+    assert capacities[1] == pytest.approx(0.1, rel=0.05)
+    assert capacities[-1] == 1.0
+
+
 async def test_a_restart_proves_that_the_previous_incarnation_has_ended():
     cluster = await settled_cluster()
     dead = cluster.processes[0]
