--- a/fireflylock/direct/request_limits.py
+++ b/fireflylock/direct/request_limits.py
@@ -139,7 +139,25 @@
         if reported:
             self.reported[source] = reported
         for name in before.keys() | reported.keys():
-            self.update(now, name, source)
+            if not self.confirms(name, before.get(name), reported.get(name)):
+                self.update(now, name, source)
+
+    def confirms(
+        self, name: str, before: LimitObservation | None, later: LimitObservation | None
+    ) -> bool:
+        """Return whether a later observation leaves the effective limit as it is.
+
+        Most reports repeat the limit of the report before; the rest of the VMs need not be
+        compared for them.
+        """
+        known = self.known.get(name)
+        if before is None or later is None or known is None:
+            return False
+        if not before.born == later.born == known.born or before.limit != later.limit:
+            return False
+        if later.limit == known.limit and later.as_of > known.as_of:
+            self.known[name] = later
+        return later.limit == known.limit
 
     def apply_one_seen(self, now: Instant, source: str, seen: SeenLimit) -> None:
         """Apply one observation of another VM."""
