--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -8,8 +8,9 @@
 from pathlib import Path
 
 from demo.deployment import PLANS
-from demo.platform_run import LIMIT_WINDOW, PlatformRun
+from demo.platform_run import PlatformRun
 from demo.run import DemoError, Run
+from standins.arrivals import WINDOW_SECONDS
 
 # Name of the run on the users' platform.
 PLATFORM = "platform"
@@ -70,7 +71,7 @@
     for limited in outcome.limited:
         print(
             f"  {limited.server.name}, limit {limited.limit} a second: at most {limited.most()} "
-            f"requests in {LIMIT_WINDOW:.0f} s, allowed {limited.allowed():.0f}"
+            f"requests in {WINDOW_SECONDS:.0f} s, allowed {limited.allowed():.0f}"
         )
     for text in outcome.broken:
         print(f"  broken: {text}")
--- a/demo/platform_run.py
+++ b/demo/platform_run.py
@@ -21,6 +21,12 @@
 from fireflylock.exceptions import ProtocolError
 from fireflylock.http_client import HTTPClient, HTTPResponse
 from fireflylock.platform import wire
+from standins.arrivals import (
+    GRACE_SECONDS,
+    WINDOW_SECONDS,
+    allowed_in_a_window,
+    most_in_a_window,
+)
 from standins.link import CUT, OPEN, Link
 from standins.operator_files import HOST, config_json, settings_toml
 from standins.platform_backend_server import PlatformBackendServer
@@ -57,12 +63,6 @@
 # Servers that name a limit of requests a second, and the limit as a part of their requests.
 LIMITED = ("orders-0", "orders-3", "files-1")
 LIMIT_PART = 0.5
-# From this many seconds after the limit is named on, every window of this length must keep it:
-# so many times what it allows, and a few requests more.
-LIMIT_GRACE = 3.0
-LIMIT_WINDOW = 4.0
-LIMIT_TOLERANCE = 1.5
-LIMIT_EXTRA = 5
 # Seconds for which limits last beyond the last fault.
 LIMIT_CALM = 2.0
 
@@ -101,26 +101,20 @@
 
     def arrivals(self) -> list[float]:
         """Return when requests have arrived while the limit had to be kept."""
-        start = self.start + LIMIT_GRACE
+        start = self.start + GRACE_SECONDS
         return [at for at in self.server.arrivals if start <= at < self.end]
 
     def most(self) -> int:
         """Return the most requests that have arrived in any window."""
-        arrivals = self.arrivals()
-        first = most = 0
-        for last, at in enumerate(arrivals):
-            while at - arrivals[first] >= LIMIT_WINDOW:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
+        return most_in_a_window(self.arrivals(), self.start)
 
     def allowed(self) -> float:
         """Return the most requests that may arrive in a window."""
-        return LIMIT_TOLERANCE * self.limit * LIMIT_WINDOW + LIMIT_EXTRA
+        return allowed_in_a_window(self.limit)
 
     def use(self) -> float:
         """Return the requests a second that have arrived, as a multiple of the limit."""
-        return len(self.arrivals()) / (self.end - self.start - LIMIT_GRACE) / self.limit
+        return len(self.arrivals()) / (self.end - self.start - GRACE_SECONDS) / self.limit
 
 
 @dataclass
@@ -527,7 +521,7 @@
             if limited.most() > limited.allowed():
                 self.outcome.rule_broken(
                     f"{limited.server.name} with a limit of {limited.limit} a second got "
-                    f"{limited.most()} requests in {LIMIT_WINDOW:.0f} s"
+                    f"{limited.most()} requests in {WINDOW_SECONDS:.0f} s"
                 )
         if self.calm > HEALED_AFTER:
             self.check_recovery()
--- a/tests/permit_fleet.py
+++ b/tests/permit_fleet.py
@@ -11,6 +11,7 @@
 from fireflylock.direct.request_limits import RequestLimits
 from fireflylock.direct.request_permits import RequestPermits
 from fireflylock.direct.servers import ServerTable
+from standins.arrivals import most_in_a_window
 
 START = timedelta(seconds=100)
 MS = timedelta(milliseconds=1)
@@ -31,9 +32,6 @@
     2,
     (Share("orders", 1.0),),
 )
-WINDOW = timedelta(seconds=4)
-TOLERANCE = 1.5
-EXTRA_REQUESTS = 5
 
 
 class OneOwner(Ownership):
@@ -212,20 +210,10 @@
 
     def most_in_a_window(self, start, end=None):
         """Return the most requests in any window that begins at `start` or later."""
-        times = [at for at, _ in self.sends if at >= start and (end is None or at < end)]
-        first = most = 0
-        for last, at in enumerate(times):
-            while at - times[first] >= WINDOW:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
+        times = [at.total_seconds() for at, _ in self.sends if end is None or at < end]
+        return most_in_a_window(times, start.total_seconds())
 
     def use(self, start):
         """Return the requests since `start` as a multiple of the limit."""
         sent = sum(at >= start for at, _ in self.sends)
         return sent / (self.limit * (self.now - start).total_seconds())
-
-
-def allowed(limit):
-    """Return the most requests that a server may get in a window."""
-    return TOLERANCE * limit * WINDOW.total_seconds() + EXTRA_REQUESTS
--- a/tests/test_direct_limited_servers.py
+++ b/tests/test_direct_limited_servers.py
@@ -4,16 +4,11 @@
 
 import pytest
 
+from standins.arrivals import GRACE_SECONDS, allowed_in_a_window, most_in_a_window
 from tests.direct_site import Site
 from tests.virtual_time import VirtualTimePolicy
 
 LIMIT = 10.0
-# Seconds after the limit was first named from which on it must be kept.
-GRACE = 3.0
-WINDOW = 4.0
-# In every window a server may get this multiple of its limit, and so many requests more.
-TOLERANCE = 1.5
-EXTRA_REQUESTS = 5
 SECONDS = 10.0
 REQUESTS_PER_SECOND = 120
 
@@ -29,17 +24,6 @@
         yield new_site
 
 
-def most_in_a_window(arrivals, start):
-    """Return the largest number of arrivals in any window that begins at `start` or later."""
-    later = sorted(at for at in arrivals if at >= start)
-    first = most = 0
-    for last, at in enumerate(later):
-        while at - later[first] >= WINDOW:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 async def send_requests(site, nodes, path, seconds, key_step=None):
     """Send requests to all VMs at a constant rate; return the statuses of the answers."""
     loop = asyncio.get_running_loop()
@@ -73,8 +57,8 @@
     named_at = asyncio.get_running_loop().time()
     statuses = await send_requests(site, nodes, path, SECONDS, step)
     assert set(statuses) <= {200, 503}
-    most = most_in_a_window(limited.arrivals, named_at + GRACE)
-    assert most <= TOLERANCE * LIMIT * WINDOW + EXTRA_REQUESTS
+    most = most_in_a_window(limited.arrivals, named_at + GRACE_SECONDS)
+    assert most <= allowed_in_a_window(LIMIT)
 
 
 async def test_the_end_of_a_limit_is_noticed_though_other_servers_are_preferred(site):
--- a/tests/test_direct_request_permits.py
+++ b/tests/test_direct_request_permits.py
@@ -9,7 +9,8 @@
 from fireflylock.direct.permit_issuer import MAX_PERMITS, PermitIssuer
 from fireflylock.direct.request_permits import MIN_RATE
 from fireflylock.exceptions import ErrorKind
-from tests.permit_fleet import MS, PermitFleet, allowed
+from standins.arrivals import allowed_in_a_window as allowed
+from tests.permit_fleet import MS, PermitFleet
 
 # Seconds until a new limit must be kept.
 GRACE = 3
