--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -805,9 +805,9 @@
         limit = self.table.limited.get(server.name)
         growth = 1.0
         if limit is None:
-            if server.name not in self.table.ended_limits:
+            if server.ended_limit is None:
                 return work
-            limit, ended_at = self.table.ended_limits[server.name]
+            limit, ended_at = server.ended_limit
             doublings = (self.clock.elapsed() - ended_at) / LIMIT_RECOVERY_TIME
             growth = 2.0 ** min(doublings, MAX_LIMIT_DOUBLINGS)
         allowed = limit * self.table.speeds.mean_cost(self.service)
--- a/fireflylock/direct/request_limits.py
+++ b/fireflylock/direct/request_limits.py
@@ -179,10 +179,10 @@
         if effective.limit == before:
             return
         if effective.limit is None:
-            self.table.ended_limits[name] = (self.limited.pop(name), now)
+            server.ended_limit = (self.limited.pop(name), now)
         else:
             self.limited[name] = effective.limit
-            self.table.ended_limits.pop(name, None)
+            server.ended_limit = None
         self.log_change(now, server, before, effective, source)
 
     def own_observation(self, now: Instant, name: str) -> SeenLimit | None:
@@ -269,7 +269,6 @@
             del self.known[name]
             self.observed.pop(name, None)
             self.limited.pop(name, None)
-            self.table.ended_limits.pop(name, None)
             self.sent.pop(name, None)
 
 
--- a/fireflylock/direct/servers.py
+++ b/fireflylock/direct/servers.py
@@ -61,6 +61,8 @@
         Whether a response announced its shutdown; no registration takes that back.
     backoff_until : timedelta
         Until when it has asked this VM to send no requests.
+    ended_limit : (float, timedelta) or None
+        Its last request limit, and when that ended, if it has none any more.
     """
 
     entry: ServerEntry
@@ -74,6 +76,7 @@
     failure_rate: float = 0.0
     announced_shutdown: bool = False
     backoff_until: Instant = NEVER
+    ended_limit: tuple[float, Instant] | None = None
 
     @property
     def name(self) -> str:
@@ -154,14 +157,11 @@
     limited : dict of str to float
         Requests a second that all VMs together may send to a server, by server, for those that
         have a limit.
-    ended_limits : dict of str to (float, timedelta)
-        The last limit of servers that have none any more, and when it ended.
     """
 
     def __init__(self, drain: timedelta) -> None:
         self.drain = drain
         self.limited: dict[str, float] = {}
-        self.ended_limits: dict[str, tuple[float, Instant]] = {}
         self.servers: dict[str, Server] = {}
         # The incarnation that started last, by address.
         self.addresses: dict[tuple[str, int], ServerEntry] = {}
@@ -202,7 +202,6 @@
         if known is None or known.entry.born != entry.born:
             self.speeds.forget(entry.name)
             self.limited.pop(entry.name, None)
-            self.ended_limits.pop(entry.name, None)
             known = Server(entry)
             self.servers[entry.name] = known
             self.last_new_server_at = now
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -140,7 +140,7 @@
     server = vm.table.servers[cluster.processes[0].entry.name]
     placer = vm.leadership.placers[SERVICE]
     usual = placer.capacity(server)
-    vm.table.ended_limits[server.name] = (2.5, cluster.clock.elapsed())
+    server.ended_limit = (2.5, cluster.clock.elapsed())
     vm.table.speeds.services[SERVICE] = MovingAverage(0.08)
     capacities = []
     for _ in range(6):
--- a/tests/test_direct_request_limits.py
+++ b/tests/test_direct_request_limits.py
@@ -63,9 +63,9 @@
     observer.clock.advance(SETTLE_TIME + 100 * MS)
     observer.record(None, observer.clock.elapsed() - 50 * MS)
     assert observer.limit is None
-    assert observer.table.ended_limits == {"s0": (3.0, observer.clock.elapsed())}
+    assert observer.table.servers["s0"].ended_limit == (3.0, observer.clock.elapsed())
     observer.record(4.0, observer.clock.elapsed())
-    assert observer.table.ended_limits == {}
+    assert observer.table.servers["s0"].ended_limit is None
 
 
 def test_a_limit_that_only_some_responses_name_stays_in_effect():
