Permits use the token bucket that the project has

The issuer and a VM's own part each refilled tokens with arithmetic of their own; TokenBucket does the same. An unused clock and an unused parameter of the test fleet go, as do an unreachable return and a check that stood twice in Account.

--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -125,7 +125,7 @@
         self.gossip = Gossip(node_settings.vm, clock, self.on_message)
         self.limits = RequestLimits(clock, self.table)
         self.permits = RequestPermits(
-            node_settings.vm, node_settings.zone, clock, self.gossip, self.table, self.limits
+            node_settings.vm, node_settings.zone, self.gossip, self.table, self.limits
         )
         self.admission = Admission(self.table, self.view, node_settings.zone, self.permits)
         self.permits.demand_of = self.admission.demand_of
--- a/fireflylock/direct/permit_issuer.py
+++ b/fireflylock/direct/permit_issuer.py
@@ -5,6 +5,7 @@
 
 from fireflylock.clock import Instant
 from fireflylock.direct.gossip import PermitAsk
+from fireflylock.store import TokenBucket
 
 # A VM's demand is dropped if it is not repeated for this long.
 DEMAND_LIFETIME = timedelta(milliseconds=500)
@@ -61,15 +62,16 @@
 
     def needed(self, now: Instant) -> int:
         """Return the permits for waiting requests that are not issued yet."""
-        if now - self.asked_at >= DEMAND_LIFETIME:
-            return 0
-        return max(0, self.demand.waiting - (self.issued - self.received))
+        return self.not_issued(now, self.demand.waiting)
 
     def spare_needed(self, now: Instant) -> int:
         """Return the permits that are needed, those for expected requests included."""
+        return self.not_issued(now, self.demand.waiting + self.demand.spare)
+
+    def not_issued(self, now: Instant, wanted: int) -> int:
+        """Return how many of the wanted permits are not on their way, if the demand is recent."""
         if now - self.asked_at >= DEMAND_LIFETIME:
             return 0
-        wanted = self.demand.waiting + self.demand.spare
         return max(0, wanted - (self.issued - self.received))
 
 
@@ -84,8 +86,7 @@
 
     def __init__(self, now: Instant) -> None:
         # Starts empty: an earlier issuer may have used the limit up to now.
-        self.tokens = 0.0
-        self.refilled_at = now
+        self.bucket = TokenBucket(rate=0.0, burst=0.0, tokens=0.0, refilled_at=now)
         self.accounts: dict[str, Account] = {}
 
     def apply_ask(self, now: Instant, vm: str, ask: PermitAsk) -> None:
@@ -99,7 +100,7 @@
             # An older message, which has been overtaken.
             return
         account.received = min(ask.received, account.issued)
-        self.tokens += ask.returned - account.returned
+        self.bucket.tokens += ask.returned - account.returned
         account.returned = ask.returned
         waiting, spare = min(ask.waiting, MAX_PERMITS), min(ask.spare, MAX_PERMITS)
         account.demand = Demand(waiting, spare, ask.priority)
@@ -107,19 +108,18 @@
 
     def issue(self, now: Instant, rate: float) -> list[str]:
         """Issue permits at `rate` a second; return the VMs that got any."""
-        passed = (now - self.refilled_at).total_seconds()
-        self.refilled_at = now
-        burst = max(1.0, rate * BURST_SECONDS)
-        self.tokens = min(burst, self.tokens + passed * rate)
+        bucket = self.bucket
+        bucket.rate, bucket.burst = rate, max(1.0, rate * BURST_SECONDS)
+        bucket.refill(now)
         served = []
-        while self.tokens >= 1.0:
+        while bucket.tokens >= 1.0:
             vm = self.next_vm(now)
             if vm is None:
                 break
             account = self.accounts[vm]
             account.issued += 1
             account.issued_at = now
-            self.tokens -= 1.0
+            bucket.tokens -= 1.0
             served.append(vm)
         return served
 
@@ -141,7 +141,7 @@
     def wait(self, now: Instant, rate: float) -> timedelta:
         """Return how long one more request would wait for its permit."""
         ahead = sum(account.needed(now) for account in self.accounts.values())
-        return timedelta(seconds=max(0.0, ahead + 1 - self.tokens) / rate)
+        return timedelta(seconds=max(0.0, ahead + 1 - self.bucket.tokens) / rate)
 
     def vms_asking(self, now: Instant) -> int:
         """Return the number of VMs that have asked recently."""
--- a/fireflylock/direct/request_permits.py
+++ b/fireflylock/direct/request_permits.py
@@ -14,12 +14,13 @@
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
-from fireflylock.clock import Clock, Instant
+from fireflylock.clock import Instant
 from fireflylock.direct.gossip import Gossip, PermitAsk, PermitAsks, PermitGrant, PermitGrants
 from fireflylock.direct.permit_issuer import MAX_PERMITS, Demand, PermitIssuer
 from fireflylock.direct.request_limits import RequestLimits
 from fireflylock.direct.send_permits import SendPermits
 from fireflylock.direct.servers import Server, ServerTable
+from fireflylock.store import TokenBucket
 
 # Permits that are not used for so long go back to the issuer.
 PERMIT_LIFETIME = timedelta(milliseconds=300)
@@ -65,6 +66,8 @@
         VM that issues the permits.
     stream : int
         Identifies this VM's account at that issuer.
+    own_part : TokenBucket
+        Permits that this VM may use without an issuer; it fills only while that is out of reach.
     received, returned : int
         Permits received from it, and given back to it.
     permits : deque of Permit
@@ -77,15 +80,12 @@
         When one more request would get its permit, as the issuer has said.
     interest_until : timedelta
         Until when requests are expected that the server could run.
-    own_tokens : float
-        Permits that this VM may use without an issuer.
-    tokens_at : timedelta
-        When they were last computed.
     """
 
     born: int
     issuer: str
     stream: int
+    own_part: TokenBucket
     received: int = 0
     returned: int = 0
     permits: deque[Permit] = field(default_factory=deque)
@@ -94,8 +94,6 @@
     waiting_since: Instant | None = None
     ready_at: Instant = timedelta(0)
     interest_until: Instant = timedelta(0)
-    own_tokens: float = 0.0
-    tokens_at: Instant = timedelta(0)
 
 
 class RequestPermits(SendPermits):
@@ -105,8 +103,6 @@
     ----------
     vm, zone : str
         Name and availability zone of this VM.
-    clock : Clock
-        Source of time.
     gossip : Gossip
         Link to the other VMs.
     table : ServerTable
@@ -126,14 +122,12 @@
         self,
         vm: str,
         zone: str,
-        clock: Clock,
         gossip: Gossip,
         table: ServerTable,
         limits: RequestLimits,
     ) -> None:
         self.vm = vm
         self.zone = zone
-        self.clock = clock
         self.gossip = gossip
         self.table = table
         self.limits = limits
@@ -187,7 +181,8 @@
         holding = self.holdings.get(server.name)
         if holding is None or holding.born != server.entry.born:
             issuer = self.choose_issuer(now, server)
-            holding = Holding(server.entry.born, issuer, next(self.streams), tokens_at=now)
+            own_part = TokenBucket(rate=0.0, burst=1.0, tokens=0.0, refilled_at=now)
+            holding = Holding(server.entry.born, issuer, next(self.streams), own_part)
             self.holdings[server.name] = holding
         return holding
 
@@ -201,10 +196,7 @@
         if ranking is None:
             ranking = sorted((self.vm, *peers), key=lambda vm: rendezvous_weight(vm, server.name))
             self.rankings[server.name] = ranking
-        for vm in ranking:
-            if vm == self.vm or self.gossip.is_alive(now, vm):
-                return vm
-        return self.vm
+        return next(vm for vm in ranking if vm == self.vm or self.gossip.is_alive(now, vm))
 
     def demand(self, now: Instant, server: Server, holding: Holding) -> Demand:
         """Return the demand of this VM for a server's permits."""
@@ -272,7 +264,7 @@
             if new > MAX_PERMITS:
                 raise ValueError(f"{new} permits in one message")
             holding.waiting_since = None
-            holding.own_tokens = 0.0
+            holding.own_part.tokens = 0.0
             holding.ready_at = now + timedelta(milliseconds=grant.wait_ms)
             if new <= 0:
                 continue
@@ -376,17 +368,15 @@
 
     def use_own_part(self, now: Instant, server: Server, holding: Holding) -> None:
         """Use this VM's own part of the limit while the issuer does not answer."""
-        passed = (now - holding.tokens_at).total_seconds()
-        holding.tokens_at = now
-        if holding.waiting_since is None or now - holding.waiting_since < ANSWER_TIMEOUT:
-            return
-        if self.demand(now, server, holding) == Demand():
+        unanswered = (
+            holding.waiting_since is not None and now - holding.waiting_since >= ANSWER_TIMEOUT
+        )
+        if not unanswered or self.demand(now, server, holding) == Demand():
+            holding.own_part.refilled_at = now
             return
         limit = max(self.limited[server.name], MIN_RATE)
-        fleet = self.gossip.fleet_size(now)
-        holding.own_tokens = min(1.0, holding.own_tokens + passed * limit / fleet)
-        if holding.own_tokens >= 1.0:
-            holding.own_tokens -= 1.0
+        holding.own_part.rate = limit / self.gossip.fleet_size(now)
+        if holding.own_part.try_take(now):
             holding.permits.append(Permit(now + PERMIT_LIFETIME, returnable=False))
             self.on_permits(now, server)
 
--- a/tests/mutants_limits.py
+++ b/tests/mutants_limits.py
@@ -5,6 +5,7 @@
 from fireflylock.direct.placer import Placer
 from fireflylock.direct.request_limits import LimitObservation, RequestLimits
 from fireflylock.direct.request_permits import RequestPermits
+from fireflylock.store import TokenBucket
 from tests.mutant import Mutant
 
 PERMITS = "tests/test_direct_request_permits.py::"
@@ -27,9 +28,9 @@
 
 
 def takes_nothing_back(self, now, vm, ask):
-    before = self.tokens
+    before = self.bucket.tokens
     APPLY_ASK(self, now, vm, ask)
-    self.tokens = min(before, self.tokens)
+    self.bucket.tokens = min(before, self.bucket.tokens)
 
 
 def in_flight_does_not_count(self, now):
@@ -41,8 +42,7 @@
 
 
 def starts_full(self, now):
-    self.tokens = 1000.0
-    self.refilled_at = now
+    self.bucket = TokenBucket(1.0, 1000.0, tokens=1000.0, refilled_at=now)
     self.accounts = {}
 
 
--- a/tests/permit_fleet.py
+++ b/tests/permit_fleet.py
@@ -70,7 +70,7 @@
         self.table.register(START, SERVER)
         self.gossip = DelayedGossip(fleet, name)
         self.limits = RequestLimits(fleet.clock, self.table)
-        self.permits = RequestPermits(name, "a", fleet.clock, self.gossip, self.table, self.limits)
+        self.permits = RequestPermits(name, "a", self.gossip, self.table, self.limits)
         self.admission = Admission(self.table, OneOwner(self.table), "a", self.permits)
         self.permits.demand_of = self.admission.demand_of
         self.permits.on_permits = self.admission.permits_arrived
@@ -208,9 +208,9 @@
                 if name not in self.down:
                     self.ask(self.vms[name])
 
-    def most_in_a_window(self, start, end=None):
+    def most_in_a_window(self, start):
         """Return the most requests in any window that begins at `start` or later."""
-        times = [at.total_seconds() for at, _ in self.sends if end is None or at < end]
+        times = [at.total_seconds() for at, _ in self.sends]
         return most_in_a_window(times, start.total_seconds())
 
     def use(self, start):
