--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -421,8 +421,7 @@
         ahead : int
             Requests of this VM that wait for the same servers, and start before.
         """
-        limited = self.permits.limited
-        if not limited or any(server.name not in limited for server in servers):
+        if not self.all_limited(servers):
             return timedelta(0)
         ahead //= len(servers)
         return min(self.permits.expected_wait(now, server, ahead) for server in servers)
@@ -431,10 +430,14 @@
         self, now: Instant, ticket: Ticket, servers: list[Server], reason: str, wait: timedelta
     ) -> RequestError:
         """Return a refusal for a wait that is too long, with what it is for."""
+        limited = self.all_limited(servers)
+        kind = ErrorKind.SERVER_LIMITED if limited else ErrorKind.QUEUE_FULL
+        return self.refuse(now, ticket, kind, reason, wait)
+
+    def all_limited(self, servers: list[Server]) -> bool:
+        """Return whether every one of some servers has a request limit."""
         limited = self.permits.limited
-        if limited and all(server.name in limited for server in servers):
-            return self.refuse(now, ticket, ErrorKind.SERVER_LIMITED, reason, wait)
-        return self.refuse(now, ticket, ErrorKind.QUEUE_FULL, reason, wait)
+        return bool(limited) and all(server.name in limited for server in servers)
 
     def refuse(
         self, now: Instant, ticket: Ticket, kind: ErrorKind, reason: str, wait: timedelta
--- a/fireflylock/direct/load_exchange.py
+++ b/fireflylock/direct/load_exchange.py
@@ -132,14 +132,10 @@
                 self.gossip.send(report, to=[aggregator])
         if not mesh and aggregator == self.vm and now - self.last_totals_at >= TOTALS_INTERVAL:
             self.last_totals_at = now
-            self.send_sums(now, running, waiting)
+            self.send_sums(now, LoadSum(running, waiting, [self.vm], now, limits))
 
-    def send_sums(
-        self, now: Instant, running: dict[str, int], waiting: dict[tuple[str, str], int]
-    ) -> None:
+    def send_sums(self, now: Instant, own_load: LoadSum) -> None:
         """Send this zone's sums to other zones, and the sums of all zones to this one."""
-        limits = self.limits.own_observations(now)
-        own_load = LoadSum(running, waiting, [self.vm], now, limits)
         zone = add_loads([own_load, *self.recent(now, self.member_sums)], now)
         total = add_loads([zone, *self.recent(now, self.zone_sums)], now)
         message = ZoneTotal(
@@ -155,7 +151,7 @@
             total.limits,
         )
         self.gossip.send(totals, to=self.peers_in_zone())
-        self.store_load_sum(now, ALL_ZONES, total, running, waiting)
+        self.store_load_sum(now, ALL_ZONES, total, own_load.running, own_load.waiting)
 
     def recipients_in_other_zones(self, now: Instant) -> list[str]:
         """Return the VMs of other zones that get the sums of this one."""
