--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -44,7 +44,7 @@
 from fireflylock.direct.stopping import plan_stop
 from fireflylock.direct.store_watcher import StoreWatcher
 from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
-from fireflylock.metrics import Metrics
+from fireflylock.metrics import Metrics, StateMetric
 from fireflylock.request_metrics import RequestMetrics
 from fireflylock.store import Value
 
@@ -195,6 +195,7 @@
             self.apply_server_values,
             self.store_recovered,
         )
+        self.metrics.state.state_metrics += self.configuration_metrics()
         self.tasks: list[asyncio.Task] = []
         self.member_lease = 0
         self.store_answered_at = clock.elapsed()
@@ -314,6 +315,7 @@
             version=routes.version,
             revision=revision,
             routes=len(routes.routes),
+            silence=self.config_watcher.silence.total_seconds(),
         )
 
     def apply_server_values(self, now: Instant, values: list[Value], is_snapshot: bool) -> None:
@@ -488,6 +490,37 @@
             StatusAnswer(200, b"ready\n") if self.is_ready() else StatusAnswer(503, b"not ready\n")
         )
 
+    def configuration_metrics(self) -> list[StateMetric]:
+        """Return the metrics of the configuration, and of what is read from the store."""
+        watchers = (self.config_watcher, self.servers_watcher)
+        return [
+            StateMetric(
+                "configuration_version",
+                "Configuration in force.",
+                (),
+                lambda: [] if self.routes is None else [((), self.routes.version)],
+            ),
+            StateMetric(
+                "store_watch_age_seconds",
+                "Time since the store last answered a watch.",
+                ("prefix",),
+                lambda: [
+                    (
+                        (watcher.prefix,),
+                        (self.clock.elapsed() - watcher.answered_at).total_seconds(),
+                    )
+                    for watcher in watchers
+                ],
+            ),
+            StateMetric(
+                "split_requests",
+                "Requests of routes that are split between services.",
+                ("route", "service"),
+                self.sender.split_balancer.counts.items,
+                counts=True,
+            ),
+        ]
+
     def scrape(self) -> StatusAnswer:
         """Answer a scrape of the metrics."""
         return StatusAnswer(200, self.metrics.text())
--- a/fireflylock/direct/routes.py
+++ b/fireflylock/direct/routes.py
@@ -1,5 +1,6 @@
 """Finds the route of a request, and distributes the requests of split routes."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from fireflylock.direct.model import Route, RouteTable, Share
@@ -62,6 +63,8 @@
 
     def __init__(self) -> None:
         self.credits: dict[str, dict[str, float]] = {}
+        # Requests of split routes, by route and service.
+        self.counts: Counter[tuple[str, str]] = Counter()
         self.shares: dict[str, tuple[Share, ...]] = {}
 
     def choose(self, route: Route, proximity: Callable[[str], int] | None = None) -> str:
@@ -92,4 +95,5 @@
             ]
             chosen = max(eligible, key=lambda service: (proximity(service), credits[service]))
         credits[chosen] -= total
+        self.counts[route.name, chosen] += 1
         return chosen
--- a/fireflylock/direct/store_watcher.py
+++ b/fireflylock/direct/store_watcher.py
@@ -33,6 +33,13 @@
         Called with the present instant, values, and whether they are a complete snapshot.
     on_recovered : callable
         Called with the present instant when the store answers again after a failure.
+
+    Attributes
+    ----------
+    answered_at : timedelta
+        When the store last answered a list or watch call.
+    silence : timedelta
+        Time between the last two answers.
     """
 
     def __init__(
@@ -49,6 +56,8 @@
         self.on_values = on_values
         self.on_recovered = on_recovered
         self.revision = 0
+        self.answered_at: Instant = clock.elapsed()
+        self.silence = timedelta(0)
         self.unreachable_since: Instant | None = None
         self.backoff = INITIAL_BACKOFF
         self.read_task: asyncio.Task | None = None
@@ -93,10 +102,12 @@
 
     def record_answer(self) -> None:
         """Record that the store has answered."""
+        now = self.clock.elapsed()
+        self.silence = now - self.answered_at
+        self.answered_at = now
         self.backoff = INITIAL_BACKOFF
         if self.unreachable_since is None:
             return
-        now = self.clock.elapsed()
         away = (now - self.unreachable_since).total_seconds()
         log.info("store is back", prefix=self.prefix, away=away)
         self.unreachable_since = None
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -239,6 +239,8 @@
         await site.send_request(node, "/read/", "r", 7)
         metrics = await client.call("GET", "/metrics", timeout)
         assert b"fireflylock_requests_total" in metrics.body
+        assert b"fireflylock_configuration_version 1.0" in metrics.body
+        assert b'fireflylock_store_watch_age_seconds{prefix="op/config"}' in metrics.body
         node.stopping = True
         assert (await client.call("GET", wire.READINESS_PATH, timeout)).status == 503
     finally:
