A lost answer of the store no longer hides a new configuration or a leaving server

Cause: a VM learns of changes only from watch calls that wait for 20 s, and nothing tells a call whose answer was lost from one without news. Watches restart when a renewal of the membership fails, which is another call: it falls beside a short silence. A VM that the store turns away had no other source.

VMs now tell each other with their load reports which change they have read last, and take turns at reading the revisions in the store's copy, one VM each 0.8 s, for a tenth of a read's price. A VM that is behind for half a second restarts its watch, then lists; and it gets the configuration from another VM if the store does not serve it.

--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -77,11 +77,14 @@
         Service, server and number of the requests that wait for that server.
     limits : list of SeenLimit
         What responses to this VM have said lately about limits.
+    revisions : dict of str to int
+        Latest change that the VM has read from the store, by prefix.
     """
 
     running: dict[str, int]
     waiting: list[tuple[str, str, int]]
     limits: list[SeenLimit] = []
+    revisions: dict[str, int] = {}
 
 
 class Summed(Told, array_like=True):
@@ -95,12 +98,15 @@
         The VMs whose reports are summed.
     limits : list of SeenLimit
         The latest of these VMs' reports on each server's limit.
+    revisions : dict of str to int
+        The latest of these VMs' changes, as in `Report`.
     """
 
     running: dict[str, int]
     waiting: list[tuple[str, str, int]]
     vms: list[str]
     limits: list[SeenLimit] = []
+    revisions: dict[str, int] = {}
 
 
 class ZoneTotal(Summed, tag="z", array_like=True):
@@ -293,6 +299,38 @@
     placing: Placing
 
 
+class ConfigurationRequest(Told, tag="q", array_like=True):
+    """Asks a VM for its configuration if it is newer than the sender's.
+
+    Attributes
+    ----------
+    known : int
+        Revision of the sender's configuration; 0 if it has none.
+    """
+
+    known: int
+
+
+class ConfigurationPart(Told, tag="c", array_like=True):
+    """A part of a configuration as stored, compressed.
+
+    Attributes
+    ----------
+    key, revision : str, int
+        Key and revision of the value.
+    index, count : int
+        Number of the part, from 0, and of all parts.
+    data : bytes
+        The part.
+    """
+
+    key: str
+    revision: int
+    index: int
+    count: int
+    data: bytes
+
+
 Message = (
     Hello
     | Report
@@ -304,6 +342,8 @@
     | ServerLeaving
     | PermitAsks
     | PermitGrants
+    | ConfigurationRequest
+    | ConfigurationPart
     | Relayed
 )
 
--- a/fireflylock/direct/load_exchange.py
+++ b/fireflylock/direct/load_exchange.py
@@ -6,6 +6,7 @@
 their own zone.  The leader's broadcasts take the same paths.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -52,6 +53,8 @@
         When it was received.
     limits : list of SeenLimit
         The servers' request limits as these VMs have seen them.
+    revisions : dict of str to int
+        Latest change that one of these VMs has read from the store, by prefix.
     """
 
     running: dict[str, int]
@@ -59,6 +62,7 @@
     vms: list[str]
     at: Instant
     limits: list[SeenLimit] = field(default_factory=list)
+    revisions: dict[str, int] = field(default_factory=dict)
 
 
 class LoadExchange:
@@ -88,6 +92,10 @@
         limits: RequestLimits,
     ) -> None:
         self.limits = limits
+        # What this VM has read from the store, for its reports, and what to do with the
+        # reports of others about that.
+        self.own_revisions: Callable[[], dict[str, int]] = dict
+        self.on_revisions: Callable[[str, dict[str, int]], None] = lambda vm, revisions: None
         self.vm = vm
         self.zone = zone
         self.gossip = gossip
@@ -121,25 +129,35 @@
         aggregator = self.aggregator(now)
         mesh = self.is_mesh()
         limits = self.limits.own_observations(now)
-        state = (running, waiting, [(seen.server, seen.limit) for seen in limits])
+        revisions = self.own_revisions()
+        state = (running, waiting, [(seen.server, seen.limit) for seen in limits], revisions)
         if state != self.last_report or now - self.last_report_at >= REPORT_REPEAT_INTERVAL:
             self.last_report = state
             self.last_report_at = now
-            report = Report(self.vm, self.zone, running, encode_waiting(waiting), limits)
+            report = Report(
+                self.vm, self.zone, running, encode_waiting(waiting), limits, revisions
+            )
             if mesh:
                 self.gossip.send(report)
             elif aggregator != self.vm:
                 self.gossip.send(report, to=[aggregator])
         if not mesh and aggregator == self.vm and now - self.last_totals_at >= TOTALS_INTERVAL:
             self.last_totals_at = now
-            self.send_sums(now, LoadSum(running, waiting, [self.vm], now, limits))
+            own_load = LoadSum(running, waiting, [self.vm], now, limits, revisions)
+            self.send_sums(now, own_load)
 
     def send_sums(self, now: Instant, own_load: LoadSum) -> None:
         """Send this zone's sums to other zones, and the sums of all zones to this one."""
         zone = add_loads([own_load, *self.recent(now, self.member_sums)], now)
         total = add_loads([zone, *self.recent(now, self.zone_sums)], now)
         message = ZoneTotal(
-            self.vm, self.zone, zone.running, encode_waiting(zone.waiting), zone.vms, zone.limits
+            self.vm,
+            self.zone,
+            zone.running,
+            encode_waiting(zone.waiting),
+            zone.vms,
+            zone.limits,
+            zone.revisions,
         )
         self.gossip.send(message, to=self.recipients_in_other_zones(now))
         totals = Totals(
@@ -149,6 +167,7 @@
             encode_waiting(total.waiting),
             total.vms,
             total.limits,
+            total.revisions,
         )
         self.gossip.send(totals, to=self.peers_in_zone())
         self.store_load_sum(now, ALL_ZONES, total, own_load.running, own_load.waiting)
@@ -198,8 +217,14 @@
     def apply_report(self, now: Instant, report: Report) -> None:
         """Apply another VM's report."""
         self.limits.apply_seen(now, report.vm, report.limits)
+        self.on_revisions(report.vm, report.revisions)
         sums = LoadSum(
-            report.running, decode_waiting(report.waiting), [report.vm], now, report.limits
+            report.running,
+            decode_waiting(report.waiting),
+            [report.vm],
+            now,
+            report.limits,
+            report.revisions,
         )
         if self.is_mesh():
             self.store_load_sum(now, report.vm, sums, {}, {})
@@ -209,12 +234,14 @@
     def apply_zone_total(self, now: Instant, message: ZoneTotal) -> None:
         """Apply the sums of another zone."""
         self.limits.apply_seen(now, message.vm, message.limits)
+        self.on_revisions(message.vm, message.revisions)
         self.zone_sums[message.zone] = load_sum_of(message, now)
         self.gossip.mark_heard(now, message.vms)
 
     def apply_totals(self, now: Instant, message: Totals) -> None:
         """Apply the sums of all zones, which include this VM's requests."""
         self.limits.apply_seen(now, message.vm, message.limits)
+        self.on_revisions(message.vm, message.revisions)
         self.gossip.mark_heard(now, message.vms)
         self.store_load_sum(now, ALL_ZONES, load_sum_of(message, now), *self.own_load())
 
@@ -253,6 +280,8 @@
         for queue_key, count in part.waiting.items():
             total.waiting[queue_key] = total.waiting.get(queue_key, 0) + count
         total.vms += part.vms
+        for prefix, revision in part.revisions.items():
+            total.revisions[prefix] = max(revision, total.revisions.get(prefix, 0))
     total.limits = merge_seen(now, [(part.at, part.limits) for part in parts])
     return total
 
@@ -260,7 +289,7 @@
 def load_sum_of(message: Summed, now: Instant) -> LoadSum:
     """Return a received message as sums."""
     waiting = decode_waiting(message.waiting)
-    return LoadSum(message.running, waiting, message.vms, now, message.limits)
+    return LoadSum(message.running, waiting, message.vms, now, message.limits, message.revisions)
 
 
 def encode_waiting(waiting: dict[tuple[str, str], int]) -> list[tuple[str, str, int]]:
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -9,8 +9,11 @@
 
 from fireflylock.clock import Clock, Instant
 from fireflylock.direct.admission import Admission
+from fireflylock.direct.freshness import ConfigurationTransfer, Freshness
 from fireflylock.direct.frontend import DirectFrontend
 from fireflylock.direct.gossip import (
+    ConfigurationPart,
+    ConfigurationRequest,
     Gossip,
     GrantsEnd,
     Hello,
@@ -57,6 +60,8 @@
 KEY_WORK_INTERVAL = timedelta(milliseconds=150)
 # Period of the cleanup that keeps tables small.
 TIDY_INTERVAL = timedelta(seconds=2)
+# Period of the checks whether changes in the store were missed.
+FRESHNESS_INTERVAL = timedelta(milliseconds=50)
 # Period of the isolation checks; the load balancer checks readiness once a second.
 ISOLATION_CHECK_INTERVAL = timedelta(milliseconds=200)
 # Time to live of this VM's entry in the store.
@@ -195,6 +200,19 @@
             self.apply_server_values,
             self.store_recovered,
         )
+        self.transfer = ConfigurationTransfer(
+            node_settings.vm, node_settings.zone, self.gossip, self.apply_received_config
+        )
+        self.freshness = Freshness(
+            node_settings.vm,
+            self.gossip,
+            platform.store,
+            clock,
+            [self.config_watcher, self.servers_watcher],
+            self.transfer,
+        )
+        self.exchange.own_revisions = self.freshness.revisions
+        self.exchange.on_revisions = self.freshness.apply_claims
         self.metrics.state.state_metrics += self.configuration_metrics()
         self.tasks: list[asyncio.Task] = []
         self.member_lease = 0
@@ -217,6 +235,7 @@
             self.repeat(STEP_INTERVAL, self.step),
             self.repeat(REPORT_INTERVAL, self.exchange.step),
             self.repeat(KEY_WORK_INTERVAL, self.tell_work),
+            self.repeat(FRESHNESS_INTERVAL, self.freshness.step),
             self.repeat(TIDY_INTERVAL, self.tidy),
             self.repeat(SAVE_INTERVAL, self.save_speeds),
             self.repeat(ISOLATION_CHECK_INTERVAL, self.look_for_isolation),
@@ -299,6 +318,12 @@
             if self.routes is not None and routes.version <= self.routes.version:
                 continue
             self.apply_route_table(routes, value.revision)
+            self.transfer.current = value
+
+    def apply_received_config(self, now: Instant, value: Value) -> None:
+        """Apply the configuration that another VM has sent."""
+        self.apply_config_values(now, [value], is_snapshot=False)
+        self.config_watcher.record_received(value)
 
     def apply_route_table(self, routes: RouteTable, revision: int) -> None:
         """Put a configuration into effect."""
@@ -436,6 +461,10 @@
             self.permits.apply_asks(now, message)
         elif isinstance(message, PermitGrants):
             self.permits.apply_grants(now, message)
+        elif isinstance(message, ConfigurationRequest):
+            self.transfer.answer(message)
+        elif isinstance(message, ConfigurationPart):
+            self.transfer.receive(now, message)
 
     def merge_speeds(self, slowness: dict[str, tuple[float, int]]) -> None:
         """Merge slowness that another VM has reported for servers that are registered here."""
@@ -469,6 +498,7 @@
         self.table.evict_gone(now)
         self.limits.tidy(now)
         self.permits.tidy(now)
+        self.freshness.tidy()
         placing = bool(self.leadership.placers)
         self.platform.store.set_fleet_size(
             store_rate_divisor(self.gossip.fleet_size(now), placing)
@@ -512,6 +542,12 @@
                     for watcher in watchers
                 ],
             ),
+            StateMetric(
+                "store_behind_seconds",
+                "Time for which a later change in the store is known to exist.",
+                ("prefix",),
+                lambda: self.freshness.behind_seconds(self.clock.elapsed()),
+            ),
             StateMetric(
                 "split_requests",
                 "Requests of routes that are split between services.",
@@ -543,6 +579,7 @@
         """Close everything at once."""
         for task in [*self.tasks, *([self.speeds_task] if self.speeds_task else [])]:
             task.cancel()
+        self.freshness.close()
         await self.frontend.close()
         self.status.close()
         self.gossip.close()
--- a/fireflylock/direct/store_watcher.py
+++ b/fireflylock/direct/store_watcher.py
@@ -40,6 +40,12 @@
         When the store last answered a list or watch call.
     silence : timedelta
         Time between the last two answers.
+    known_revision : int
+        The store's revision up to which everything below the prefix is known.
+    latest_change : int
+        Revision of the latest change that was delivered.
+    keys : set of str
+        The keys that exist.
     """
 
     def __init__(
@@ -58,6 +64,9 @@
         self.revision = 0
         self.answered_at: Instant = clock.elapsed()
         self.silence = timedelta(0)
+        self.known_revision = 0
+        self.latest_change = 0
+        self.keys: set[str] = set()
         self.unreachable_since: Instant | None = None
         self.backoff = INITIAL_BACKOFF
         self.read_task: asyncio.Task | None = None
@@ -73,8 +82,16 @@
                     raise
                 log.info("watch restarted", prefix=self.prefix, revision=self.revision)
 
-    def restart(self) -> None:
-        """Restart the watch: a store that did not respond may never answer the present one."""
+    def restart(self, relist: bool = False) -> None:
+        """Restart the watch: a store that did not respond may never answer the present call.
+
+        Parameters
+        ----------
+        relist : bool
+            Whether everything is listed first.
+        """
+        if relist:
+            self.revision = 0
         if self.read_task is not None:
             self.read_task.cancel()
 
@@ -86,12 +103,12 @@
                     values, revision = await self.store.list(self.prefix)
                     self.record_answer()
                     self.revision = revision
-                    self.on_values(self.clock.elapsed(), values, True)
+                    self.record_values(values, is_snapshot=True)
                 async for values in self.store.watch(self.prefix, self.revision + 1):
                     self.record_answer()
                     if values:
                         self.revision = max(value.revision for value in values)
-                        self.on_values(self.clock.elapsed(), values, False)
+                        self.record_values(values, is_snapshot=False)
             except HistoryGoneError as error:
                 log.warning("watch history is gone; listing", prefix=self.prefix, error=str(error))
                 self.revision = 0
@@ -100,6 +117,26 @@
                 await self.clock.sleep(self.backoff)
                 self.backoff = min(2 * self.backoff, MAX_BACKOFF)
 
+    def record_values(self, values: list[Value], is_snapshot: bool) -> None:
+        """Deliver values, and record how far the store has been read."""
+        if is_snapshot:
+            self.keys.clear()
+        for value in values:
+            if value.data:
+                self.keys.add(value.key)
+            else:
+                self.keys.discard(value.key)
+        latest = max((value.revision for value in values), default=0)
+        self.latest_change = max(self.latest_change, latest)
+        self.known_revision = max(self.known_revision, self.revision)
+        self.on_values(self.clock.elapsed(), values, is_snapshot)
+
+    def record_received(self, value: Value) -> None:
+        """Record a value that another VM has read and sent."""
+        self.keys.add(value.key)
+        self.latest_change = max(self.latest_change, value.revision)
+        self.known_revision = max(self.known_revision, value.revision)
+
     def record_answer(self) -> None:
         """Record that the store has answered."""
         now = self.clock.elapsed()
--- a/fireflylock/platform/kv_store.py
+++ b/fireflylock/platform/kv_store.py
@@ -84,6 +84,21 @@
     has_more: bool = False
 
 
+class ItemRevision(msgspec.Struct):
+    """An item of the store without its value."""
+
+    key: str
+    revision: int
+
+
+class RevisionsAnswer(msgspec.Struct, rename="camel"):
+    """A page of items without their values; ``as_of`` as in `ItemsAnswer`."""
+
+    items: list[ItemRevision]
+    as_of: int
+    has_more: bool = False
+
+
 class EventsAnswer(msgspec.Struct, rename="camel"):
     """Changes returned by a watch, up to the revision ``as_of``."""
 
@@ -176,6 +191,25 @@
                 return values, revision
             after = page.items[-1].key
 
+    async def read_copy(self, prefix: str) -> tuple[dict[str, int], int]:
+        """Return the revisions of the keys under `prefix`, from a copy that may be seconds old.
+
+        Such a read costs a tenth of another one.
+        """
+        revisions: dict[str, int] = {}
+        as_of = 0
+        after = ""
+        while True:
+            query = {"prefix": prefix, "staleOk": 1} | ({"after": after} if after else {})
+            path = f"{STORE_ITEMS}?{urlencode(query)}"
+            status, body = await self.call("copy", "GET", path)
+            page = decode_answer(require_success(status, body), RevisionsAnswer)
+            as_of = as_of or page.as_of
+            revisions |= {item.key: item.revision for item in page.items}
+            if not page.has_more or not page.items:
+                return revisions, as_of
+            after = page.items[-1].key
+
     async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[list[Value]]:
         """Yield the changes under `prefix` from a revision on, in batches."""
         after = from_revision - 1
--- a/fireflylock/store.py
+++ b/fireflylock/store.py
@@ -200,6 +200,14 @@
     async def list(self, prefix: str, since_revision: int = 0) -> tuple[list[Value], int]:
         """Return the values under `prefix` newer than a revision, and the store's revision."""
 
+    async def read_copy(self, prefix: str) -> tuple[dict[str, int], int]:
+        """Return the revisions of the keys under `prefix`, and the store's revision.
+
+        They may be seconds old where the store has a cheaper copy.
+        """
+        values, revision = await self.list(prefix)
+        return {value.key: value.revision for value in values}, revision
+
     @abstractmethod
     def watch(self, prefix: str, from_revision: int) -> AsyncIterator[list[Value]]:
         """Yield the changes under `prefix` from a revision on, in batches.
--- a/tests/test_direct_freshness.py
+++ b/tests/test_direct_freshness.py
@@ -1,14 +1,18 @@
 """Calls to the store that are never answered must not hide what has changed."""
 
 import asyncio
+import random
+import zlib
 from datetime import timedelta
 
 import pytest
 
+from fireflylock.direct.freshness import MAX_RETRY_INTERVAL
+from fireflylock.direct.gossip import ConfigurationPart
 from fireflylock.direct.node import DirectNode
 from fireflylock.platform import wire
 from standins.link import CUT, Link
-from standins.operator_files import config_json
+from standins.operator_files import HOST, config_json
 from tests.direct_site import Site
 from tests.virtual_time import VirtualTimePolicy
 
@@ -81,3 +85,38 @@
         site, lambda: served.routes.version == 5 and turned_away.routes.version == 5
     )
     assert took < PROPAGATION
+
+
+async def test_a_configuration_of_many_routes_fits_into_the_messages_between_vms(site):
+    link = Link(*site.address)
+    port = await link.start()
+    site.stack.push_async_callback(link.close)
+    served = await site.add_node("vm-1")
+    turned_away = await site.add_node("vm-2", ("127.0.0.1", port))
+    await site.wait_until(lambda: served.gossip.peers and turned_away.gossip.peers)
+    link.set(forward=CUT, back=CUT)
+    rng = random.Random(29)
+    rows = [
+        [f"r{n}", HOST, f"/{rng.randbytes(24).hex()}/", "safe", "2s", "1s", 2, "files", 2, None]
+        for n in range(3000)
+    ]
+    site.store.write(wire.CONFIG_KEY, config_json(5, rows))
+    await site.wait_until(lambda: turned_away.routes.version == 5)
+    assert turned_away.routes == served.routes
+
+
+async def test_false_claims_and_damaged_parts_cost_few_calls_and_change_nothing(site):
+    (node,) = await start_nodes(site, 1)
+    node.gossip.add("liar", ("127.0.0.1", 9), "zone-a")
+    node.freshness.apply_claims("liar", {wire.CONFIG_KEY: 1 << 60, "unknown": 5})
+    node.transfer.asked = "liar"
+    for index, count, data in ((0, 1, b"damaged"), (5, 2, b""), (0, 1 << 40, b""), (-1, 0, b"")):
+        part = ConfigurationPart("liar", "zone-a", wire.CONFIG_KEY, 99, index, count, data)
+        with pytest.raises((ValueError, zlib.error)):
+            node.transfer.receive(site.clock.elapsed(), part)
+    unasked = ConfigurationPart("other", "zone-a", wire.CONFIG_KEY, 99, 0, 1, b"")
+    node.transfer.receive(site.clock.elapsed(), unasked)
+    calls = len([call for call in site.store.calls if call == wire.STORE_WATCH])
+    await asyncio.sleep(5 * MAX_RETRY_INTERVAL.total_seconds())
+    assert len([c for c in site.store.calls if c == wire.STORE_WATCH]) - calls < 20
+    assert node.routes.version == 1
