Weights of a split route hold for the sum of all VMs

Cause: each VM let nearness decide for up to three requests ahead of or behind a service's share. A third of the owners are in a VM's zone, so all VMs deviate in the same direction, and the bound holds for each VM: 78 requests with 26 VMs, 12 with the 4 of the small deployments, which keep the rule. The same class as LIMIT: what the operator wishes for the sum, VMs must share.

The deviation that all VMs may have together is divided among them, as the other bounds on a sum are, and each VM starts at a random position of the sequence of services.

--- a/fireflylock/direct/routes.py
+++ b/fireflylock/direct/routes.py
@@ -1,5 +1,6 @@
 """Finds the route of a request, and distributes the requests of split routes."""
 
+import random
 from collections import Counter
 from collections.abc import Callable
 
@@ -7,9 +8,12 @@
 from fireflylock.exceptions import ErrorKind, RequestError
 
 # How many requests a service of a split route may be ahead of or behind its share, so that
-# requests can go to a nearby owner.  Three requests of one VM are 1% of the 300 over which the
-# operator compares shares with weights.
+# requests can go to a nearby owner: at one VM, and at all VMs together, which may deviate in the
+# same direction.  The operator compares the shares of all VMs with the weights over 200 requests.
 MAX_SPLIT_DEVIATION = 3.0
+MAX_FLEET_SPLIT_DEVIATION = 12.0
+# Number of positions in the sequence of services from which one is drawn at the start.
+SEQUENCE_POSITIONS = 100
 
 
 class RouteMatcher:
@@ -59,9 +63,21 @@
     Each service's credit grows by its weight with every request, and the largest credit wins,
     so that the proportions also hold over few requests.  While all credits are small, a nearer
     service wins instead: any requests may make up a service's share.
+
+    Parameters
+    ----------
+    rng : random.Random or None
+        Draws where the sequence of services starts, so that VMs are not in step.
+
+    Attributes
+    ----------
+    vms : callable
+        Returns the number of VMs that share the traffic.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self.rng = rng or random.Random()
+        self.vms: Callable[[], int] = lambda: 1
         self.credits: dict[str, dict[str, float]] = {}
         # Requests of split routes, by route and service.
         self.counts: Counter[tuple[str, str]] = Counter()
@@ -82,18 +98,28 @@
         if self.shares.get(route.name) != route.shares:
             self.shares[route.name] = route.shares
             self.credits[route.name] = {share.service: 0.0 for share in route.shares}
+            for _ in range(self.rng.randrange(SEQUENCE_POSITIONS)):
+                self.next_service(route, None)
+        chosen = self.next_service(route, proximity)
+        self.counts[route.name, chosen] += 1
+        return chosen
+
+    def next_service(self, route: Route, proximity: Callable[[str], int] | None) -> str:
+        """Return the next service in a route's sequence; parameters as in `choose`."""
         credits = self.credits[route.name]
         total = 0.0
         for share in route.shares:
             credits[share.service] += share.weight
             total += share.weight
         chosen = max(credits, key=lambda service: credits[service])
-        if proximity is not None and credits[chosen] < MAX_SPLIT_DEVIATION * total:
-            min_credit = (1.0 - MAX_SPLIT_DEVIATION) * total
+        deviation = min(MAX_SPLIT_DEVIATION, MAX_FLEET_SPLIT_DEVIATION / self.vms())
+        if proximity is not None and credits[chosen] < deviation * total:
+            min_credit = (1.0 - deviation) * total
             eligible = [
                 s.service for s in route.shares if s.weight and credits[s.service] > min_credit
             ]
-            chosen = max(eligible, key=lambda service: (proximity(service), credits[service]))
+            chosen = max(
+                eligible or [chosen], key=lambda service: (proximity(service), credits[service])
+            )
         credits[chosen] -= total
-        self.counts[route.name, chosen] += 1
         return chosen
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -104,6 +104,7 @@
         # Set while the process is shutting down.
         self.stop: StopPlan | None = None
         self.split_balancer = SplitBalancer()
+        self.split_balancer.vms = vms
         self.budgets: dict[str, SharedRetryBudget] = {}
         self.pools: dict[Owner, ServerPool] = {}
         # Seconds of requested work by service and key since the last take_key_work.
