A stopped process leaves no stream open

Cause: nothing closed the idle connections for grants, and a connection whose call ended after its client had been closed was kept as idle. The store's and the pools' connections were closed.

The node closes the grants' connections, a closed client keeps none, and the node's tasks have ended before the connections are closed.

--- a/fireflylock/direct/key_control.py
+++ b/fireflylock/direct/key_control.py
@@ -86,3 +86,6 @@
     @abstractmethod
     def forget(self, owner: Owner) -> None:
         """Close the connections to an owner that is no longer used."""
+
+    def close(self) -> None:  # noqa: B027 - there may be nothing to close.
+        """Close all connections."""
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -577,11 +577,16 @@
 
     async def close(self) -> None:
         """Close everything at once."""
-        for task in [*self.tasks, *([self.speeds_task] if self.speeds_task else [])]:
+        tasks = [*self.tasks, *([self.speeds_task] if self.speeds_task else [])]
+        for task in tasks:
             task.cancel()
         self.freshness.close()
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                log.error("task had failed", error=repr(result))
         await self.frontend.close()
         self.status.close()
         self.gossip.close()
         self.sender.close()
+        self.platform.control.close()
         await self.platform.store.close()
--- a/fireflylock/http_client.py
+++ b/fireflylock/http_client.py
@@ -149,6 +149,7 @@
         self.max_idle_connections = max_idle_connections
         self.ack_timeout = ack_timeout
         self.idle: list[HTTPConnection] = []
+        self.closed = False
 
     async def call(
         self,
@@ -223,7 +224,8 @@
                 connection.close()
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections, and those in use once their calls have ended."""
+        self.closed = True
         while self.idle:
             self.idle.pop().close()
 
@@ -260,7 +262,8 @@
 
     def _keep(self, connection: HTTPConnection) -> None:
         """Keep a connection for the next call, or close it."""
-        if len(self.idle) < self.max_idle_connections and connection.may_be_reused():
+        has_room = not self.closed and len(self.idle) < self.max_idle_connections
+        if has_room and connection.may_be_reused():
             self.idle.append(connection)
             return
         connection.close()
--- a/fireflylock/platform/grants.py
+++ b/fireflylock/platform/grants.py
@@ -109,6 +109,11 @@
         if client is not None:
             client.close()
 
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self.clients.values():
+            client.close()
+
 
 def control_fields(key_range: KeyRange, epoch: int) -> dict:
     """Return the fields of every grant and release: first key, last key and epoch."""
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -1,6 +1,7 @@
 """End-to-end tests over sockets: callers, entry VMs, the store and servers."""
 
 import asyncio
+import gc
 from datetime import timedelta
 
 import pytest
@@ -247,6 +248,26 @@
         client.close()
 
 
+def open_streams() -> list[asyncio.StreamWriter]:
+    """Return the streams that are open in this process."""
+    found = [thing for thing in gc.get_objects() if isinstance(thing, asyncio.StreamWriter)]
+    return [writer for writer in found if not writer.is_closing()]
+
+
+async def test_a_stopped_process_leaves_no_open_stream():
+    """Python 3.11.6 writes a traceback for each that is open when the loop closes."""
+    gc.collect()
+    before = len(open_streams())
+    async with Site() as site:
+        await site.add_server("o0")
+        node = await site.add_node()
+        await site.wait_until_granted()
+        assert len(open_streams()) > before
+        await node.stop()
+    await asyncio.sleep(0)
+    assert len(open_streams()) == before
+
+
 async def test_a_server_whose_answers_announce_shutdown_gets_no_requests_after_the_drain_period(
     site,
 ):
