A refusal that a server repeats is not taken for the outcome of a retry

Reported by operators of similar systems: callers were told 'not run' for requests that ran, or such a request ran at a second server. It could happen here: a request that a server refuses goes again, often on the same connection and always with the same id. A server that then writes the first refusal once more was believed; in the test the order went out a third time while it ran.

Responses that name another request were skipped before, which rules out refusals of other requests. A connection now remembers which requests it has seen refused, and carries none of them again; after 32 it is closed. Where responses name no request (servers of our own interface), a connection is closed after a refusal.

--- a/fireflylock/backend.py
+++ b/fireflylock/backend.py
@@ -27,6 +27,8 @@
 # An idle connection is not used any more from this long before the server closes it: whether
 # a request that crosses the close has run is unknown.
 IDLE_MARGIN = timedelta(seconds=1)
+# Refusals on one connection after which it is closed; their request ids are kept until then.
+MAX_REFUSALS_PER_CONNECTION = 32
 
 
 class ServerPool(ConnectionOwner):
@@ -130,7 +132,8 @@
     async def acquire(self, request: Request) -> ServerConnection:
         """Return a free open connection, waiting for one until the deadline if needed."""
         # The usual case needs no timeout, because nothing is awaited.
-        if not self.waiters and (connection := self.take_idle()) is not None:
+        request_id = request.request_id
+        if not self.waiters and (connection := self.take_idle(request_id)) is not None:
             return connection
         remaining = (request.deadline - self.clock.elapsed()).total_seconds()
         try:
@@ -138,21 +141,28 @@
                 while True:
                     if self.closed:
                         raise RequestError(ErrorKind.SERVER_UNREACHABLE, "The pool is closed.")
-                    connection = self.take_idle()
+                    connection = self.take_idle(request_id)
                     if connection is not None:
                         return connection
                     if self.open_count < self.limit:
                         return await self.open_connection()
+                    if self.idle:
+                        self.replace_oldest_idle()
                     await self.wait_for_release()
         except TimeoutError:
             raise RequestError(
                 ErrorKind.DEADLINE_TOO_SHORT, "No connection became free in time."
             ) from None
 
-    def take_idle(self) -> ServerConnection | None:
-        """Return a free connection that the server has not closed, or None."""
-        while self.idle:
-            connection = self.idle.pop()
+    def take_idle(self, request_id: str) -> ServerConnection | None:
+        """Return a free connection that may carry a request, or None.
+
+        The server has neither closed it nor refused the same request on it.
+        """
+        for connection in reversed(self.idle.copy()):
+            if request_id in connection.refused_ids:
+                continue
+            self.idle.remove(connection)
             if self.is_usable(connection):
                 return connection
             # Nothing of this request was sent yet, so another connection can be used.
@@ -160,6 +170,11 @@
             connection.abort()
         return None
 
+    def replace_oldest_idle(self) -> None:
+        """Close the free connection that was used least recently, to make room for a new one."""
+        self.counters.replaced += 1
+        self.idle.pop(0).abort()
+
     def is_usable(self, connection: ServerConnection) -> bool:
         """Return whether a free connection may carry a request."""
         if not connection.is_open() or connection.is_closed_or_readable():
@@ -228,7 +243,8 @@
 
     def connection_released(self, connection: ServerConnection) -> None:
         """Keep a connection that has become free for the next request."""
-        if self.closed or self.open_count > self.limit:
+        worn_out = len(connection.refused_ids) >= MAX_REFUSALS_PER_CONNECTION
+        if self.closed or worn_out or self.open_count > self.limit:
             connection.abort()
             return
         connection.idle_since = self.clock.elapsed()
--- a/fireflylock/platform/dialect.py
+++ b/fireflylock/platform/dialect.py
@@ -67,6 +67,8 @@
 class PlatformServerDialect(ServerDialect):
     """Headers and statuses in which servers report what became of a request."""
 
+    names_requests = True
+
     def refusal(self, status: int, framing: Framing) -> RequestError | None:
         """Return the error for a request that the server states it did not run, or None."""
         if header(framing.headers, REQUEST_ID) is None:
--- a/fireflylock/server_connection.py
+++ b/fireflylock/server_connection.py
@@ -75,6 +75,9 @@
         self.idle_since = Instant()
         # How long the server keeps the connection open without a request, as it announced.
         self.keep_alive_timeout: timedelta | None = None
+        # Ids of the requests that were refused on this connection.  A faulty server may repeat a
+        # refusal, and a retry has the same id.
+        self.refused_ids: set[str] = set()
 
     def ended(self) -> None:
         """Fail the exchange in progress, and notify the owner."""
--- a/fireflylock/server_exchange.py
+++ b/fireflylock/server_exchange.py
@@ -56,7 +56,15 @@
 
 
 class ServerDialect(ABC):
-    """How backend servers report the outcome of a request."""
+    """How backend servers report the outcome of a request.
+
+    Attributes
+    ----------
+    names_requests : bool
+        Whether responses name the request that they belong to.
+    """
+
+    names_requests = False
 
     @abstractmethod
     def refusal(self, status: int, framing: Framing) -> RequestError | None:
@@ -319,6 +327,7 @@
         """Pass the response, or the typed refusal, to the waiting task."""
         if self.refusal is not None:
             self.counters.refused += 1
+            self.connection.refused_ids.add(self.request.request_id)
             self.head.set_exception(self.refusal)
             if not self.body.complete:
                 self.finish()
@@ -338,7 +347,9 @@
             return
         self.finish()
         reusable = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-        if reusable and not self.http.trailing_data[0]:
+        # Nothing would tell a repeated refusal from the response to the next request.
+        ambiguous = self.refusal is not None and not self.dialect.names_requests
+        if reusable and not ambiguous and not self.http.trailing_data[0]:
             self.connection.release()
             return
         self.connection.abort()
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -8,6 +8,7 @@
 
 from fireflylock.exceptions import BodyCutShortError, ErrorKind, ProtocolError, RequestError
 from fireflylock.exchange import Body, read_all
+from fireflylock.server_exchange import RefusedHeaderDialect
 from standins import backend_server
 from standins.http_connection import BUFFER_BYTES
 from tests.http_helpers import HOST, new_pool, new_request, raw_server
@@ -78,6 +79,37 @@
     assert b"fireflylock-unit: 7\r\n" in server.requests[0].lower()
 
 
+REFUSED = b"HTTP/1.1 409 No\r\nFireflylock-Refused: full\r\nContent-Length: 0\r\n\r\n"
+
+
+async def test_a_refusal_that_a_server_repeats_is_not_taken_for_the_next_outcome():
+    server = ScriptedServer(REFUSED, REFUSED + OK)
+    async with raw_server(server) as pool:
+        assert (await failure(pool, new_request())).not_run
+        server.answers = [OK]
+        response = await pool.exchange(new_request(), [], allow_send)
+        assert await read_all(response.body, 10) == b"ok"
+    assert server.connections == 2
+
+
+class NamedRefusals(RefusedHeaderDialect):
+    """Responses name their request, so that connections are kept after a refusal."""
+
+    names_requests = True
+
+
+async def test_a_retry_at_the_connection_limit_replaces_the_connection_that_refused_it():
+    server = ScriptedServer(REFUSED, OK, OK)
+    async with raw_server(server) as pool:
+        pool.dialect = NamedRefusals()
+        pool.set_connection_limit(1)
+        assert (await failure(pool, new_request())).not_run
+        await pool.exchange(new_request(), [], allow_send)
+        assert server.connections == 2
+        await pool.exchange(new_request(), [], allow_send)
+    assert server.connections == 2
+
+
 async def test_an_error_before_the_send_sends_nothing():
     def stop():
         raise RequestError(ErrorKind.MOVED)
