A stopping process sends on only what can finish, and answers what has not

Reported by operators of similar systems: in a planned stop, requests that came late were passed on and then cut without an answer, orders among them. It could happen here: requests are taken for 3 s, but one that waited for a server was sent until 0.12 s before the end of the process, and whatever ran then had its connection reset.

A request is sent, first or again, only if its server is expected to answer before the end, by one and a half times the usual time; otherwise it is refused at once as not run. What still runs at the end is answered 502, and callers get 0.2 s of the remaining half second to read that.

--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -19,6 +19,7 @@
 from fireflylock.direct.model import Route
 from fireflylock.direct.send_permits import SendPermits, Unlimited
 from fireflylock.direct.servers import Server, ServerTable
+from fireflylock.direct.stopping import StopPlan
 from fireflylock.exceptions import ErrorKind, RequestError
 
 # Requests that a server gets beyond its slots, so that no slot idles while a response and the
@@ -148,6 +149,8 @@
         self.ownership = ownership
         self.zone = zone
         self.permits = permits or Unlimited()
+        # Set while the process is shutting down.
+        self.stop: StopPlan | None = None
         # Queued tickets: by owner for keyed services, under "" while there is none; by service
         # for the others.
         self.queues: dict[tuple[str, str], list[Ticket]] = {}
@@ -156,6 +159,9 @@
 
     def submit(self, now: Instant, ticket: Ticket) -> None:
         """Start, queue or refuse a new request."""
+        if self.is_too_late(now, ticket):
+            ticket.on_decision(None, self.refuse_stopping(now, ticket))
+            return
         queue_key, servers = self.queue_and_candidates(ticket)
         queue = self.queues.get(queue_key, [])
         sort_key = ticket.sort_key
@@ -173,6 +179,17 @@
         insort(self.queues.setdefault(queue_key, []), ticket, key=lambda waiting: waiting.sort_key)
         self.request_permits(now, servers)
 
+    def is_too_late(self, now: Instant, ticket: Ticket) -> bool:
+        """Return whether the process ends before a server would have answered a request."""
+        if self.stop is None:
+            return False
+        work = timedelta(seconds=self.table.speeds.cost(ticket.route.name))
+        return not self.stop.can_finish(now, work)
+
+    def refuse_stopping(self, now: Instant, ticket: Ticket) -> RequestError:
+        """Return a refusal that sends the caller to another VM."""
+        return self.refuse(now, ticket, ErrorKind.STOPPING, "the VM stops", timedelta(0))
+
     def request_permits(self, now: Instant, servers: list[Server]) -> None:
         """Ask for permits for those of some servers that have a request limit."""
         if not self.permits.limited:
@@ -483,6 +500,8 @@
                 continue
             started = []
             for ticket in queue[:MAX_QUEUE_SCAN]:
+                if self.is_too_late(now, ticket):
+                    continue
                 _, servers = self.queue_and_candidates(ticket)
                 chosen = self.choose_server(now, ticket, servers)
                 if chosen is not None:
@@ -544,6 +563,8 @@
         self, now: Instant, ticket: Ticket, queue_key: tuple[str, str]
     ) -> RequestError | None:
         """Return why a waiting request is refused now, or None."""
+        if self.is_too_late(now, ticket):
+            return self.refuse_stopping(now, ticket)
         _, servers = self.queue_and_candidates(ticket)
         if not servers:
             return self.refusal_without_owner(now, ticket)
@@ -563,8 +584,7 @@
         queues, self.queues = self.queues, {}
         for queue in queues.values():
             for ticket in queue:
-                error = self.refuse(now, ticket, ErrorKind.STOPPING, "the VM stops", timedelta(0))
-                ticket.on_decision(None, error)
+                ticket.on_decision(None, self.refuse_stopping(now, ticket))
 
     def waiting(self) -> dict[tuple[str, str], int]:
         """Return how many requests wait in each queue."""
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -46,7 +46,13 @@
 from fireflylock.direct.status_server import StatusAnswer, StatusServer
 from fireflylock.direct.stopping import plan_stop
 from fireflylock.direct.store_watcher import StoreWatcher
-from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
+from fireflylock.exceptions import (
+    ErrorKind,
+    PlatformError,
+    ProtocolError,
+    RequestError,
+    VersionConflictError,
+)
 from fireflylock.metrics import Metrics, StateMetric
 from fireflylock.request_metrics import RequestMetrics
 from fireflylock.store import Value
@@ -74,6 +80,9 @@
 # The platform's load balancer notices within two checks, a second apart, that a process stops;
 # connections that it sends here until then are served.
 BALANCER_DRAIN_TIME = timedelta(milliseconds=2600)
+# At the end of a stop, time for the answers to requests that have not finished; part of the margin
+# before the process is killed.
+LAST_ANSWERS_TIME = timedelta(milliseconds=200)
 # Descriptors kept free of callers, for connections to servers, the store and other VMs.
 RESERVED_DESCRIPTORS = 1200
 MIN_CALLER_CONNECTIONS = 256
@@ -566,11 +575,14 @@
         plan = plan_stop(self.clock.elapsed(), self.node_settings.bounds.grace)
         self.stopping = True
         self.sender.stop = plan
+        self.admission.stop = plan
         log.info("process is stopping", vm=self.node_settings.vm)
         self.frontend.start_draining()
         resign_task = asyncio.get_running_loop().create_task(self.leadership.stop())
         await self.clock.sleep(BALANCER_DRAIN_TIME)
         finished = await self.frontend.drain(plan.ends_at - self.clock.elapsed())
+        unfinished = RequestError(ErrorKind.OUTCOME_UNKNOWN, "the VM stops")
+        await self.frontend.answer_unfinished(unfinished, LAST_ANSWERS_TIME)
         resign_task.cancel()
         log.info("process stopped", vm=self.node_settings.vm, finished=finished)
         await self.close()
--- a/fireflylock/direct/stopping.py
+++ b/fireflylock/direct/stopping.py
@@ -15,6 +15,9 @@
 ACCEPT_SHARE = 0.75
 # Time before the end at which queued requests are refused; two steps of the node, and the answers.
 FINAL_ANSWER_TIME = timedelta(milliseconds=120)
+# Factor on the time that a server is expected to take: a request whose server would not have
+# answered before the end is not sent.
+WORK_SAFETY_FACTOR = 1.5
 
 
 @dataclass(frozen=True)
@@ -35,6 +38,10 @@
     queues_until: Instant
     ends_at: Instant
 
+    def can_finish(self, now: Instant, work: timedelta) -> bool:
+        """Return whether a request that is sent now and takes `work` is answered in time."""
+        return now + WORK_SAFETY_FACTOR * work <= self.ends_at - FINAL_ANSWER_TIME
+
 
 def plan_stop(now: Instant, grace: timedelta) -> StopPlan:
     """Return the schedule of a stop that begins now.
--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -30,6 +30,8 @@
 
 # Interval between checks of the connections against their timeouts.
 SWEEP_INTERVAL = timedelta(milliseconds=100)
+# Interval between checks whether all callers have read their last answers.
+ANSWER_CHECK_INTERVAL = timedelta(milliseconds=20)
 
 LISTEN_BACKLOG = 1024
 BACKLOG_LOOP_ITERATIONS = 10
@@ -191,6 +193,26 @@
             await self.clock.sleep(SWEEP_INTERVAL)
         return not any(connection.task for connection in self.connections)
 
+    async def answer_unfinished(self, error: RequestError, timeout: timedelta) -> None:
+        """Answer the requests in flight with an error, and let their callers read it.
+
+        Responses that have begun are left alone.
+
+        Parameters
+        ----------
+        error : RequestError
+            The answer.
+        timeout : timedelta
+            How long callers may take to read it and close.
+        """
+        for connection in self.connections:
+            exchange = connection.exchange
+            if exchange is not None and not exchange.response_started:
+                exchange.terminate(error)
+        end = self.clock.elapsed() + timeout
+        while self.connections and self.clock.elapsed() < end:
+            await self.clock.sleep(ANSWER_CHECK_INTERVAL)
+
     async def close(self) -> None:
         """Stop immediately and abort all requests in flight."""
         self.stop_accepting()
