--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -24,6 +24,7 @@
 from fireflylock.vm_history import VMHistory
 from tests import handover_steps, test_assignment, test_ownership, test_retry
 from tests.mutant import Mutant
+from tests.mutants_freshness import FRESHNESS_MUTANTS
 from tests.mutants_limits import LIMIT_MUTANTS
 from tests.mutants_links import LINK_MUTANTS
 
@@ -326,6 +327,7 @@
     Mutant("trust callers' clocks", idempotency, "MAX_CALLER_SKEW", timedelta(0), IDEMPOTENCY),
     *LINK_MUTANTS,
     *LIMIT_MUTANTS,
+    *FRESHNESS_MUTANTS,
 )
 
 
--- /dev/null
+++ b/tests/mutants_freshness.py
@@ -0,0 +1,102 @@
+"""Mutants of how entry VMs notice what they have missed, and of what protects callers."""
+
+from fireflylock.backend import ServerPool
+from fireflylock.direct import routes
+from fireflylock.direct.freshness import ConfigurationTransfer, Freshness
+from fireflylock.direct.load_exchange import LoadExchange
+from fireflylock.direct.stopping import StopPlan
+from fireflylock.direct.store_watcher import StoreWatcher
+from fireflylock.frontend import Frontend
+from tests.mutant import Mutant
+
+FRESHNESS = "tests/test_direct_freshness.py::"
+HIDDEN = FRESHNESS + "test_a_watch_that_is_never_answered_does_not_hide_a_new_configuration"
+STOPPING = "tests/test_direct_stopping.py::"
+
+RECORD_VALUES = StoreWatcher.record_values
+
+
+async def reads_no_copy(self):
+    """Leave the copy of the store unread."""
+
+
+async def leaves_unfinished(self, error, timeout):
+    """Leave the requests in flight without an answer."""
+
+
+def knows_no_keys(self, values, is_snapshot):
+    RECORD_VALUES(self, values, is_snapshot)
+    self.keys.clear()
+
+
+def any_idle(self, request_id):
+    return self.idle.pop() if self.idle else None
+
+
+FRESHNESS_MUTANTS = (
+    Mutant(
+        "a VM that is behind waits for its watch",
+        Freshness,
+        "catch_up",
+        lambda self, now, prefix, progress: None,
+        HIDDEN,
+    ),
+    Mutant("no VM reads the copy of the store", Freshness, "probe", reads_no_copy, HIDDEN),
+    Mutant(
+        "VMs do not hear what others have read",
+        Freshness,
+        "apply_claims",
+        lambda self, vm, revisions: None,
+        HIDDEN + "[10]",
+    ),
+    Mutant(
+        "reports do not say what was read",
+        LoadExchange,
+        "apply_report",
+        lambda self, now, report: None,
+        HIDDEN + "[10]",
+    ),
+    Mutant(
+        "a removed key is not noticed",
+        StoreWatcher,
+        "record_values",
+        knows_no_keys,
+        FRESHNESS + "test_a_watch_that_is_never_answered_does_not_hide_a_removed_server",
+    ),
+    Mutant(
+        "VMs do not send their configuration",
+        ConfigurationTransfer,
+        "answer",
+        lambda self, message: None,
+        FRESHNESS + "test_a_vm_that_the_store_turns_away_gets_the_configuration_from_another_vm",
+    ),
+    Mutant(
+        "each VM may deviate from the weights by itself",
+        routes,
+        "MAX_FLEET_SPLIT_DEVIATION",
+        1e9,
+        "tests/test_direct_routes.py",
+    ),
+    Mutant(
+        "a retry may use the connection that refused it",
+        ServerPool,
+        "take_idle",
+        any_idle,
+        "tests/test_direct_faulty_answers.py"
+        "::test_a_refusal_that_a_server_repeats_is_not_taken_for_the_outcome_of_a_request",
+    ),
+    Mutant(
+        "requests are sent although the process ends before they do",
+        StopPlan,
+        "can_finish",
+        lambda self, now, work: True,
+        STOPPING + "test_a_request_that_waits_during_a_stop_is_not_sent_when_it_can_not_finish",
+    ),
+    Mutant(
+        "requests in flight get no answer at the end",
+        Frontend,
+        "answer_unfinished",
+        leaves_unfinished,
+        STOPPING + "test_a_request_that_still_runs_at_the_end_of_a_stop_gets_an_answer",
+    ),
+)
--- a/tests/test_direct_freshness.py
+++ b/tests/test_direct_freshness.py
@@ -11,7 +11,7 @@
 from fireflylock.direct.gossip import ConfigurationPart
 from fireflylock.direct.node import DirectNode
 from fireflylock.platform import wire
-from standins.link import CUT, Link
+from standins.link import CUT, OPEN, Link
 from standins.operator_files import HOST, config_json
 from tests.direct_site import Site
 from tests.virtual_time import VirtualTimePolicy
@@ -71,6 +71,16 @@
     assert took < PROPAGATION
 
 
+async def test_a_watch_that_is_never_answered_does_not_hide_a_removed_server(site):
+    await site.add_server("f1", "files")
+    (node,) = await start_nodes(site, 1)
+    site.store.lose_watches()
+    site.store.remove(wire.SERVERS_PREFIX + "f1")
+    removed = node.table.servers["f1"]
+    took = await time_until(site, lambda: removed.leaving_since is not None)
+    assert took < PROPAGATION
+
+
 async def test_a_vm_that_the_store_turns_away_gets_the_configuration_from_another_vm(site):
     link = Link(*site.address)
     port = await link.start()
@@ -120,3 +130,123 @@
     await asyncio.sleep(5 * MAX_RETRY_INTERVAL.total_seconds())
     assert len([c for c in site.store.calls if c == wire.STORE_WATCH]) - calls < 20
     assert node.routes.version == 1
+
+
+# Time after trouble from which operators hold a VM to the bound again.
+CONTACT = timedelta(seconds=3)
+ROUNDS = 5
+
+
+class TroubledStore:
+    """Makes trouble between a store and its VMs, while versions are written."""
+
+    def __init__(self, site: Site, links: list[Link], rng: random.Random) -> None:
+        self.site = site
+        self.links = links
+        self.rng = rng
+        self.version = 1
+
+    def write_version(self) -> None:
+        """Write a newer version, as the operator does."""
+        self.version += self.rng.randint(1, 4)
+        self.site.store.write(wire.CONFIG_KEY, config_json(self.version))
+
+    async def lose_watches(self) -> None:
+        """Let the watch calls in progress go without an answer."""
+        self.site.store.lose_watches()
+
+    async def fall_silent(self) -> None:
+        """Answer no call for some time, those in progress included."""
+        self.site.store.unresponsive = True
+        await asyncio.sleep(self.rng.uniform(0.2, 0.7))
+        self.site.store.unresponsive = False
+
+    async def refuse_calls(self) -> None:
+        """Answer all calls with an error for some time."""
+        self.site.store.error_status = self.rng.choice((429, 503))
+        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+        self.site.store.error_status = 0
+
+    async def cut_a_vm(self) -> None:
+        """Cut a VM off from the store for some time, in one direction or both."""
+        link = self.rng.choice(self.links)
+        ways = self.rng.choice(({"forward": CUT}, {"back": CUT}, {"forward": CUT, "back": CUT}))
+        link.set(**ways)
+        await asyncio.sleep(self.rng.uniform(0.2, 3.0))
+        link.set(forward=OPEN, back=OPEN)
+
+    async def drop_history(self) -> None:
+        """Discard the history of changes."""
+        self.site.store.oldest_watch_revision = self.site.store.content.revision
+
+    async def write_nonsense(self) -> None:
+        """Write a damaged value, then the newest version again."""
+        self.site.store.write(wire.CONFIG_KEY, b"{damaged")
+        await asyncio.sleep(self.rng.uniform(0, 0.5))
+        self.write_version()
+
+    async def write_in_quick_succession(self) -> None:
+        """Write several versions."""
+        for _ in range(self.rng.randint(2, 5)):
+            self.write_version()
+            await asyncio.sleep(self.rng.uniform(0, 0.4))
+
+    async def play_round(self) -> None:
+        """Let some things go wrong at the same time, and write a version meanwhile."""
+        kinds = (
+            self.lose_watches,
+            self.fall_silent,
+            self.refuse_calls,
+            self.cut_a_vm,
+            self.drop_history,
+            self.write_nonsense,
+            self.write_in_quick_succession,
+        )
+
+        async def later(kind) -> None:
+            await asyncio.sleep(self.rng.uniform(0, 0.6))
+            await kind()
+
+        troubles = [
+            asyncio.create_task(later(kind))
+            for kind in self.rng.choices(kinds, k=self.rng.randint(1, 3))
+        ]
+        await asyncio.sleep(self.rng.uniform(0, 0.8))
+        self.write_version()
+        await asyncio.gather(*troubles)
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_every_version_is_in_force_in_time_after_any_trouble_with_the_store(site, seed):
+    rng = random.Random(seed)
+    links = []
+    for number in range(rng.randint(1, 4)):
+        link = Link(*site.address)
+        port = await link.start()
+        site.stack.push_async_callback(link.close)
+        links.append(link)
+        await site.add_node(f"vm-{number}", ("127.0.0.1", port))
+    store = TroubledStore(site, links, rng)
+    seen = {node.node_settings.vm: [1] for node in site.nodes}
+
+    async def watch_versions() -> None:
+        while True:
+            for node in site.nodes:
+                if node.routes.version != seen[node.node_settings.vm][-1]:
+                    seen[node.node_settings.vm].append(node.routes.version)
+            await asyncio.sleep(0.01)
+
+    watching = asyncio.create_task(watch_versions())
+    for _ in range(ROUNDS):
+        await asyncio.sleep(rng.uniform(0, 9))
+        await store.play_round()
+        await asyncio.sleep(CONTACT.total_seconds())
+        versions = [node.routes.version for node in site.nodes]
+        assert versions == [store.version] * len(versions)
+        store.write_version()
+        await asyncio.sleep(PROPAGATION.total_seconds())
+        versions = [node.routes.version for node in site.nodes]
+        assert versions == [store.version] * len(versions)
+    watching.cancel()
+    for versions in seen.values():
+        assert versions == sorted(versions)
