Large responses no longer hold up everything else on a VM's slow link

Cause: the links carry 8.5 to 9 Mbit/s there, a design of 90 KB takes 80 ms of one, and callers are distributed unevenly. A VM fetched and wrote any number of large responses at once, so that answers and requests, its own 504 among them, waited behind them in both directions.

Large responses are written at 85 % of the link's rate in pieces of 16 KiB, so that 50 ms are queued at most, and only as many are on their way as the link carries in a quarter of a second; others wait up to 0.3 of the time to their latency target, then another VM may serve them.

--- a/fireflylock/caller_exchange.py
+++ b/fireflylock/caller_exchange.py
@@ -9,6 +9,7 @@
 
 from fireflylock.exceptions import BodyCutShortError, ErrorKind, Outcome, RequestError
 from fireflylock.exchange import Headers, Request, Response
+from fireflylock.link_pacer import PIECE_BYTES, LinkPacer
 from fireflylock.request_metrics import ANSWERED, CALLER_GONE, CUT, NO_SERVICE, NOT_RUN, UNKNOWN
 from fireflylock.request_parser import RequestHead
 
@@ -136,18 +137,34 @@
         if self.head.method == b"HEAD" or response.status in (NO_CONTENT, NOT_MODIFIED):
             transport.write(data + send(h11.EndOfMessage()))
             return
+        pacer = self.frontend.pacer
         ready = response.body.read_nowait()
-        if ready:
-            data += send(h11.Data(data=ready))
-        if response.body.at_end():
-            transport.write(data + send(h11.EndOfMessage()))
+        if response.body.at_end() and (pacer is None or len(ready) <= PIECE_BYTES):
+            if ready:
+                data += send(h11.Data(data=ready))
+            data += send(h11.EndOfMessage())
+            if pacer is not None:
+                pacer.record_written(len(data))
+            transport.write(data)
             return
         transport.write(data)
-        while chunk := await response.body.read():
+        chunk = ready or await response.body.read()
+        while chunk:
+            await self.write_chunk(chunk, pacer)
+            chunk = await response.body.read()
+        transport.write(send(h11.EndOfMessage()))
+
+    async def write_chunk(self, chunk: bytes, pacer: LinkPacer | None) -> None:
+        """Write a part of the body as fast as the link and the caller take it."""
+        connection = self.connection
+        size = len(chunk) if pacer is None else PIECE_BYTES
+        for start in range(0, len(chunk), size):
+            piece = chunk[start : start + size]
+            if pacer is not None:
+                await pacer.wait(len(piece))
             if connection.writable is not None:
                 await connection.writable
-            transport.write(send(h11.Data(data=chunk)))
-        transport.write(send(h11.EndOfMessage()))
+            connection.transport.write(self.http.send(h11.Data(data=piece)))
 
     def response_headers(self, response: Response) -> Headers:
         """Return the headers to write, including those of this connection."""
--- a/fireflylock/direct/model.py
+++ b/fireflylock/direct/model.py
@@ -203,6 +203,8 @@
         The deployment's bounds.
     file_descriptors : int
         Maximum number of descriptors that the process may have open.
+    link_rate : float or None
+        Bytes per second of the VM's network link, if known.
     """
 
     vm: str
@@ -214,3 +216,4 @@
     metrics: tuple[str, int] | None = None
     bounds: Bounds = field(default_factory=Bounds)
     file_descriptors: int = 1024
+    link_rate: float | None = None
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -46,6 +46,7 @@
 from fireflylock.direct.status_server import StatusAnswer, StatusServer
 from fireflylock.direct.stopping import plan_stop
 from fireflylock.direct.store_watcher import StoreWatcher
+from fireflylock.direct.transfer_slots import TransferSlots
 from fireflylock.exceptions import (
     ErrorKind,
     PlatformError,
@@ -53,6 +54,7 @@
     RequestError,
     VersionConflictError,
 )
+from fireflylock.link_pacer import LinkPacer
 from fireflylock.metrics import Metrics, StateMetric
 from fireflylock.request_metrics import RequestMetrics
 from fireflylock.store import Value
@@ -163,6 +165,9 @@
             platform.callers,
             metrics=RequestMetrics(self.metrics),
         )
+        if node_settings.link_rate is not None:
+            self.frontend.pacer = LinkPacer(clock, node_settings.link_rate)
+            self.sender.transfers = TransferSlots(node_settings.link_rate)
         leader_lease = LeaderLease(platform.store, clock, Holder(node_settings.vm, self.boot))
         self.exchange = LoadExchange(
             node_settings.vm,
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -9,7 +9,7 @@
 from fireflylock.backend import ServerPool
 from fireflylock.callback_body import CallbackBody
 from fireflylock.clock import Clock, Instant
-from fireflylock.direct.admission import Admission, Ticket
+from fireflylock.direct.admission import LARGE_RESPONSE_BYTES, Admission, Ticket
 from fireflylock.direct.frontend import CallerDialect, RoutedRequest
 from fireflylock.direct.key_ranges import Owner
 from fireflylock.direct.log_budget import LogBudget
@@ -19,6 +19,7 @@
 from fireflylock.direct.routes import SplitBalancer
 from fireflylock.direct.servers import Server, ServerTable
 from fireflylock.direct.stopping import StopPlan
+from fireflylock.direct.transfer_slots import TransferSlots
 from fireflylock.exceptions import BodyCutShortError, ErrorKind, RequestError
 from fireflylock.exchange import Handler, Response
 from fireflylock.model import BackendServer
@@ -43,6 +44,9 @@
 MOVED_RETRY_DELAY = timedelta(milliseconds=60)
 # Retry-After of a refusal whose cause will soon be over.
 SHORT_RETRY_AFTER = timedelta(milliseconds=50)
+# Share of the time to the latency target that a request waits until the link has room for its
+# large response; a VM whose link is less busy may serve the caller then.
+MAX_TRANSFER_WAIT_SHARE = 0.3
 # Minimum number of connections to one server, however many VMs there are.
 MIN_CONNECTIONS = 3
 
@@ -103,6 +107,8 @@
         self.on_leaving: Callable[[Owner], None] = lambda owner: None
         # Set while the process is shutting down.
         self.stop: StopPlan | None = None
+        # Slots for large responses; None if the rate of this VM's link is not known.
+        self.transfers: TransferSlots | None = None
         self.split_balancer = SplitBalancer()
         self.split_balancer.vms = vms
         self.budgets: dict[str, SharedRetryBudget] = {}
@@ -133,6 +139,22 @@
         if spec.keyed:
             self.add_key_work(request)
         body = await self.replayable_body(request)
+        size = self.table.speeds.mean_response_size(request.route.name)
+        if self.transfers is None or size < LARGE_RESPONSE_BYTES:
+            return await self.send_with_retries(request, spec, body)
+        wait = MAX_TRANSFER_WAIT_SHARE * (request.target_at - self.clock.elapsed())
+        if not await self.transfers.acquire(size, max(wait, timedelta(0))):
+            error = RequestError(ErrorKind.QUEUE_FULL, "the link is busy", SHORT_RETRY_AFTER)
+            raise self.final_error(request, error, may_have_run=False)
+        try:
+            return await self.send_with_retries(request, spec, body)
+        finally:
+            self.transfers.release()
+
+    async def send_with_retries(
+        self, request: RoutedRequest, spec: ServiceSpec, body: ReadTrackingBody | BufferedBody
+    ) -> Response:
+        """Send a request until it is answered or may not be sent again; errors as in `handle`."""
         tried_servers: set[str] = set()
         attempts = 0
         may_have_run = False
--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -22,6 +22,7 @@
     error_response,
     header,
 )
+from fireflylock.link_pacer import LinkPacer
 from fireflylock.matcher import ServiceMatcher
 from fireflylock.request_metrics import RequestMetrics
 from fireflylock.request_parser import RequestHead
@@ -152,6 +153,8 @@
         # Whether responses ask callers to use another connection for further requests.
         self.sends_connection_close = False
         self.drain_started_at: Instant | None = None
+        # Paces large responses; None if the rate of this VM's link is not known.
+        self.pacer: LinkPacer | None = None
 
     async def start(self, address: str, port: int, reuse_port: bool = False) -> int:
         """Listen on `address` and return the port; the system chooses one for 0."""
--- a/fireflylock/platform/settings.py
+++ b/fireflylock/platform/settings.py
@@ -15,11 +15,14 @@
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "FIREFLYLOCK_SETTINGS"
 
+BYTES_PER_MEGABIT = 1_000_000 / 8
+
 
 class LimitsTable(msgspec.Struct, rename="camel"):
     """Resource limits of the process."""
 
     file_descriptors: float = 1024
+    link_mbps: float | None = None
 
 
 class SelfTable(msgspec.Struct, rename="camel"):
@@ -170,6 +173,7 @@
         metrics=(own.ip_address, metrics_port) if metrics_port else None,
         bounds=bounds,
         file_descriptors=int(own.limits.file_descriptors),
+        link_rate=link_rate(own.limits.link_mbps),
     )
     return PlatformSettings(
         node_settings=node_settings,
@@ -199,3 +203,8 @@
         retry_extra=table.budget_extra_attempts,
         retry_window=parse_duration(table.budget_window),
     )
+
+
+def link_rate(mbps: float | None) -> float | None:
+    """Return a link's rate in bytes per second, or None if none is given."""
+    return mbps * BYTES_PER_MEGABIT if mbps else None
--- a/standins/link.py
+++ b/standins/link.py
@@ -1,4 +1,4 @@
-"""A stand-in for a network link: a TCP forwarder that can be cut in one direction or both.
+"""A stand-in for a network link: a TCP forwarder that can be cut, delayed or slowed down.
 
 ``python -m standins.link --listen 127.0.0.1:7001 --to 127.0.0.1:7000 --control 7002``.  A POST
 of ``{"forward": "open|cut", "back": "open|cut", "delay_ms": 0}`` to ``/standin/link`` on the
@@ -20,11 +20,15 @@
 
 @dataclass
 class LinkState:
-    """State of each direction; `forward` is away from the listening side."""
+    """State of each direction; `forward` is away from the listening side.
+
+    ``bytes_per_second`` is the rate of each direction for all connections; 0 for no limit.
+    """
 
     forward: str = OPEN
     back: str = OPEN
     delay_ms: int = 0
+    bytes_per_second: float = 0.0
 
 
 class Link:
@@ -44,6 +48,8 @@
         self.server: asyncio.Server | None = None
         self.control = HTTPServer(self._command)
         self.tasks: set[asyncio.Task] = set()
+        # By direction: when all bytes before will have passed, in the loop's seconds.
+        self.free_at = {"forward": 0.0, "back": 0.0}
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
         """Start to listen and return the port."""
@@ -101,12 +107,22 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(READ_BYTES):
                 await asyncio.sleep(self.state.delay_ms / 1000)
+                await self._until_passed(direction, len(data))
                 await self._until_open(direction)
                 writer.write(data)
                 await writer.drain()
             # A cut link holds back the end of a connection, too.
             await self._until_open(direction)
 
+    async def _until_passed(self, direction: str, size: int) -> None:
+        """Wait for the time that the bytes take, behind all earlier ones."""
+        if not self.state.bytes_per_second:
+            return
+        now = asyncio.get_running_loop().time()
+        start = max(now, self.free_at[direction])
+        self.free_at[direction] = start + size / self.state.bytes_per_second
+        await asyncio.sleep(self.free_at[direction] - now)
+
     async def _until_open(self, direction: str) -> None:
         while getattr(self.state, direction) == CUT:
             await self.changed.wait()
--- a/standins/platform_backend_server.py
+++ b/standins/platform_backend_server.py
@@ -46,6 +46,8 @@
         Number of requests that it refuses next.
     drop_next_answers : int
         Number of requests that it runs next without an answer.
+    large_bytes : int
+        Size of its answers to paths that begin with ``/large/``.
     unsigned : bool
         Whether its answers lack the signature.
     leaving : bool
@@ -69,6 +71,7 @@
     runs: list[ExecutedRequest] = field(default_factory=list)
     refuse_next: int = 0
     drop_next_answers: int = 0
+    large_bytes: int = 0
     unsigned: bool = False
     leaving: bool = False
     backoff: str = ""
@@ -153,7 +156,10 @@
         headers = []
         if not self.unsigned:
             headers.append((wire.SIGNATURE.decode(), f"signed by {self.name}"))
-        return Reply(self.status, f"{self.name} {call.target}".encode(), headers)
+        body = f"{self.name} {call.target}".encode()
+        if call.path.startswith("/large/"):
+            body = body.ljust(self.large_bytes)
+        return Reply(self.status, body, headers)
 
     def control_request(self, call: Call) -> Reply:
         """Apply a grant or a release."""
--- a/tests/direct_site.py
+++ b/tests/direct_site.py
@@ -56,7 +56,10 @@
         return server
 
     async def add_node(
-        self, name: str = "vm-1", store: tuple[str, int] | None = None
+        self,
+        name: str = "vm-1",
+        store: tuple[str, int] | None = None,
+        link_rate: float | None = None,
     ) -> DirectNode:
         """Start an entry VM, and wait until it is ready; `store` is its way to the store."""
         node_settings = NodeSettings(
@@ -67,6 +70,7 @@
             status=("127.0.0.1", free_port()),
             peer=("127.0.0.1", free_port(udp=True)),
             bounds=replace(Bounds(), grace=timedelta(seconds=6)),
+            link_rate=link_rate,
         )
         settings = PlatformSettings(
             node_settings, store or self.address, 2000.0, 400.0, timedelta(seconds=1)
--- a/tests/mutants_freshness.py
+++ b/tests/mutants_freshness.py
@@ -6,11 +6,17 @@
 from fireflylock.direct.load_exchange import LoadExchange
 from fireflylock.direct.stopping import StopPlan
 from fireflylock.direct.store_watcher import StoreWatcher
+from fireflylock.direct.transfer_slots import TransferSlots
 from fireflylock.frontend import Frontend
+from fireflylock.link_pacer import LinkPacer
 from tests.mutant import Mutant
 
 FRESHNESS = "tests/test_direct_freshness.py::"
 HIDDEN = FRESHNESS + "test_a_watch_that_is_never_answered_does_not_hide_a_new_configuration"
+BUSY_LINK = (
+    "tests/test_direct_busy_link.py"
+    "::test_small_responses_do_not_wait_behind_large_ones_on_a_busy_link"
+)
 STOPPING = "tests/test_direct_stopping.py::"
 
 RECORD_VALUES = StoreWatcher.record_values
@@ -29,6 +35,15 @@
     self.keys.clear()
 
 
+async def never_waits(self, size):
+    """Write everything at once."""
+
+
+async def always_free(self, size, timeout):
+    self.used += 1
+    return True
+
+
 def any_idle(self, request_id):
     return self.idle.pop() if self.idle else None
 
@@ -85,6 +100,20 @@
         "tests/test_direct_faulty_answers.py"
         "::test_a_refusal_that_a_server_repeats_is_not_taken_for_the_outcome_of_a_request",
     ),
+    Mutant(
+        "large responses are written at once",
+        LinkPacer,
+        "wait",
+        never_waits,
+        BUSY_LINK + "[callers]",
+    ),
+    Mutant(
+        "any number of large responses may be on their way",
+        TransferSlots,
+        "acquire",
+        always_free,
+        BUSY_LINK + "[servers]",
+    ),
     Mutant(
         "requests are sent although the process ends before they do",
         StopPlan,
