Platform run: the configuration changes all the time, and every VM must follow it

Versions are written after each fault, in quick succession, and while the store leaves calls unanswered. No VM may go back to an older version, and each follows the newest one 5 s after the last fault.

--- a/demo/platform_run.py
+++ b/demo/platform_run.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 import random
 import signal
 import time
@@ -60,6 +61,11 @@
 CALM_SECONDS = 16.0
 HEALED_AFTER = 13.0
 
+# Calls to the store that wait may go without an answer for so long, too short for a renewal.
+SHORT_SILENCE = (0.2, 0.7)
+# A new configuration is in force so long after the last fault at the latest.
+CONFIG_IN_FORCE = 5.0
+
 # Servers that name a limit of requests a second, and the limit as a part of their requests.
 LIMITED = ("orders-0", "orders-3", "files-1")
 LIMIT_PART = 0.5
@@ -185,6 +191,7 @@
         self.paused: set[str] = set()
         self.all_runs: list[PlatformBackendServer] = []
         self.born = 0
+        self.config_version = 1
         self.outcome = Outcome(seed)
         self.stack = AsyncExitStack()
         self.stop_calls = asyncio.Event()
@@ -356,6 +363,8 @@
             self.cut_vm_from_store,
             self.take_store_away,
             self.lose_answers_of_store,
+            self.change_configuration,
+            self.change_configuration_in_silence,
         )
         while time.monotonic() < end:
             fault = self.rng.choice(faults)
@@ -364,6 +373,7 @@
             task = asyncio.create_task(fault(self.rng.uniform(*FAULT_SECONDS)))
             running.add(task)
             await asyncio.sleep(self.rng.uniform(*FAULT_PAUSE))
+            self.write_version()
         await asyncio.gather(*running)
 
     def name_limits(self) -> None:
@@ -497,6 +507,26 @@
 
     # Promises.
 
+    async def change_configuration(self, seconds: float) -> None:
+        """Write newer versions of the configuration in quick succession."""
+        for _ in range(self.rng.randint(1, 4)):
+            self.write_version()
+            await asyncio.sleep(self.rng.uniform(0, 0.4))
+
+    async def change_configuration_in_silence(self, seconds: float) -> None:
+        """Write a version while the store leaves calls unanswered, those that wait included."""
+        self.store.unresponsive = True
+        silence = self.rng.uniform(*SHORT_SILENCE)
+        await asyncio.sleep(silence / 2)
+        self.write_version()
+        await asyncio.sleep(silence / 2)
+        self.store.unresponsive = False
+
+    def write_version(self) -> None:
+        """Write a newer version of the configuration."""
+        self.config_version += 1
+        self.store.write(wire.CONFIG_KEY, config_json(self.config_version))
+
     async def look_at_holders(self) -> None:
         """Watch that no key is held by two servers."""
         while True:
@@ -525,11 +555,30 @@
                 )
         if self.calm > HEALED_AFTER:
             self.check_recovery()
+        for name in self.names:
+            self.check_versions(name)
         for name in self.names:
             with suppress(FileNotFoundError):
                 if "Traceback" in (self.folder / f"{name}.log").read_text("utf-8", "replace"):
                     self.outcome.rule_broken(f"{name} has logged a fault of its own")
 
+    def check_versions(self, name: str) -> None:
+        """Check that an entry VM has followed the configuration, and never an older one."""
+        version = 0
+        for line in (self.folder / f"{name}.log").read_text("utf-8", "replace").splitlines():
+            if '"event": "process started"' in line:
+                version = 0
+            if '"event": "configuration in force"' not in line:
+                continue
+            newer = json.loads(line)["version"]
+            if newer <= version:
+                self.outcome.rule_broken(f"{name} went from version {version} back to {newer}")
+            version = newer
+        if self.calm >= CONFIG_IN_FORCE and version != self.config_version:
+            self.outcome.rule_broken(
+                f"{name} follows version {version} instead of {self.config_version}"
+            )
+
     def check_recovery(self) -> None:
         """Look at the tries that began long after the last fault."""
         last = max(sent.started for sent in self.outcome.sent)
