A configuration that arrives slowly from another VM is not requested anew

A VM that the store turns away asked another VM every 0.3 s, and dropped the parts of the one that it had asked before; on a slow link a large configuration might never have been complete. It now waits for 0.3 s without a part. Found by reading the change; the test failed before.

--- a/fireflylock/direct/freshness.py
+++ b/fireflylock/direct/freshness.py
@@ -100,18 +100,19 @@
         self.apply = apply
         self.current: Value | None = None
         self.asked: str | None = None
-        self.asked_at: Instant = timedelta(0)
+        # When the last request was sent, or the last part of the answer arrived.
+        self.progress_at: Instant = timedelta(0)
         self.requests = 0
         self.parts: dict[int, bytes] = {}
         self.parts_of: tuple[int, int] = (0, 0)
 
     def request(self, now: Instant, sources: list[str]) -> None:
         """Ask the next one of some VMs for its configuration."""
-        if not sources or now - self.asked_at < REQUEST_INTERVAL:
+        if not sources or now - self.progress_at < REQUEST_INTERVAL:
             return
         self.asked = sorted(sources)[self.requests % len(sources)]
         self.requests += 1
-        self.asked_at = now
+        self.progress_at = now
         known = 0 if self.current is None else self.current.revision
         self.gossip.send(ConfigurationRequest(self.vm, self.zone, known), to=[self.asked])
 
@@ -144,6 +145,7 @@
             self.parts_of = (part.revision, part.count)
             self.parts = {}
         self.parts[part.index] = part.data
+        self.progress_at = now
         if len(self.parts) < part.count:
             return
         compressed = b"".join(self.parts[index] for index in range(part.count))
--- a/tests/test_direct_freshness.py
+++ b/tests/test_direct_freshness.py
@@ -115,6 +115,24 @@
     assert turned_away.routes == served.routes
 
 
+async def test_parts_that_arrive_slowly_are_not_requested_again(site):
+    (node,) = await start_nodes(site, 1)
+    node.gossip.add("other", ("127.0.0.1", 9), "zone-a")
+    node.gossip.add("third", ("127.0.0.1", 9), "zone-a")
+    data = zlib.compress(config_json(5))
+    pieces = [data[:9], data[9:18], data[18:]]
+    sources = ["other", "third"]
+    node.transfer.request(site.clock.elapsed(), sources)
+    source = node.transfer.asked
+    for index, piece in enumerate(pieces):
+        await asyncio.sleep(0.2)
+        node.transfer.request(site.clock.elapsed(), sources)
+        part = ConfigurationPart(source, "zone-a", wire.CONFIG_KEY, 99, index, len(pieces), piece)
+        node.transfer.receive(site.clock.elapsed(), part)
+    assert node.routes.version == 5
+    assert node.transfer.requests == 1
+
+
 async def test_false_claims_and_damaged_parts_cost_few_calls_and_change_nothing(site):
     (node,) = await start_nodes(site, 1)
     node.gossip.add("liar", ("127.0.0.1", 9), "zone-a")
