Logs and metrics of idle connections that are closed, and of what arrives on them later

The hypotheses on LOST could not be told apart: idle connections that the front end closes were neither logged nor counted, nor the bytes that arrive on them afterwards, and truncated responses were counted but not exposed. "configuration in force" names callers' time-outs now.

--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -78,6 +78,8 @@
         self.task: asyncio.Task[None] | None = None
         self.exchange: CallerExchange | None = None
         self.close_after_response = False
+        # Whether the front end closed the connection while no request was on it.
+        self.closed_idle = False
         # Time of the caller's last progress, and of the start of the current head.
         self.progress_at: Instant = frontend.clock.elapsed()
         self.head_started_at: Instant | None = self.progress_at
@@ -109,6 +111,9 @@
     def data_received(self, data: bytes) -> None:
         """Process received bytes according to the phase."""
         if self.phase is Phase.CLOSING:
+            if self.closed_idle:
+                self.closed_idle = False
+                self.frontend.counters.received_after_close += 1
             return
         self.progress_at = self.frontend.clock.elapsed()
         self.parser.receive(data)
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -228,6 +228,7 @@
         self.exchange.own_revisions = self.freshness.revisions
         self.exchange.on_revisions = self.freshness.apply_claims
         self.metrics.state.state_metrics += self.configuration_metrics()
+        self.metrics.state.state_metrics += self.connection_metrics()
         self.tasks: list[asyncio.Task] = []
         self.member_lease = 0
         self.store_answered_at = clock.elapsed()
@@ -354,6 +355,8 @@
             version=routes.version,
             revision=revision,
             routes=len(routes.routes),
+            idle_timeout=routes.limits.idle_timeout.total_seconds(),
+            head_timeout=routes.limits.head_timeout.total_seconds(),
             silence=self.config_watcher.silence.total_seconds(),
         )
 
@@ -571,6 +574,33 @@
             ),
         ]
 
+    def connection_metrics(self) -> list[StateMetric]:
+        """Return the metrics of callers' connections."""
+        counters = self.frontend.counters
+        return [
+            StateMetric(
+                "idle_connections_closed",
+                "Callers' connections closed because no request came on them for too long.",
+                (),
+                lambda: [((), counters.idle_closed)],
+                counts=True,
+            ),
+            StateMetric(
+                "received_after_close",
+                "Idle connections on which bytes arrived after they were closed.",
+                (),
+                lambda: [((), counters.received_after_close)],
+                counts=True,
+            ),
+            StateMetric(
+                "truncated_responses",
+                "Responses that ended before they were complete.",
+                (),
+                lambda: [((), counters.truncated_responses)],
+                counts=True,
+            ),
+        ]
+
     def scrape(self) -> StatusAnswer:
         """Answer a scrape of the metrics."""
         return StatusAnswer(200, self.metrics.text())
@@ -589,7 +619,15 @@
         unfinished = RequestError(ErrorKind.OUTCOME_UNKNOWN, "the VM stops")
         await self.frontend.answer_unfinished(unfinished, LAST_ANSWERS_TIME)
         resign_task.cancel()
-        log.info("process stopped", vm=self.node_settings.vm, finished=finished)
+        counters = self.frontend.counters
+        log.info(
+            "process stopped",
+            vm=self.node_settings.vm,
+            finished=finished,
+            idle_closed=counters.idle_closed,
+            received_after_close=counters.received_after_close,
+            truncated_responses=counters.truncated_responses,
+        )
         await self.close()
 
     async def close(self) -> None:
--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+import structlog
+
 from fireflylock.caller import CallerBody, CallerConnection, Phase
 from fireflylock.clock import Clock, Instant
 from fireflylock.exceptions import ErrorKind, Outcome, RequestError
@@ -29,10 +31,14 @@
 
 __all__ = ["Frontend", "FrontendLimits", "ServiceMatcher"]
 
+log = structlog.get_logger()
+
 # Interval between checks of the connections against their timeouts.
 SWEEP_INTERVAL = timedelta(milliseconds=100)
 # Interval between checks whether all callers have read their last answers.
 ANSWER_CHECK_INTERVAL = timedelta(milliseconds=20)
+# Interval between log lines about idle connections that were closed.
+IDLE_LOG_INTERVAL = timedelta(seconds=1)
 
 LISTEN_BACKLOG = 1024
 BACKLOG_LOOP_ITERATIONS = 10
@@ -85,6 +91,9 @@
     connections, requests, disconnected_callers, truncated_responses : int
         Connections accepted, requests begun, callers that disconnected before their
         response, and responses that were truncated.
+    idle_closed, received_after_close : int
+        Idle connections closed by the front end, and those of them on which more was received
+        afterwards, such as a request that was already on its way.
     responses : Counter of int
         Responses by status.
     errors : Counter of str
@@ -95,6 +104,8 @@
     requests: int = 0
     disconnected_callers: int = 0
     truncated_responses: int = 0
+    idle_closed: int = 0
+    received_after_close: int = 0
     responses: Counter[int] = field(default_factory=Counter)
     errors: Counter[str] = field(default_factory=Counter)
 
@@ -153,6 +164,8 @@
         # Whether responses ask callers to use another connection for further requests.
         self.sends_connection_close = False
         self.drain_started_at: Instant | None = None
+        self.unlogged_idle_closed = 0
+        self.idle_closed_logged_at: Instant = -IDLE_LOG_INTERVAL
         # Paces large responses; None if the rate of this VM's link is not known.
         self.pacer: LinkPacer | None = None
 
@@ -297,6 +310,7 @@
 
     def sweep(self, now: Instant) -> None:
         """End the connections and requests that have timed out."""
+        closed_before = self.counters.idle_closed
         for connection in list(self.connections):
             if connection.phase is Phase.CLOSING:
                 self.sweep_closing(connection, now)
@@ -304,6 +318,23 @@
                 self.sweep_waiting(connection, now)
             else:
                 self.sweep_exchange(connection, now)
+        self.log_idle_closed(now, self.counters.idle_closed - closed_before)
+
+    def log_idle_closed(self, now: Instant, closed: int) -> None:
+        """Log how many idle connections were closed, in one line a second at most."""
+        self.unlogged_idle_closed += closed
+        if not self.unlogged_idle_closed or now - self.idle_closed_logged_at < IDLE_LOG_INTERVAL:
+            return
+        log.info(
+            "idle connections closed",
+            closed=self.unlogged_idle_closed,
+            received_after_close=self.counters.received_after_close,
+            idle_timeout=self.limits.keepalive_timeout.total_seconds(),
+            draining=self.draining,
+            open=len(self.connections),
+        )
+        self.unlogged_idle_closed = 0
+        self.idle_closed_logged_at = now
 
     def sweep_closing(self, connection: CallerConnection, now: Instant) -> None:
         """Abort a connection whose caller had enough time to read the last response."""
@@ -323,6 +354,8 @@
         idle = now - connection.progress_at
         drained = self.draining and now - self.drain_started_at >= self.limits.drain_idle
         if drained or idle >= self.limits.keepalive_timeout:
+            self.counters.idle_closed += 1
+            connection.closed_idle = True
             connection.close()
 
     def sweep_exchange(self, connection: CallerConnection, now: Instant) -> None:
@@ -356,6 +389,8 @@
             ("requests begun", counters.requests),
             ("callers gone", counters.disconnected_callers),
             ("answers cut short", counters.truncated_responses),
+            ("idle connections closed", counters.idle_closed),
+            ("connections that received more after that", counters.received_after_close),
             ("answers by status", dict(sorted(counters.responses.items()))),
             ("own answers by kind", dict(sorted(counters.errors.items()))),
         ]
