Failing tests: requests that cross the close of an idle connection are dropped

A request that is sent as the front end closes an idle connection is read and dropped, and the connection stays half open for up to 2 s (seen: 2.03 s).

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
@@ -15,6 +16,7 @@
 
 HEAD = b"Host: mesa\r\nX-Key: k1\r\n"
 CLOSE = b"Connection: close\r\n"
+REQUEST = b"GET / HTTP/1.1\r\n" + HEAD + b"\r\n"
 
 
 async def test_pipelined_requests_are_answered_in_order():
@@ -382,6 +384,50 @@
     assert b"connection: close" in received
 
 
+async def idle_caller(port: int) -> socket.socket:
+    """Return a caller's connection on which one request was answered."""
+    loop = asyncio.get_running_loop()
+    caller = socket.create_connection((HOST, port))
+    caller.setblocking(False)
+    await loop.sock_sendall(caller, REQUEST)
+    assert (await loop.sock_recv(caller, 65536)).endswith(b"k1:")
+    return caller
+
+
+@pytest.mark.parametrize("drains", [False, True])
+async def test_a_request_that_crosses_the_close_of_an_idle_connection_is_not_read(drains):
+    loop = asyncio.get_running_loop()
+    limits = FrontendLimits(drain_idle=timedelta(0))
+    async with running_frontend(ScriptedHandler(echo), limits) as (frontend, port):
+        with await idle_caller(port) as caller:
+            if drains:
+                frontend.start_draining()
+            else:
+                frontend.limits = replace(limits, keepalive_timeout=timedelta(0))
+            assert await loop.sock_recv(caller, 65536) == b""
+            await loop.sock_sendall(caller, REQUEST)
+            await asyncio.sleep(0.05)
+            with pytest.raises(BrokenPipeError):
+                caller.send(REQUEST)
+        assert frontend.counters.received_after_close == 0
+
+
+@pytest.mark.parametrize("drains", [False, True])
+async def test_a_request_that_has_arrived_is_served_before_its_idle_connection_closes(drains):
+    loop = asyncio.get_running_loop()
+    limits = FrontendLimits(drain_idle=timedelta(0))
+    async with running_frontend(ScriptedHandler(echo), limits) as (frontend, port):
+        with await idle_caller(port) as caller:
+            if drains:
+                frontend.start_draining()
+            else:
+                frontend.limits = replace(limits, keepalive_timeout=timedelta(0))
+            # The kernel has the request, and the event loop has not read it yet.
+            caller.send(REQUEST)
+            frontend.sweep(frontend.clock.elapsed())
+            assert (await loop.sock_recv(caller, 65536)).startswith(b"HTTP/1.1 200")
+
+
 async def test_a_refused_request_whose_body_has_arrived_keeps_the_connection():
     async def refuse(request):
         raise RequestError(ErrorKind.QUEUE_FULL)
