Failing tests: a store that is restored from an older copy

The stand-in of the store, and the store of the simulated cluster, can save a copy and come back from it: writes and leases since are gone, revisions and ids of leases are given out again, the era rises.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -32,6 +32,8 @@
         Oldest revision from which watches can start.
     calls : list of str
         Paths of the calls, in order.
+    era : int
+        Rises with each restore; part of all answers.
     """
 
     def __init__(self) -> None:
@@ -45,6 +47,8 @@
         self.calls: list[str] = []
         self.server = HTTPServer(self.answer)
         self.page = PAGE
+        self.era = 1
+        self.copy: tuple[RevisionedStore, float] | None = None
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> tuple[str, int]:
         """Start to listen and return the address."""
@@ -75,8 +79,25 @@
         lost = call.path == wire.STORE_WATCH and lost_watches != self.lost_watches
         if unresponsive or self.unresponsive or lost:
             await asyncio.Event().wait()
+        reply.headers.append((wire.STORE_ERA, str(self.era)))
         return reply
 
+    def save_copy(self) -> None:
+        """Save a copy to restore later."""
+        self.copy = (self.content.copy(), loop_time())
+
+    def restore(self) -> None:
+        """Come back from the copy: what was written since is gone, and revisions go back.
+
+        Leases of the copy have the time left that they had when it was saved.
+        """
+        former, (saved, saved_at) = self.content, self.copy
+        self.content = saved.copy()
+        for lease in self.content.leases.values():
+            lease.ends_at += loop_time() - saved_at
+        self.era += 1
+        former.wake()
+
     def lose_watches(self) -> None:
         """Let the watch calls in progress go without an answer; all others are answered."""
         self.lost_watches += 1
@@ -130,7 +151,7 @@
         after = int(query["after"])
         end = loop_time() + int(query["waitMs"]) / 1000
         while True:
-            if after < self.oldest_watch_revision:
+            if not self.oldest_watch_revision <= after <= self.content.revision:
                 return Reply(410)
             found = [
                 change
--- a/standins/revisioned_store.py
+++ b/standins/revisioned_store.py
@@ -1,8 +1,7 @@
 """In-memory key-value store with revisions, a history for watches, and leases."""
 
 import asyncio
-import itertools
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 # Number of past changes that are kept for watches.
 HISTORY = 10_000
@@ -46,7 +45,7 @@
         self.history: list[Change] = []
         self.changed = asyncio.Event()
         self.leases: dict[int, Lease] = {}
-        self.lease_ids = itertools.count(1000)
+        self.next_lease = 1000
 
     def range(self, key: bytes, range_end: bytes, since: int = 0) -> list[Row]:
         """Return the row of one key, or the rows of a range changed at `since` or later."""
@@ -100,7 +99,8 @@
 
     def grant(self, ttl: int, now: float) -> int:
         """Create a lease and return its id."""
-        lease_id = next(self.lease_ids)
+        lease_id = self.next_lease
+        self.next_lease += 1
         self.leases[lease_id] = Lease(ttl, now + ttl)
         return lease_id
 
@@ -124,6 +124,19 @@
             if lease.ends_at <= now:
                 self.end_lease(lease_id)
 
+    def copy(self) -> "RevisionedStore":
+        """Return a copy of everything, for a later restore."""
+        copy = RevisionedStore()
+        copy.revision = self.revision
+        copy.rows = dict(self.rows)
+        copy.history = list(self.history)
+        copy.leases = {
+            lease_id: replace(lease, keys=set(lease.keys))
+            for lease_id, lease in self.leases.items()
+        }
+        copy.next_lease = self.next_lease
+        return copy
+
     def _record(self, change: Change) -> None:
         self.history.append(change)
         del self.history[:-HISTORY]
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -69,6 +69,22 @@
         self.leases: dict[int, tuple[timedelta, Instant]] = {}
         self.next_lease = 1
         self.unavailable = False
+        self.era = 1
+        self.copy: tuple[dict[str, StoredValue], int, dict, int, Instant] | None = None
+
+    def save_copy(self) -> None:
+        """Save a copy to restore later."""
+        self.expire()
+        now = self.clock.elapsed()
+        self.copy = (dict(self.rows), self.revision, dict(self.leases), self.next_lease, now)
+
+    def restore(self) -> None:
+        """Come back from the copy: later writes are gone, and revisions and leases go back."""
+        rows, self.revision, leases, self.next_lease, saved_at = self.copy
+        away = self.clock.elapsed() - saved_at
+        self.rows = dict(rows)
+        self.leases = {lease: (ttl, end + away) for lease, (ttl, end) in leases.items()}
+        self.era += 1
 
     def expire(self) -> None:
         """End expired leases."""
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -519,10 +519,11 @@
 
 
 # Number of kinds of random steps: basic faults; with suspended VMs and lost datagrams; with
-# planned stops of the leader.
+# planned stops of the leader; with a store that is restored from an older copy.
 BASIC_STEP_KINDS = 12
 SUSPENSION_STEP_KINDS = 15
 LEADER_STOP_STEP_KINDS = 16
+RESTORE_STEP_KINDS = 20
 
 
 def random_step(
@@ -572,6 +573,10 @@
         cluster.lost_datagrams = rng.choice((0.0, 0.5))
     elif choice == 15 and cluster.leader() and cluster.leader() not in cluster.suspended:
         cluster.stop_vm(cluster.leader())
+    elif choice in (16, 17):
+        cluster.store.save_copy()
+    elif choice in (18, 19) and cluster.store.copy is not None:
+        cluster.store.restore()
 
 
 # Seeds that failed once: 2, a renewal reached a new server at an old address; 5, keys moved to
@@ -591,6 +596,28 @@
     await run_random_history(seed, LEADER_STOP_STEP_KINDS)
 
 
+@pytest.mark.parametrize("seed", range(16))
+async def test_random_histories_with_a_restored_store_never_give_a_key_two_owners(seed):
+    await run_random_history(seed, RESTORE_STEP_KINDS)
+
+
+@pytest.mark.parametrize("outage", [0.1, 0.6, 2.0])
+async def test_a_restored_map_of_keys_is_not_taken_for_the_latest(outage):
+    cluster = await settled_cluster()
+    await cluster.run(12)
+    cluster.store.save_copy()
+    process = cluster.add_server("n", 9000)
+    await cluster.run(6)
+    assert any(process in cluster.holders(key) for key in TRACKED_KEYS)
+    cluster.store.unavailable = True
+    await cluster.run(outage)
+    cluster.store.restore()
+    cluster.store.unavailable = False
+    await cluster.run(15)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 async def run_random_history(seed: int, kinds: int) -> None:
     """Inject random faults one after another; after they end, all keys are served again."""
     cluster = await settled_cluster(seed)
