Revisions are ordered by the era of the store, so that a restore takes none for newer or older

What was seen: after the store had come back from an older copy, a configuration that got a revision which had been given out before was never in force; a server that had registered in the lost seconds was taken for gone at once; a VM whose lease id had been given out again renewed another VM's lease, and was missing in the list of VMs.

Cause: a revision was taken for a clock that never runs backwards, by watches, claims of what others have read, conditional writes, and the ids of leases by renewals.

Change: the client of the store turns revisions into ordered ones, which hold the era, and back. Nothing else compares bare revisions, and messages between VMs stay as they are. An answer counts only if it belongs to the era in which its call was sent, so that a write under way during a restore is neither taken for done nor applied under a revision that exists again. When the era rises, a VM lists everything anew, gives servers time to register again, and registers itself again.

Two tests of the freshness and one of the client used bare revisions and use ordered ones now; they check as much.

--- a/bench/site.py
+++ b/bench/site.py
@@ -117,7 +117,7 @@
         await self._call("get")
         return self.values.get(key)
 
-    async def put(self, key, data, expected_revision, also=None) -> int:
+    async def put(self, key, data, expected_revision, also=None, also_expected=None) -> int:
         """Write by compare-and-swap."""
         await self._call("put")
         held = self.values.get(key)
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -231,6 +231,9 @@
         self.metrics.state.state_metrics += self.connection_metrics()
         self.tasks: list[asyncio.Task] = []
         self.member_lease = 0
+        # Set when the store was restored: the lease may be gone, or be another VM's.
+        self.must_rejoin = False
+        platform.store.era.on_restored.append(self.store_restored)
         self.store_answered_at = clock.elapsed()
         self.isolation = IsolationDetector()
         self.isolated = False
@@ -318,6 +321,13 @@
         """Handle that the store answers again after a failure."""
         self.table.start_reregistration_period(now)
 
+    def store_restored(self) -> None:
+        """Handle that the store came back from an older copy: read everything anew."""
+        self.table.start_reregistration_period(self.clock.elapsed())
+        self.must_rejoin = True
+        for watcher in (self.config_watcher, self.servers_watcher):
+            watcher.restart(relist=True)
+
     def apply_config_values(self, now: Instant, values: list[Value], is_snapshot: bool) -> None:
         """Apply the configuration if it is valid and newer."""
         for value in values:
@@ -411,7 +421,7 @@
         """
         store = self.platform.store
         answered = True
-        while True:
+        while not self.must_rejoin:
             try:
                 remaining = await store.keep_alive(self.member_lease)
             except PlatformError as error:
@@ -425,6 +435,7 @@
                 self.config_watcher.restart()
                 self.servers_watcher.restart()
             return remaining > timedelta(0)
+        return False
 
     async def join(self) -> None:
         """Write this VM's entry, and introduce it to the others.
@@ -433,6 +444,7 @@
         least the later one sees the other.
         """
         store = self.platform.store
+        self.must_rejoin = False
         self.member_lease = await store.grant_lease(MEMBER_TTL)
         host, port = self.node_settings.peer
         entry = msgspec.json.encode(
--- a/fireflylock/etcd.py
+++ b/fireflylock/etcd.py
@@ -82,6 +82,7 @@
         expected_revision: int,
         also: dict[str, bytes] | None = None,
         lease: int = 0,
+        also_expected: dict[str, int] | None = None,
     ) -> int:
         """Write `data` if `key` is still at `expected_revision`."""
         if len(data) > MAX_VALUE_BYTES:
@@ -89,13 +90,16 @@
         writes = [_put_operation(key, data, lease)]
         for other, other_data in (also or {}).items():
             writes.append(_put_operation(other, other_data, lease))
-        comparison = {
-            "key": _to_base64(key.encode()),
-            "target": "MOD",
-            "result": "EQUAL",
-            "mod_revision": str(expected_revision),
-        }
-        body = {"compare": [comparison], "success": writes, "failure": []}
+        comparisons = [
+            {
+                "key": _to_base64(name.encode()),
+                "target": "MOD",
+                "result": "EQUAL",
+                "mod_revision": str(revision),
+            }
+            for name, revision in {key: expected_revision, **(also_expected or {})}.items()
+        ]
+        body = {"compare": comparisons, "success": writes, "failure": []}
         answer = await self._call("txn", "/v3/kv/txn", body)
         if not answer.get("succeeded", False):
             raise VersionConflictError(key, expected_revision)
--- a/fireflylock/platform/kv_store.py
+++ b/fireflylock/platform/kv_store.py
@@ -6,6 +6,7 @@
 import binascii
 from collections.abc import AsyncIterator
 from datetime import timedelta
+from typing import TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -38,6 +39,7 @@
     Store,
     Value,
 )
+from fireflylock.store_era import REVISIONS_PER_ERA, StoreEra
 
 # Longest wait for an answer; the store answers in milliseconds, and in a third of a second
 # at the worst slowdown that its operators have seen.
@@ -68,12 +70,13 @@
     value: str = ""
     deleted: bool = False
 
-    def to_value(self) -> Value:
-        """Convert the item to a `Value`; a deleted item has no data."""
+    def to_value(self, era: StoreEra) -> Value:
+        """Convert an item of the present era to a `Value`; a deleted item has no data."""
+        revision = era.ordered(self.revision)
         if self.deleted:
-            return Value(self.key, self.revision, b"")
+            return Value(self.key, revision, b"")
         try:
-            return Value(self.key, self.revision, base64.b64decode(self.value, validate=True))
+            return Value(self.key, revision, base64.b64decode(self.value, validate=True))
         except binascii.Error as error:
             raise ProtocolError(f"the value of {self.key} is not valid base64") from error
 
@@ -101,6 +104,9 @@
     has_more: bool = False
 
 
+Page = TypeVar("Page", ItemsAnswer, RevisionsAnswer)
+
+
 class EventsAnswer(msgspec.Struct, rename="camel"):
     """Changes returned by a watch, up to the revision ``as_of``."""
 
@@ -150,7 +156,7 @@
         status, body = await self.call("get", "GET", f"{STORE_ITEM}?{urlencode({'key': key})}")
         if status == NOT_FOUND:
             return None
-        return decode_answer(require_success(status, body), Item).to_value()
+        return decode_answer(require_success(status, body), Item).to_value(self.era)
 
     async def put(
         self,
@@ -159,11 +165,18 @@
         expected_revision: int,
         also: dict[str, bytes] | None = None,
         lease: int = 0,
+        also_expected: dict[str, int] | None = None,
     ) -> int:
         """Write `data`, and the keys in `also`, if `key` is still at `expected_revision`."""
         writes = {key: data, **(also or {})}
+        expected = {key: expected_revision, **(also_expected or {})}
+        if not all(self.era.is_current(revision) for revision in expected.values()):
+            raise VersionConflictError(key, expected_revision)
         change = {
-            "expect": [{"key": key, "revision": expected_revision}],
+            "expect": [
+                {"key": name, "revision": revision % REVISIONS_PER_ERA}
+                for name, revision in expected.items()
+            ],
             "puts": [
                 {"key": name, "value": base64.b64encode(value).decode(), "lease": lease}
                 for name, value in writes.items()
@@ -173,7 +186,8 @@
         status, body = await self.call("change", "POST", STORE_CHANGE, change)
         if status == CONFLICT:
             raise VersionConflictError(key, expected_revision)
-        return decode_answer(require_success(status, body), ChangeAnswer).revision
+        answer = decode_answer(require_success(status, body), ChangeAnswer)
+        return self.era.ordered(answer.revision)
 
     async def list(self, prefix: str, since_revision: int = 0) -> tuple[list[Value], int]:
         """Return the values under `prefix` newer than a revision, and the store's revision.
@@ -182,17 +196,12 @@
         whatever changes while the further pages are read.
         """
         values: list[Value] = []
-        revision = 0
-        after = ""
-        while True:
-            query = {"prefix": prefix} | ({"after": after} if after else {})
-            status, body = await self.call("list", "GET", f"{STORE_ITEMS}?{urlencode(query)}")
-            page = decode_answer(require_success(status, body), ItemsAnswer)
-            revision = revision or page.as_of
-            values += [item.to_value() for item in page.items if item.revision > since_revision]
-            if not page.has_more or not page.items:
-                return values, revision
-            after = page.items[-1].key
+        first_revision = 0
+        async for page in self.pages("list", {"prefix": prefix}, ItemsAnswer):
+            first_revision = first_revision or self.era.ordered(page.as_of)
+            found = [item.to_value(self.era) for item in page.items]
+            values += [value for value in found if value.revision > since_revision]
+        return values, first_revision
 
     async def read_copy(self, prefix: str) -> tuple[dict[str, int], int]:
         """Return the revisions of the keys under `prefix`, from a copy that may be seconds old.
@@ -200,26 +209,46 @@
         Such a read costs a tenth of another one.
         """
         revisions: dict[str, int] = {}
-        as_of = 0
+        first_revision = 0
+        query = {"prefix": prefix, "staleOk": 1}
+        async for page in self.pages("copy", query, RevisionsAnswer):
+            first_revision = first_revision or self.era.ordered(page.as_of)
+            revisions |= {item.key: self.era.ordered(item.revision) for item in page.items}
+        return revisions, first_revision
+
+    async def pages(
+        self, kind: str, query: dict[str, str | int], answer_type: type[Page]
+    ) -> AsyncIterator[Page]:
+        """Yield the pages of items that match `query`, all of the same era.
+
+        Raises
+        ------
+        PlatformError
+            The store gave no answer, or was restored between two pages.
+        """
         after = ""
+        era = None
         while True:
-            query = {"prefix": prefix, "staleOk": 1} | ({"after": after} if after else {})
-            path = f"{STORE_ITEMS}?{urlencode(query)}"
-            status, body = await self.call("copy", "GET", path)
-            page = decode_answer(require_success(status, body), RevisionsAnswer)
-            as_of = as_of or page.as_of
-            revisions |= {item.key: item.revision for item in page.items}
+            path = f"{STORE_ITEMS}?{urlencode(query | ({'after': after} if after else {}))}"
+            status, body = await self.call(kind, "GET", path)
+            page = decode_answer(require_success(status, body), answer_type)
+            if after and self.era.number != era:
+                raise PlatformError("the store was restored while its items were read")
+            era = self.era.number
+            yield page
             if not page.has_more or not page.items:
-                return revisions, as_of
+                return
             after = page.items[-1].key
 
     async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[list[Value]]:
         """Yield the changes under `prefix` from a revision on, in batches."""
         after = from_revision - 1
         while True:
+            if not self.era.is_current(after):
+                raise HistoryGoneError(f"{prefix} was read before the store was restored")
             query = {
                 "prefix": prefix,
-                "after": after,
+                "after": after % REVISIONS_PER_ERA,
                 "waitMs": WATCH_WAIT // timedelta(milliseconds=1),
             }
             path = f"{STORE_WATCH}?{urlencode(query)}"
@@ -231,8 +260,8 @@
                     f"the history of {prefix} after revision {after} is compacted"
                 )
             answer = decode_answer(require_success(status, body), EventsAnswer)
-            after = max(after, answer.as_of)
-            yield [item.to_value() for item in answer.events]
+            after = max(after, self.era.ordered(answer.as_of))
+            yield [item.to_value(self.era) for item in answer.events]
             await self.clock.sleep(WATCH_PAUSE)
 
     async def grant_lease(self, ttl: timedelta) -> int:
@@ -280,6 +309,7 @@
         """
         await self.rate_limiter.wait(writing=kind == "change")
         self.counts.calls[kind] += 1
+        sent_in = self.era.number
         body = b"" if content is None else msgspec.json.encode(content)
         try:
             answer = await self.client.call(method, path, timeout, body)
@@ -288,7 +318,7 @@
             raise PlatformError(f"{method} {path.partition('?')[0]}: {error!r}") from error
         era = parse_era(answer.headers.get(STORE_ERA))
         if era is not None:
-            self.era.record(era)
+            self.era.check_answer(sent_in, era)
         return answer.status, answer.body
 
 
--- a/fireflylock/store.py
+++ b/fireflylock/store.py
@@ -37,7 +37,8 @@
     key : str
         The key under which it is stored.
     revision : int
-        The platform's revision of the write that created it; increases across all keys.
+        The ordered revision of the write that created it; increases across all keys, and when
+        the store is restored from an older copy.
     data : bytes
         The content; empty when a watch reports that the key was deleted.
     """
@@ -178,6 +179,7 @@
         expected_revision: int,
         also: dict[str, bytes] | None = None,
         lease: int = 0,
+        also_expected: dict[str, int] | None = None,
     ) -> int:
         """Write `data` if `key` is still at `expected_revision`; 0 means "does not exist".
 
@@ -191,6 +193,8 @@
             Further keys that are written in the same transaction, whatever their revision.
         lease : int
             The lease that all written keys expire with; 0 for none.
+        also_expected : dict of str to int
+            Further keys that must still be at the given revisions.
 
         Returns
         -------
@@ -257,6 +261,7 @@
     expected_revision: int,
     is_mine: Callable[[Value], bool],
     also: dict[str, bytes] | None = None,
+    also_expected: dict[str, int] | None = None,
 ) -> int:
     """Write by compare-and-swap, and determine the outcome when the answer is lost.
 
@@ -269,7 +274,7 @@
     ----------
     store, clock : Store, Clock
         Where to write, and the source of time.
-    key, data, expected_revision, also
+    key, data, expected_revision, also, also_expected
         As for `Store.put`.
     is_mine : callable
         Returns whether a value carries this writer's change id.
@@ -291,7 +296,7 @@
     unanswered = False
     for _ in range(READ_BACK_ATTEMPTS):
         try:
-            return await store.put(key, data, expected_revision, also)
+            return await store.put(key, data, expected_revision, also, also_expected=also_expected)
         except VersionConflictError:
             if not unanswered:
                 raise
--- a/tests/mutants_links.py
+++ b/tests/mutants_links.py
@@ -100,7 +100,9 @@
     return [ZAP_VERSION, question[1], b"200", b"", b"a", b""]
 
 
-async def write_without_reading_back(store, clock, key, data, expected, is_mine, also=None):
+async def write_without_reading_back(
+    store, clock, key, data, expected, is_mine, also=None, also_expected=None
+):
     try:
         return await store.put(key, data, expected, also)
     except PlatformError:
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -29,6 +29,7 @@
 from fireflylock.direct.servers import ServerTable
 from fireflylock.exceptions import PlatformError, VersionConflictError
 from fireflylock.store import Store, Value
+from fireflylock.store_era import REVISIONS_PER_ERA
 from standins.key_grants import KeyGrants
 
 SERVICE = "orders"
@@ -98,11 +99,12 @@
         self.leases.pop(lease, None)
         self.rows = {key: row for key, row in self.rows.items() if row.lease != lease or not lease}
 
-    def put(self, key: str, data: bytes, expected: int, lease: int) -> int | None:
-        """Write if the revision is as expected; None if it is not."""
-        row = self.rows.get(key)
-        if (0 if row is None else row.revision) != expected:
-            return None
+    def put(self, key: str, data: bytes, expected: dict[str, int], lease: int) -> int | None:
+        """Write if the revisions are as expected; None if they are not."""
+        for name, revision in expected.items():
+            row = self.rows.get(name)
+            if (0 if row is None else row.revision) != revision:
+                return None
         if lease and lease not in self.leases:
             return None
         self.revision += 1
@@ -142,33 +144,47 @@
         self.clock = VMClock(cluster, vm)
         self.shared = cluster.store
 
-    async def simulate_call(self) -> None:
-        """Wait for a call, which may fail."""
+    async def reach_store(self) -> None:
+        """Wait until a call arrives, which may fail."""
         await self.clock.sleep(timedelta(milliseconds=5))
         if self.shared.unavailable or self.vm in self.cluster.cut_from_store:
             await self.clock.sleep(timedelta(milliseconds=500))
             raise PlatformError("no answer")
         self.shared.expire()
 
+    async def simulate_call(self) -> None:
+        """Wait for a call, which may fail, and for the era of its answer."""
+        sent_in = self.era.number
+        await self.reach_store()
+        self.era.check_answer(sent_in, self.shared.era)
+
     async def get(self, key: str) -> Value | None:
         """Return a value."""
         await self.simulate_call()
         row = self.shared.rows.get(key)
-        return None if row is None else Value(key, row.revision, row.data)
+        return None if row is None else Value(key, self.era.ordered(row.revision), row.data)
 
-    async def put(self, key, data, expected_revision, also=None, lease=0) -> int:
+    async def put(
+        self, key, data, expected_revision, also=None, lease=0, also_expected=None
+    ) -> int:
         """Write; the answer may get lost, and the write may be delayed."""
-        await self.simulate_call()
+        expected = {key: expected_revision, **(also_expected or {})}
+        if not all(self.era.is_current(revision) for revision in expected.values()):
+            raise VersionConflictError(key, expected_revision)
+        expected = {name: revision % REVISIONS_PER_ERA for name, revision in expected.items()}
+        sent_in = self.era.number
+        await self.reach_store()
         chance = self.cluster.rng.random()
         if chance < self.cluster.lost_writes / 2:
-            self.cluster.run_later(lambda: self.shared.put(key, data, expected_revision, lease))
+            self.cluster.run_later(lambda: self.shared.put(key, data, expected, lease))
             raise PlatformError("no answer, delayed")
-        revision = self.shared.put(key, data, expected_revision, lease)
+        revision = self.shared.put(key, data, expected, lease)
         if chance < self.cluster.lost_writes:
             raise PlatformError("no answer")
+        self.era.check_answer(sent_in, self.shared.era)
         if revision is None:
             raise VersionConflictError(key, expected_revision)
-        return revision
+        return self.era.ordered(revision)
 
     async def list(self, prefix, since_revision=0):
         """Not needed here."""
--- a/tests/test_direct_freshness.py
+++ b/tests/test_direct_freshness.py
@@ -11,6 +11,7 @@
 from fireflylock.direct.gossip import ConfigurationPart
 from fireflylock.direct.node import DirectNode
 from fireflylock.platform import wire
+from fireflylock.store_era import in_era
 from standins.link import CUT, OPEN, Link
 from standins.operator_files import HOST, config_json
 from tests.direct_site import Site
@@ -20,6 +21,8 @@
 PROPAGATION = timedelta(seconds=2)
 # Longer than the reads at a process's start, shorter than a watch call's own time.
 SETTLED_SECONDS = 4.0
+# A revision that the store has not reached.
+LATER = in_era(1, 99)
 
 
 @pytest.fixture
@@ -127,7 +130,9 @@
     for index, piece in enumerate(pieces):
         await asyncio.sleep(0.2)
         node.transfer.request(site.clock.elapsed(), sources)
-        part = ConfigurationPart(source, "zone-a", wire.CONFIG_KEY, 99, index, len(pieces), piece)
+        part = ConfigurationPart(
+            source, "zone-a", wire.CONFIG_KEY, LATER, index, len(pieces), piece
+        )
         node.transfer.receive(site.clock.elapsed(), part)
     assert node.routes.version == 5
     assert node.transfer.requests == 1
@@ -139,10 +144,10 @@
     node.freshness.apply_claims("liar", {wire.CONFIG_KEY: 1 << 60, "unknown": 5})
     node.transfer.asked = "liar"
     for index, count, data in ((0, 1, b"damaged"), (5, 2, b""), (0, 1 << 40, b""), (-1, 0, b"")):
-        part = ConfigurationPart("liar", "zone-a", wire.CONFIG_KEY, 99, index, count, data)
+        part = ConfigurationPart("liar", "zone-a", wire.CONFIG_KEY, LATER, index, count, data)
         with pytest.raises((ValueError, zlib.error)):
             node.transfer.receive(site.clock.elapsed(), part)
-    unasked = ConfigurationPart("other", "zone-a", wire.CONFIG_KEY, 99, 0, 1, b"")
+    unasked = ConfigurationPart("other", "zone-a", wire.CONFIG_KEY, LATER, 0, 1, b"")
     node.transfer.receive(site.clock.elapsed(), unasked)
     restarts = []
     node.config_watcher.restart = lambda relist=False: restarts.append(relist)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -31,6 +31,7 @@
 from fireflylock.platform.registrations import decode_registration
 from fireflylock.platform.settings import PlatformSettings, read_settings
 from fireflylock.server_exchange import ServerNotice
+from fireflylock.store_era import StoreEra, in_era
 from standins.operator_files import config_json, settings_toml
 from standins.platform_store import PlatformStore
 
@@ -286,7 +287,48 @@
         store.standin.write(f"p/{number}", b"x")
     values, revision = await store.list("p/")
     assert [value.key for value in values] == [f"p/{number}" for number in range(8)]
-    assert revision == store.standin.content.revision
+    assert revision == in_era(store.standin.era, store.standin.content.revision)
+
+
+async def test_revisions_increase_although_the_store_gives_them_out_again(store):
+    store.standin.save_copy()
+    store.standin.write("p/1", b"lost")
+    lost, _ = await store.list("p/")
+    store.standin.restore()
+    restored = []
+    store.era.on_restored.append(lambda: restored.append(store.era.number))
+    with pytest.raises(PlatformError):
+        await store.list("p/")
+    store.standin.write("p/1", b"again")
+    again, _ = await store.list("p/")
+    assert restored == [2]
+    assert again[0].revision > lost[0].revision
+    with pytest.raises(VersionConflictError):
+        await store.put("p/1", b"x", lost[0].revision)
+    with pytest.raises(HistoryGoneError):
+        await anext(store.watch("p/", lost[0].revision + 1))
+
+
+async def test_a_write_under_way_during_a_restore_is_not_taken_for_done(store):
+    store.standin.save_copy()
+    assert await store.get("p/1") is None
+    store.standin.restore()
+    with pytest.raises(PlatformError):
+        await store.put("p/1", b"x", 0)
+
+
+async def test_answers_of_two_eras_are_told_apart():
+    era = StoreEra()
+    era.check_answer(None, 3)
+    era.check_answer(3, 3)
+    with pytest.raises(PlatformError):
+        era.check_answer(3, 4)
+    with pytest.raises(PlatformError):
+        era.check_answer(3, 3)
+    with pytest.raises(PlatformError):
+        era.check_answer(3, 4)
+    era.check_answer(4, 4)
+    assert era.ordered(1) > in_era(3, 10**9)
 
 
 async def test_watch_yields_changes_and_deletions(store):
