After a restore of the store, no key gets a second holder and no epoch is given out again

What callers and servers saw: with a store that came back from a copy 9 s old, a new leader granted keys to former owners under epochs that others had had.

Cause: the map in the store was taken for the latest, though it was the copy's; a server's refusal, which shows that somebody got the keys later, was answered with a new epoch at once; and the lease of the former leader was forgotten by the store while its holder still counted on it.

Change, for any restore: - A map's record names the era it was written in, and keeps its place in the order by that. - Each VM remembers, at a restore, the newest maps that it knows. The next leader starts from those, not from the copy. While another VM reports a newer map, it is left to lead. - Epochs after a restore begin above all that any earlier era can have given out. - Who led at the restore leads again at once; others wait until its lease has ended by its own clock. - If a server refuses a remembered epoch, its keys wait until the longest hold has passed. If no VM remembers a map, all keys wait that long, and get new epochs. - A map is written only while the writer is the recorded leader, so that a write that arrives after a restore, under a revision that exists again, changes nothing. - Timers of lapsing ranges, which the copy may lack, are not believed.

Ruled out: reading the epochs back from the servers, which tell only that an epoch was refused.

--- a/fireflylock/direct/grant_expiry.py
+++ b/fireflylock/direct/grant_expiry.py
@@ -41,6 +41,10 @@
     def __post_init__(self) -> None:
         self.previous_grants_end = self.acquired_at + self.upper_bound(self.max_hold)
 
+    def extend_previous_grants(self, now: Instant) -> None:
+        """Assume that previous leaders have granted keys for the longest hold until now."""
+        self.previous_grants_end = now + self.upper_bound(self.max_hold)
+
     def limit_previous_grants(self, end: Instant) -> None:
         """Apply the previous leader's statement that all its grants end by `end`."""
         self.previous_grants_end = min(self.previous_grants_end, end)
--- a/fireflylock/direct/key_ranges.py
+++ b/fireflylock/direct/key_ranges.py
@@ -7,6 +7,7 @@
 
 from fireflylock.direct.model import KEY_COUNT, ServerEntry
 from fireflylock.exceptions import ProtocolError
+from fireflylock.store_era import era_of, in_era
 
 
 @dataclass(frozen=True, slots=True)
@@ -240,6 +241,8 @@
         In such a record, the revision under which the other VMs know this map; otherwise 0.
     lapsing : list of LapsingRecord
         Ranges that are no longer granted to their owners.
+    era : int
+        Era of the store for which the record was written; -1 if the writer names none.
     """
 
     service: str
@@ -250,9 +253,16 @@
     grants_end_ms: int = -1
     told_revision: int = 0
     lapsing: list[LapsingRecord] = []
+    era: int = -1
 
+    def is_from_earlier_era(self, era: int) -> bool:
+        """Return whether the record was written before the restore that began `era`."""
+        return 0 <= self.era < era
 
-def encode_map(range_map: RangeMap, change: str = "", grants_end_ms: int = -1) -> bytes:
+
+def encode_map(
+    range_map: RangeMap, change: str = "", grants_end_ms: int = -1, era: int = -1
+) -> bytes:
     """Return the record of a map; a leader that resigns states when its grants expire."""
     owners = sorted(range_map.owners(), key=lambda owner: (owner.name, owner.born))
     indexes = {owner: index for index, owner in enumerate(owners)}
@@ -270,6 +280,7 @@
         grants_end_ms=grants_end_ms,
         told_revision=range_map.revision if grants_end_ms >= 0 else 0,
         lapsing=[LapsingRecord(one.first, one.last, one.timer) for one in range_map.lapsing],
+        era=era,
     )
     return msgspec.json.encode(record)
 
@@ -299,8 +310,14 @@
 
 
 def decode_map(data: bytes, revision: int) -> RangeMap:
-    """Return the map in `data`; errors as in `read_record`."""
+    """Return the map in `data`; errors as in `read_record`.
+
+    A map that was written before a restore of the store keeps its place in the order, although
+    it is read from a later era: maps that were lost in the restore are newer.
+    """
     record = read_record(data)
+    if record.is_from_earlier_era(era_of(revision)):
+        revision = in_era(record.era, revision)
     owners = [Owner(o.name, o.born, o.host, o.port) for o in record.owners]
     ranges = []
     first = 0
--- a/fireflylock/direct/leader_lease.py
+++ b/fireflylock/direct/leader_lease.py
@@ -50,6 +50,8 @@
         self.clock = clock
         self.holder = holder
         self.lease = 0
+        # Revision of the key that names the holder.
+        self.revision = 0
         self.held_until: Instant = timedelta(0)
         self.acquired_at: Instant = timedelta(0)
         self.renewed_at: Instant = timedelta(0)
@@ -75,7 +77,8 @@
         sent = self.clock.elapsed()
         lease = await self.store.grant_lease(LEASE_TTL)
         try:
-            await self.store.put(LEADER_KEY, msgspec.json.encode(self.holder), 0, lease=lease)
+            holder = msgspec.json.encode(self.holder)
+            self.revision = await self.store.put(LEADER_KEY, holder, 0, lease=lease)
         except VersionConflictError:
             return False
         self.lease = lease
--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -11,13 +11,15 @@
 from fireflylock.direct.expiry_broadcasts import ExpiryBroadcasts
 from fireflylock.direct.gossip import Gossip, GrantsEnd, Hello, MapChange, Moving, Placing
 from fireflylock.direct.key_control import KeyControl
-from fireflylock.direct.leader_lease import LEASE_RENEW_INTERVAL, LeaderLease
+from fireflylock.direct.leader_lease import LEASE_RENEW_INTERVAL, LEASE_TTL, LeaderLease
 from fireflylock.direct.model import Bounds, RouteTable
 from fireflylock.direct.ownership_view import OwnershipView
 from fireflylock.direct.placer import MAPS_PREFIX, Placer
+from fireflylock.direct.recollection import MEMORY_PRIORITY_TIME, Recollection
 from fireflylock.direct.servers import ServerTable
 from fireflylock.exceptions import PlatformError
 from fireflylock.store import Store
+from fireflylock.store_era import era_of
 
 # Minimum publishing rate, so that a lost datagram does not matter.
 PUBLISH_INTERVAL = timedelta(milliseconds=100)
@@ -127,6 +129,10 @@
         self.publish_count = 0
         # Lease and number of the last message from a leader.
         self.last_message = (0, 0)
+        self.recollection = Recollection(clock.elapsed())
+        # Revisions of the newest maps that other VMs know, by service.
+        self.claimed_maps: dict[str, int] = {}
+        store.era.on_restored.append(self.store_restored)
         self.stale_since: Instant | None = None
         self.has_unpublished = False
         self.stopped = False
@@ -141,6 +147,47 @@
         if missing and self.fetch_task is None:
             self.fetch_task = self.start_task(self.fetch_maps())
 
+    def store_restored(self) -> None:
+        """Stop to lead, as the store may have forgotten the lease; remember the latest maps.
+
+        Whoever led until now may lead again at once.  The others wait until the lease of a leader
+        that has not seen the restore yet has ended by its own clock.
+        """
+        now = self.clock.elapsed()
+        led = self.leader_lease.is_held(now)
+        self.recollection = Recollection(now, dict(self.view.maps), led)
+        self.leader_lease.lose("the store was restored")
+        if self.placers:
+            self.step_down("the store was restored")
+        self.next_attempt_at = self.recollection.grants_from(LEASE_TTL)
+
+    def map_revisions(self) -> dict[str, int]:
+        """Return the revisions of the newest maps known here, by key, for the load reports."""
+        return {MAPS_PREFIX + name: known.revision for name, known in self.view.maps.items()}
+
+    def apply_claims(self, revisions: dict[str, int]) -> None:
+        """Record the revisions of maps that another VM knows."""
+        for key, revision in revisions.items():
+            if not key.startswith(MAPS_PREFIX):
+                continue
+            name = key.removeprefix(MAPS_PREFIX)
+            self.claimed_maps[name] = max(revision, self.claimed_maps.get(name, 0))
+
+    def leaves_lease_to_others(self, now: Instant) -> bool:
+        """Return whether a VM that remembers a newer map from before a restore should lead.
+
+        Only while no map is known that was recorded since the restore.
+        """
+        if now - self.recollection.at > MEMORY_PRIORITY_TIME:
+            return False
+        for name in self.keyed_services():
+            known = self.view.maps.get(name)
+            revision = 0 if known is None else known.revision
+            claimed = self.claimed_maps.get(name, 0)
+            if era_of(max(revision, claimed)) < self.store.era.current and claimed > revision:
+                return True
+        return False
+
     def keyed_services(self) -> list[str]:
         """Return the names of the services whose keys are placed."""
         if self.routes is None:
@@ -174,6 +221,7 @@
                     self.clock,
                     self.bounds.max_hold,
                     self.expiry_broadcasts,
+                    self.recollection,
                     self.placement_changed,
                 )
         for placer in self.placers.values():
@@ -308,7 +356,7 @@
 
     def attempt_if_leaderless(self, now: Instant) -> None:
         """Start an attempt to acquire the lease if no leader is heard."""
-        if now - self.leader_heard_at < LEADER_TIMEOUT:
+        if now - self.leader_heard_at < LEADER_TIMEOUT or self.leaves_lease_to_others(now):
             return
         names = sorted([self.hello.vm, *self.gossip.alive(now)])
         self.next_attempt_at = (
--- a/fireflylock/direct/migration.py
+++ b/fireflylock/direct/migration.py
@@ -29,6 +29,8 @@
     timer : str
         Timer in the store that ends once the owner certainly holds the keys no longer; empty
         while none is recorded.
+    free_from : timedelta
+        Until then another server may hold the keys, whatever their owner answers.
     """
 
     key_range: KeyRange
@@ -38,6 +40,7 @@
     free: bool = False
     handover: str = ""
     timer: str = ""
+    free_from: Instant = timedelta(0)
 
 
 @dataclass
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -225,8 +225,8 @@
             [self.config_watcher, self.servers_watcher],
             self.transfer,
         )
-        self.exchange.own_revisions = self.freshness.revisions
-        self.exchange.on_revisions = self.freshness.apply_claims
+        self.exchange.own_revisions = self.known_revisions
+        self.exchange.on_revisions = self.apply_claims
         self.metrics.state.state_metrics += self.configuration_metrics()
         self.metrics.state.state_metrics += self.connection_metrics()
         self.tasks: list[asyncio.Task] = []
@@ -328,6 +328,15 @@
         for watcher in (self.config_watcher, self.servers_watcher):
             watcher.restart(relist=True)
 
+    def known_revisions(self) -> dict[str, int]:
+        """Return how far this VM knows what is in the store, by prefix or key."""
+        return self.freshness.revisions() | self.leadership.map_revisions()
+
+    def apply_claims(self, vm: str, revisions: dict[str, int]) -> None:
+        """Record how far another VM knows what is in the store."""
+        self.freshness.apply_claims(vm, revisions)
+        self.leadership.apply_claims(revisions)
+
     def apply_config_values(self, now: Instant, values: list[Value], is_snapshot: bool) -> None:
         """Apply the configuration if it is valid and newer."""
         for value in values:
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -24,16 +24,20 @@
     read_record,
 )
 from fireflylock.direct.lapse_timers import LapseTimers
-from fireflylock.direct.leader_lease import LeaderLease
+from fireflylock.direct.leader_lease import LEADER_KEY, LEASE_TTL, LeaderLease
 from fireflylock.direct.load_distribution import Capacity
 from fireflylock.direct.migration import Migration, OwnerState
 from fireflylock.direct.model import KEY_COUNT
 from fireflylock.direct.planner import Move, choose_targets, initial_map, plan
+from fireflylock.direct.recollection import Recollection
 from fireflylock.direct.servers import Server, ServerTable
 from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
 from fireflylock.store import Store, Value, write_with_change_id
 
 MAPS_PREFIX = "fireflylock/maps/"
+# Number of epochs that are reserved for each era of the store: the map that a restore brings back
+# does not say which ones were given out after it.
+EPOCHS_PER_ERA = 10**10
 
 # Hold granted while the store answers: the keys of a lost server wait for its end, and a lost
 # leader must be replaced before it.
@@ -121,6 +125,8 @@
         Longest hold that anybody may grant.
     expiry_broadcasts : ExpiryBroadcasts
         Broadcasts of leaders that stepped down.
+    recollection : Recollection
+        What this process remembers from before a restore of the store.
     on_change : callable
         Called when the map or the migrations have changed.
     """
@@ -135,6 +141,7 @@
         clock: Clock,
         max_hold: timedelta,
         expiry_broadcasts: ExpiryBroadcasts,
+        recollection: Recollection,
         on_change: Callable[[], None],
     ) -> None:
         self.service = service
@@ -145,6 +152,7 @@
         self.clock = clock
         self.max_hold = max_hold
         self.expiry_broadcasts = expiry_broadcasts
+        self.recollection = recollection
         self.on_change = on_change
         self.timers = LapseTimers(store)
         self.timers_checked_at: Instant = timedelta(0)
@@ -157,6 +165,8 @@
         # The last change of the map that is not broadcast yet.
         self.last_change: MapChange | None = None
         self.loaded = False
+        # Until then, a server that refuses a grant shows that another one may hold the keys.
+        self.map_is_certain_from: Instant = timedelta(0)
         self.migrations: list[Migration] = []
         # Ranges whose owner has accepted a grant under their present epoch.
         self.confirmed_grants: set[tuple[int, int, int]] = set()
@@ -230,9 +240,14 @@
             return
         left = max(timedelta(0), self.grant_expiry.latest_expiry() - now)
         within = left // timedelta(milliseconds=1) + 1
-        data = encode_map(self.map, uuid.uuid4().hex, within)
+        data = encode_map(self.map, uuid.uuid4().hex, within, self.store.era.current)
         try:
-            await self.store.put(MAPS_PREFIX + self.service, data, self.map.revision)
+            await self.store.put(
+                MAPS_PREFIX + self.service,
+                data,
+                self.map.revision,
+                also_expected={LEADER_KEY: self.leader_lease.revision},
+            )
         except (PlatformError, VersionConflictError) as error:
             log.warning("grant expiry not recorded", service=self.service, error=str(error))
             return
@@ -246,21 +261,15 @@
         """
         try:
             value = await self.store.get(MAPS_PREFIX + self.service)
-            if value is not None:
-                self.map = decode_map(value.data, value.revision)
-                before = self.map
-                await self.write(before)
-                # The record stood until this write, so nobody has granted anything since it.
-                record = read_record(value.data)
-                if record.grants_end_ms >= 0:
-                    within = timedelta(milliseconds=record.grants_end_ms)
-                    self.grant_expiry.limit_previous_grants(self.clock.elapsed() + within)
-                    before = replace(before, revision=record.told_revision)
-                known_end = self.expiry_broadcasts.expiry_of(self.service, value.revision)
-                if known_end is not None:
-                    self.grant_expiry.limit_previous_grants(known_end)
-                self.last_change = self.map_change(before, [])
-                self.resume_lapsing(self.clock.elapsed())
+            remembered = self.recollection.maps.get(self.service)
+            if value is None and remembered is None:
+                pass
+            elif value is None or read_record(value.data).is_from_earlier_era(
+                self.store.era.current
+            ):
+                await self.load_after_restore(value, remembered)
+            else:
+                await self.load_latest(value)
             self.loaded = True
             log.info(
                 "map of keys loaded",
@@ -280,17 +289,90 @@
         finally:
             self.write_task = None
 
+    async def load_latest(self, value: Value) -> None:
+        """Take over the recorded map, which is the latest one."""
+        self.map = decode_map(value.data, value.revision)
+        before = self.map
+        await self.write(before)
+        # The record stood until this write, so nobody has granted anything since it.
+        record = read_record(value.data)
+        if record.grants_end_ms >= 0:
+            within = timedelta(milliseconds=record.grants_end_ms)
+            self.grant_expiry.limit_previous_grants(self.clock.elapsed() + within)
+            before = replace(before, revision=record.told_revision)
+        known_end = self.expiry_broadcasts.expiry_of(self.service, value.revision)
+        if known_end is not None:
+            self.grant_expiry.limit_previous_grants(known_end)
+        self.last_change = self.map_change(before, [])
+        self.resume_lapsing(self.clock.elapsed())
+
+    async def load_after_restore(self, value: Value | None, remembered: RangeMap | None) -> None:
+        """Take over the newest known map after the store was restored from an older copy.
+
+        Nobody has recorded a map since, and later maps than the recorded one may be lost.  New
+        epochs begin above all that were given out before the restore.  If this process does not
+        remember a later map, anybody may hold any key until the longest hold has passed.
+
+        Parameters
+        ----------
+        value : Value or None
+            The recorded map, which was written before the restore.
+        remembered : RangeMap or None
+            The newest map that this process knew at the restore.
+        """
+        recorded = None if value is None else decode_map(value.data, value.revision)
+        known = remembered
+        if known is None or (recorded is not None and recorded.revision > known.revision):
+            known = recorded
+        forgotten = known is not remembered
+        grants_from = self.recollection.grants_from(LEASE_TTL)
+        await self.sleep_until(grants_from)
+        self.grant_expiry.extend_previous_grants(self.clock.elapsed())
+        if forgotten:
+            log.warning("owners of keys are unknown until all holds end", service=self.service)
+            await self.sleep_until(self.grant_expiry.previous_grants_end)
+        first_epoch = max(known.next_epoch, self.store.era.current * EPOCHS_PER_ERA)
+        ranges = known.ranges
+        if forgotten:
+            ranges = tuple(replace(one, epoch=first_epoch, handover="") for one in ranges)
+        new = RangeMap(
+            known.service,
+            ranges,
+            first_epoch + 1,
+            0 if value is None else value.revision,
+        )
+        await self.write(new)
+        if self.recollection.led:
+            known_end = self.expiry_broadcasts.expiry_of(self.service, known.revision)
+            if known_end is not None:
+                self.grant_expiry.limit_previous_grants(known_end)
+        elif not forgotten:
+            self.map_is_certain_from = self.grant_expiry.previous_grants_end
+        if not forgotten:
+            self.last_change = self.map_change(known, [])
+            self.resume_lapsing(self.clock.elapsed(), known.lapsing)
+
+    async def sleep_until(self, instant: Instant) -> None:
+        """Return at an instant, which may have passed."""
+        await self.clock.sleep(max(timedelta(0), instant - self.clock.elapsed()))
+
     async def write(self, new: RangeMap) -> None:
-        """Record a map as the present one."""
+        """Record a map as the present one, if this process is still the recorded leader."""
         change = uuid.uuid4().hex
 
         def is_mine(value: Value) -> bool:
             return read_record(value.data).change == change
 
-        data = encode_map(new, change)
+        data = encode_map(new, change, era=self.store.era.current)
         key = MAPS_PREFIX + self.service
         revision = await write_with_change_id(
-            self.store, self.clock, key, data, new.revision, is_mine
+            self.store,
+            self.clock,
+            key,
+            data,
+            new.revision,
+            is_mine,
+            also_expected={LEADER_KEY: self.leader_lease.revision},
         )
         self.map = replace(new, revision=revision)
 
@@ -513,7 +595,9 @@
         if outcome is GrantOutcome.REFUSED:
             # The server has seen a higher epoch, or did not understand the request: the same
             # request would be refused again, so the keys get a new epoch.
-            self.start_migration(now, key_range, "epoch refused", key_range.owner)
+            self.start_migration(
+                now, key_range, "epoch refused", key_range.owner, self.map_is_certain_from
+            )
             return
         confirmed = (key_range.first, key_range.last, key_range.epoch)
         if confirmed not in self.confirmed_grants:
@@ -523,12 +607,17 @@
     # Migrations.
 
     def start_migration(
-        self, now: Instant, key_range: KeyRange, reason: str, target: Owner | None
+        self,
+        now: Instant,
+        key_range: KeyRange,
+        reason: str,
+        target: Owner | None,
+        free_from: Instant = timedelta(0),
     ) -> None:
         """Start to move keys away from their owner, unless they are migrating already."""
         if any(key_range.overlaps(d.key_range.first, d.key_range.last) for d in self.migrations):
             return
-        migration = Migration(key_range, target, reason, now)
+        migration = Migration(key_range, target, reason, now, free_from=free_from)
         self.migrations.append(migration)
         log.info(
             "keys leave their owner",
@@ -569,6 +658,8 @@
         answer = await self.control.release(migration.key_range, epoch, RELEASE_TIMEOUT)
         if not answer.answered or migration.free:
             return
+        if self.clock.elapsed() < migration.free_from:
+            return
         migration.handover = answer.handover
         migration.free = True
         state.record_success()
@@ -579,7 +670,7 @@
             owner = migration.key_range.owner
             if migration.free:
                 continue
-            if not self.has_no_pending_grant(owner):
+            if not self.has_no_pending_grant(owner) or now < migration.free_from:
                 continue
             if not self.table.is_replaced(owner) and now < self.grant_expiry.expiry_of(owner):
                 continue
@@ -596,11 +687,22 @@
 
     # Lapsing ranges: their owners can't be reached, across changes of leaders.
 
-    def resume_lapsing(self, now: Instant) -> None:
-        """Continue to wait for the ranges that previous leaders have recorded as lapsing."""
-        for known in self.map.lapsing:
+    def resume_lapsing(
+        self, now: Instant, restored: tuple[LapsingRange, ...] | None = None
+    ) -> None:
+        """Continue to wait for the ranges that previous leaders have recorded as lapsing.
+
+        Parameters
+        ----------
+        now : timedelta
+            Current instant.
+        restored : tuple of LapsingRange or None
+            Such ranges from before a restore of the store, which may have lost their timers.
+        """
+        for known in self.map.lapsing if restored is None else restored:
+            timer = known.timer if restored is None else ""
             for key_range in self.map.ranges_between(known.first, known.last):
-                migration = Migration(key_range, None, "lapsing", now, timer=known.timer)
+                migration = Migration(key_range, None, "lapsing", now, timer=timer)
                 self.migrations.append(migration)
                 # It did not answer the previous leader, and gets no keys until it answers.
                 self.owner_states.setdefault(key_range.owner, OwnerState()).record_failure(now)
@@ -668,7 +770,8 @@
             or now - self.timers_checked_at < TIMER_CHECK_INTERVAL
         ):
             return
-        timers = {d.timer for d in self.migrations if d.reason == "lapsing" and not d.free}
+        lapsing = [d for d in self.migrations if d.reason == "lapsing" and d.timer and not d.free]
+        timers = {migration.timer for migration in lapsing}
         if timers:
             self.timers_checked_at = now
             self.timer_check_task = self.start_task(self.free_lapsed(timers))
@@ -865,6 +968,8 @@
             )
             if not migration.free and unanswered:
                 wait = max(wait, self.grant_expiry.expiry_of(key_range.owner) - now)
+            if not migration.free:
+                wait = max(wait, migration.free_from - now)
             found.append(
                 Moving(
                     self.service,
--- /dev/null
+++ b/fireflylock/direct/recollection.py
@@ -0,0 +1,37 @@
+"""What a process remembers of the owners of keys when the store was restored from a copy.
+
+The copy may lack the latest maps, so it does not say who holds which keys.  The VMs know: each has
+the maps that the last leader has broadcast, and that leader knows its own.
+"""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from fireflylock.clock import Instant
+from fireflylock.direct.key_ranges import RangeMap
+
+# How long a VM leaves the leader lease to one that remembers newer maps.
+MEMORY_PRIORITY_TIME = timedelta(seconds=4)
+
+
+@dataclass(frozen=True)
+class Recollection:
+    """The state of a process at the last restore that it has seen, or at its start.
+
+    Attributes
+    ----------
+    at : timedelta
+        When it saw the restore, or started.
+    maps : dict of str to RangeMap
+        The newest maps that it knew, by service; none at its start.
+    led : bool
+        Whether it held the leader lease, so that nobody else can have changed a map since.
+    """
+
+    at: Instant
+    maps: dict[str, RangeMap] = field(default_factory=dict)
+    led: bool = False
+
+    def grants_from(self, lease_ttl: timedelta) -> Instant:
+        """Return from when the former leader, whose lease the store has forgotten, has stopped."""
+        return self.at if self.led else self.at + lease_ttl
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -339,6 +339,7 @@
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
+        self.rng_reports = random.Random(self.seed)
         self.store = SharedStore(self.clock)
         self.processes: list[ServerProcess] = []
         self.vms: dict[str, VM] = {}
@@ -498,12 +499,21 @@
                 if name in self.suspended:
                     continue
                 vm.table.tick(now)
+                self.report_maps(name, vm)
                 vm.leadership.step(now)
             for _ in range(12):
                 await asyncio.sleep(0)
             if check:
                 self.check()
 
+    def report_maps(self, name: str, vm: VM) -> None:
+        """Let the other VMs know which maps a VM knows, as its load reports do."""
+        for other, receiver in self.vms.items():
+            if other == name or other in self.suspended or (name, other) in self.cut_links:
+                continue
+            if self.rng_reports.random() >= self.lost_datagrams:
+                receiver.leadership.apply_claims(vm.leadership.map_revisions())
+
     def holders(self, key: int) -> list[ServerProcess]:
         """Return the running processes that hold a key."""
         return [
