Servers that have left do not come back with a restored store

Cause: a registration in the store was always taken for newer than what was known.

Change: a shutdown that an incarnation's registration has announced is not taken back by another registration of it. In the first list after a restore, an older incarnation, or a server that is known to have left, does not count; a server that registers again, or whose registration is still there after the store would have removed a silent one's, does.

--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -233,6 +233,8 @@
         self.member_lease = 0
         # Set when the store was restored: the lease may be gone, or be another VM's.
         self.must_rejoin = False
+        # Whether the next list of servers is the first one since the store was restored.
+        self.servers_restored = False
         platform.store.era.on_restored.append(self.store_restored)
         self.store_answered_at = clock.elapsed()
         self.isolation = IsolationDetector()
@@ -325,6 +327,7 @@
         """Handle that the store came back from an older copy: read everything anew."""
         self.table.start_reregistration_period(self.clock.elapsed())
         self.must_rejoin = True
+        self.servers_restored = True
         for watcher in (self.config_watcher, self.servers_watcher):
             watcher.restart(relist=True)
 
@@ -393,7 +396,8 @@
             except ProtocolError as error:
                 log.warning("registration ignored", key=value.key, error=str(error))
         if is_snapshot:
-            self.table.replace(now, entries)
+            self.table.replace(now, entries, self.servers_restored)
+            self.servers_restored = False
             if self.speeds_task is None and entries:
                 self.speeds_task = asyncio.get_running_loop().create_task(self.speeds.load())
         else:
--- a/fireflylock/direct/servers.py
+++ b/fireflylock/direct/servers.py
@@ -29,6 +29,9 @@
 # After a store outage, registrations that expired meanwhile are back within two seconds; until
 # then a missing one does not count as gone.
 REREGISTRATION_TIME = timedelta(milliseconds=2300)
+# The store removes a silent server's registration within three heartbeats.  One that a restore has
+# brought back and that is still there after this belongs to a running server.
+RETURN_CONFIRMATION_TIME = timedelta(seconds=4)
 # Longest backoff that a server may request: a damaged header must not disable it for good.
 MAX_BACKOFF = timedelta(seconds=60)
 
@@ -57,8 +60,9 @@
         Ejections since its last response.
     failure_rate : float
         Moving average of the share of failures among its responses.
-    announced_shutdown : bool
-        Whether a response announced its shutdown; no registration takes that back.
+    announced_shutdown, registered_shutdown : bool
+        Whether a response, or its registration, announced its shutdown; no registration takes
+        that back.
     backoff_until : timedelta
         Until when it has asked this VM to send no requests.
     ended_limit : (float, timedelta) or None
@@ -75,6 +79,7 @@
     consecutive_ejections: int = 0
     failure_rate: float = 0.0
     announced_shutdown: bool = False
+    registered_shutdown: bool = False
     backoff_until: Instant = NEVER
     ended_limit: tuple[float, Instant] | None = None
 
@@ -168,6 +173,9 @@
         self.speeds = SpeedEstimates()
         # Registrations missing in a reregistration period, and since when.
         self.missing: dict[str, Instant] = {}
+        # Registrations of servers that had left, which a restore of the store has brought back,
+        # and when that was.
+        self.returned: dict[str, tuple[ServerEntry, Instant]] = {}
         self.reregistration_ends_at: Instant = NEVER
         self.last_new_server_at: Instant = NEVER
 
@@ -175,14 +183,35 @@
         """Let missing registrations count only after servers have had time to reregister."""
         self.reregistration_ends_at = now + REREGISTRATION_TIME
 
-    def replace(self, now: Instant, entries: list[ServerEntry]) -> None:
-        """Apply a complete list of registrations."""
+    def replace(self, now: Instant, entries: list[ServerEntry], restored: bool = False) -> None:
+        """Apply a complete list of registrations.
+
+        Parameters
+        ----------
+        now : timedelta
+            Current instant.
+        entries : list of ServerEntry
+            The registrations.
+        restored : bool
+            Whether the store has just come back from an older copy.  Shutdowns and ends of
+            servers that are known here then still hold.
+        """
         names = {entry.name for entry in entries}
         for name, server in list(self.servers.items()):
             if name not in names and not server.gone:
                 self.remove(now, name)
         for entry in entries:
-            self.register(now, entry, just_written=False)
+            known = self.servers.get(entry.name)
+            if not restored or known is None or not self.is_outdated(known, entry):
+                self.register(now, entry, just_written=False)
+            elif known.gone and known.entry.born == entry.born:
+                self.returned[entry.name] = (entry, now)
+
+    def is_outdated(self, known: Server, entry: ServerEntry) -> bool:
+        """Return whether a registration from a copy of the store is older than what is known."""
+        if entry.born != known.entry.born:
+            return entry.born < known.entry.born
+        return known.leaving_since is not None
 
     def register(self, now: Instant, entry: ServerEntry, just_written: bool = True) -> None:
         """Apply one registration.
@@ -198,6 +227,7 @@
             so at an unknown time and gets no more requests: its drain period may be over.
         """
         self.missing.pop(entry.name, None)
+        self.returned.pop(entry.name, None)
         known = self.servers.get(entry.name)
         if known is None or known.entry.born != entry.born:
             self.speeds.forget(entry.name)
@@ -207,8 +237,9 @@
             self.last_new_server_at = now
         known.entry = entry
         known.gone = False
+        known.registered_shutdown |= entry.leaving
         if not entry.leaving:
-            if not known.announced_shutdown:
+            if not (known.announced_shutdown or known.registered_shutdown):
                 known.leaving_since = None
         elif known.leaving_since is None:
             late = not just_written or now < self.reregistration_ends_at
@@ -250,6 +281,7 @@
 
     def remove(self, now: Instant, name: str) -> None:
         """Mark a server as gone, or as missing during a reregistration period."""
+        self.returned.pop(name, None)
         server = self.servers.get(name)
         if server is None or server.gone:
             return
@@ -261,7 +293,13 @@
             server.leaving_since = self.missing.pop(name, now)
 
     def tick(self, now: Instant) -> list[str]:
-        """Mark missing servers as gone after the reregistration period; return their names."""
+        """Mark missing servers as gone after the reregistration period; return their names.
+
+        Servers whose registration came back with a restored store, and stayed, count again.
+        """
+        for entry, since in list(self.returned.values()):
+            if now - since >= RETURN_CONFIRMATION_TIME:
+                self.register(now, entry, just_written=False)
         if now < self.reregistration_ends_at or not self.missing:
             return []
         names = sorted(self.missing)
@@ -279,6 +317,7 @@
                 and now - server.leaving_since > GONE_SERVER_RETENTION
             ):
                 del self.servers[name]
+                self.returned.pop(name, None)
                 self.speeds.forget(name)
                 address = (server.entry.host, server.entry.port)
                 if self.addresses.get(address) == server.entry:
--- a/tests/test_direct_servers.py
+++ b/tests/test_direct_servers.py
@@ -4,7 +4,12 @@
 
 from fireflylock.direct.key_ranges import Owner
 from fireflylock.direct.model import ServerEntry
-from fireflylock.direct.servers import MAX_BACKOFF, REREGISTRATION_TIME, ServerTable
+from fireflylock.direct.servers import (
+    MAX_BACKOFF,
+    REREGISTRATION_TIME,
+    RETURN_CONFIRMATION_TIME,
+    ServerTable,
+)
 
 START = timedelta(seconds=100)
 SECOND = timedelta(seconds=1)
@@ -84,6 +89,38 @@
     assert servers.find_incarnation(Owner("s0", 2, "h", 80)) is not None
 
 
+def test_a_shutdown_in_a_registration_is_not_taken_back_by_an_older_one():
+    servers = table(entry(), entry(leaving=True))
+    servers.register(START + SECOND, entry())
+    assert servers.servers["s0"].leaving_since == START
+
+
+def test_a_restore_of_the_store_brings_no_older_incarnation_back():
+    servers = table(entry(born=5, port=81))
+    servers.replace(START, [entry(born=4)], restored=True)
+    assert servers.servers["s0"].entry.born == 5
+    assert not servers.servers["s0"].gone
+
+
+def test_a_server_that_a_restore_brings_back_counts_again_only_if_it_stays_registered():
+    servers = table(entry("stays"), entry("expires", port=81))
+    servers.replace(START, [])
+    servers.replace(START + SECOND, [entry("stays"), entry("expires", port=81)], restored=True)
+    assert servers.servers["stays"].gone
+    servers.remove(START + 3 * SECOND, "expires")
+    servers.tick(START + SECOND + RETURN_CONFIRMATION_TIME)
+    assert not servers.servers["stays"].gone
+    assert servers.servers["expires"].gone
+
+
+def test_a_server_that_registers_again_after_a_restore_counts_at_once():
+    servers = table(entry())
+    servers.replace(START, [])
+    servers.replace(START + SECOND, [entry()], restored=True)
+    servers.register(START + 2 * SECOND, entry())
+    assert not servers.servers["s0"].gone
+
+
 def test_a_server_that_announced_its_shutdown_in_a_response_stays_leaving():
     """Its registration may still say that it is ready, or end without a change."""
     servers = table(entry())
