A shorter idle limit ends no connection that became idle under a longer one

Change: a connection remembers the limit that was in force when it became idle, and is closed after the longer of that one and the one in force. A longer limit holds at once, a shorter one from the connection's next response on.

--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -83,6 +83,8 @@
         # Time of the caller's last progress, and of the start of the current head.
         self.progress_at: Instant = frontend.clock.elapsed()
         self.head_started_at: Instant | None = self.progress_at
+        # Idle limit in force when the connection became idle, on which its caller relies.
+        self.idle_limit = frontend.limits.keepalive_timeout
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, or refuse it if the connection limit is exceeded."""
@@ -208,6 +210,7 @@
         self.phase = Phase.HEAD
         self.body.read_nowait()
         self.progress_at = self.frontend.clock.elapsed()
+        self.idle_limit = self.frontend.limits.keepalive_timeout
         self.next_request()
         self.update_reading()
 
--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -64,7 +64,8 @@
     body_timeout : timedelta
         Timeout for the next bytes of a body, in either direction.
     keepalive_timeout : timedelta
-        How long a connection may be idle between requests.
+        How long a connection may be idle between requests.  A shorter one holds for each
+        connection from its next response on.
     linger : timedelta
         How long a caller may keep a connection open after its last response was sent.
     drain_idle : timedelta
@@ -352,8 +353,9 @@
         if connection.parser.pending:
             return
         idle = now - connection.progress_at
+        idle_limit = max(connection.idle_limit, self.limits.keepalive_timeout)
         drained = self.draining and now - self.drain_started_at >= self.limits.drain_idle
-        if drained or idle >= self.limits.keepalive_timeout:
+        if drained or idle >= idle_limit:
             self.counters.idle_closed += connection.close_idle()
 
     def sweep_exchange(self, connection: CallerConnection, now: Instant) -> None:
