The end of the process reads no request that it can't answer any more

What callers saw: at the end of a stop, a request that had just arrived was read, passed to the handler, and its connection reset in the same step: neither an answer nor a refusal.

Evidence: test_the_end_of_the_process_resets_a_request_that_it_has_not_read failed on the code before for an idle and an unused connection: the handler had got the request.

Change: all connections end before the first await of the close. A request that waits in a socket is reset unread.

Measured: tests/test_frontend_closes.py and tests/test_frontend.py pass.

--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -233,13 +233,14 @@
     async def close(self) -> None:
         """Stop immediately and abort all requests in flight."""
         self.stop_accepting()
+        # Nothing may be read from here on, so all connections end before the first await.
+        tasks = [connection.task for connection in self.connections if connection.task]
+        for connection in list(self.connections):
+            connection.abort()
         if self.sweep_task is not None:
             self.sweep_task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.sweep_task
-        tasks = [connection.task for connection in self.connections if connection.task]
-        for connection in list(self.connections):
-            connection.abort()
         if tasks:
             await asyncio.wait(tasks)
 
--- /dev/null
+++ b/tests/test_frontend_closes.py
@@ -0,0 +1,87 @@
+"""Tests of every way in which the front end ends a caller's connection.
+
+The table in docs/design/http-edge.md names the test of each way.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import pytest
+
+from fireflylock.caller import CallerConnection
+from fireflylock.frontend import Frontend
+from tests.http_helpers import HOST, ScriptedHandler, echo, running_frontend
+
+HEAD = b"Host: mesa\r\nX-Key: k1\r\n"
+REQUEST = b"GET / HTTP/1.1\r\n" + HEAD + b"\r\n"
+# Longest wait for something that must come.
+WAIT_SECONDS = 5.0
+
+
+def connect(port: int, receive_buffer: int | None = None) -> socket.socket:
+    """Return a caller's non-blocking connection."""
+    caller = socket.socket()
+    if receive_buffer is not None:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    caller.connect((HOST, port))
+    caller.setblocking(False)
+    return caller
+
+
+async def receive(caller: socket.socket) -> bytes:
+    """Return what arrives next."""
+    loop = asyncio.get_running_loop()
+    return await asyncio.wait_for(loop.sock_recv(caller, 1 << 20), WAIT_SECONDS)
+
+
+async def receive_all(caller: socket.socket) -> bytes:
+    """Return everything that arrives until the end of the stream."""
+    received = b""
+    while chunk := await receive(caller):
+        received += chunk
+    return received
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Return once a condition holds."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():  # noqa: ASYNC110 - conditions depend on sockets.
+            await asyncio.sleep(0.001)
+
+
+async def only_connection(frontend: Frontend) -> CallerConnection:
+    """Return the front end's only connection, once it is accepted."""
+    await wait_until(lambda: bool(frontend.connections))
+    (connection,) = frontend.connections
+    return connection
+
+
+@pytest.mark.parametrize("answered", [False, True])
+async def test_the_end_of_the_process_resets_a_request_that_it_has_not_read(answered):
+    handler = ScriptedHandler(echo)
+    async with running_frontend(handler) as (frontend, port):
+        with connect(port) as caller:
+            await only_connection(frontend)
+            if answered:
+                caller.send(REQUEST)
+                await receive(caller)
+            caller.send(REQUEST)
+            await frontend.close()
+            with pytest.raises(ConnectionResetError):
+                await receive_all(caller)
+    assert len(handler.seen) == answered
+
+
+async def test_the_end_of_the_process_resets_a_request_that_is_being_handled():
+    async def never(request):
+        await asyncio.Event().wait()
+
+    handler = ScriptedHandler(never)
+    async with running_frontend(handler) as (frontend, port):
+        with connect(port) as caller:
+            caller.send(REQUEST)
+            await handler.called.wait()
+            await frontend.close()
+            with pytest.raises(ConnectionResetError):
+                await receive_all(caller)
