The end of the process no longer discards responses that are on their way

What callers saw: a response that was written in the last moments of a stop, over a slow or full link, ended in a reset; a request that had run had no answer.

Cause: at its end the front end reset every connection. A reset discards the bytes that the kernel still has to deliver, which is right only for responses that are not complete.

Evidence: test_the_end_of_the_process_lets_a_response_that_the_kernel_has_be_delivered failed on the code before (ConnectionResetError).

Change: a connection without an unfinished request, whose response is with the kernel, is closed without a reset. An unfinished response is still reset, as is a request that waits unread.

Measured: tests/test_frontend_closes.py, test_frontend.py and test_frontend_tls.py pass.

--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -253,6 +253,21 @@
         self.transport.close()
         return True
 
+    def end(self) -> None:
+        """Close at the end of the process; a request in flight is reset.
+
+        Bytes of a last response that the kernel already has are still delivered, unless the
+        caller has sent more since.
+        """
+        unsent = self.transport.get_write_buffer_size() > 0
+        # The end of a TLS stream needs an exchange of messages.
+        uses_tls = not self.transport.can_write_eof()
+        if self.task is not None or unsent or uses_tls:
+            self.abort()
+            return
+        self.phase = Phase.CLOSING
+        self.transport.close()
+
     def abort(self) -> None:
         """Close immediately by a reset.
 
--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -236,7 +236,7 @@
         # Nothing may be read from here on, so all connections end before the first await.
         tasks = [connection.task for connection in self.connections if connection.task]
         for connection in list(self.connections):
-            connection.abort()
+            connection.end()
         if self.sweep_task is not None:
             self.sweep_task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -9,11 +9,13 @@
 
 import pytest
 
-from fireflylock.caller import CallerConnection
+from fireflylock.caller import CallerConnection, Phase
+from fireflylock.exchange import BytesBody, Response
 from fireflylock.frontend import Frontend
 from tests.http_helpers import HOST, ScriptedHandler, echo, running_frontend
 
 HEAD = b"Host: mesa\r\nX-Key: k1\r\n"
+CLOSE = b"Connection: close\r\n"
 REQUEST = b"GET / HTTP/1.1\r\n" + HEAD + b"\r\n"
 # Longest wait for something that must come.
 WAIT_SECONDS = 5.0
@@ -57,6 +59,23 @@
     return connection
 
 
+async def test_the_end_of_the_process_lets_a_response_that_the_kernel_has_be_delivered():
+    size = 300_000
+
+    async def large(request):
+        return Response(200, [], BytesBody(bytes(size)), size)
+
+    async with running_frontend(ScriptedHandler(large)) as (frontend, port):
+        with connect(port, receive_buffer=4096) as caller:
+            caller.send(b"GET / HTTP/1.1\r\n" + HEAD + CLOSE + b"\r\n")
+            connection = await only_connection(frontend)
+            await wait_until(lambda: connection.phase is Phase.CLOSING)
+            assert connection.transport.get_write_buffer_size() == 0
+            await frontend.close()
+            await asyncio.sleep(0.01)
+            assert len(await receive_all(caller)) > size
+
+
 @pytest.mark.parametrize("answered", [False, True])
 async def test_the_end_of_the_process_resets_a_request_that_it_has_not_read(answered):
     handler = ScriptedHandler(echo)
