A request that is read in the last step of a stop is refused, not dropped

What callers saw: a request that arrived as a stop ended got neither an answer nor a refusal; its connection stayed open until it was reset.

Cause: the front end answers the requests in flight by cancelling their tasks. A task that is cancelled before its first step never runs, so nobody wrote a response. A request that is read in the step in which the stop ends, as all those that a stalled loop has held up, is in that state.

Evidence: test_a_request_that_is_read_at_the_end_of_a_stop_is_refused failed on the code before (no response within 5 s).

Change: such a request is not cancelled; its task refuses it, as it has not run.

Measured: tests/test_frontend_closes.py and tests/test_frontend.py pass.

--- a/fireflylock/caller_exchange.py
+++ b/fireflylock/caller_exchange.py
@@ -41,6 +41,8 @@
         Request that was passed to the handler; None before, and once the response has begun.
     response_started : bool
         Whether a byte of the response may have been written.
+    begun : bool
+        Whether its task has run; a task that is cancelled before never runs.
     termination_error : RequestError or None
         Error with which the front end ended the request itself.
     result : str
@@ -58,6 +60,7 @@
         self.request_id = self.frontend.request_id(head)
         self.request: Request | None = None
         self.response_started = False
+        self.begun = False
         self.termination_error: RequestError | None = None
         self.service = NO_SERVICE
         self.result = ANSWERED
@@ -65,6 +68,7 @@
     async def run(self) -> None:
         """Handle the request and write its response; cancelled if the caller disconnects."""
         started = time.perf_counter()
+        self.begun = True
         try:
             response = await self.get_response()
             self.request = None
@@ -81,6 +85,8 @@
     async def get_response(self) -> Response:
         """Return the handler's response, or an error response of the system."""
         try:
+            if self.termination_error is not None:
+                raise RequestError(ErrorKind.STOPPING)
             self.request = self.frontend.request(self.head, self.request_id, self.body)
             self.service = self.request.service
             return await self.frontend.handler.handle(self.request)
@@ -176,7 +182,12 @@
         return headers
 
     def terminate(self, error: RequestError) -> None:
-        """End the request with an error response, or truncate a response that has begun."""
-        if self.termination_error is None:
-            self.termination_error = error
+        """End the request with an error response, or truncate a response that has begun.
+
+        A request that no handler has seen is refused.
+        """
+        if self.termination_error is not None:
+            return
+        self.termination_error = error
+        if self.begun:
             self.connection.task.cancel()
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -6,10 +6,12 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from datetime import timedelta
 
 import pytest
 
 from fireflylock.caller import CallerConnection, Phase
+from fireflylock.exceptions import ErrorKind, RequestError
 from fireflylock.exchange import BytesBody, Response
 from fireflylock.frontend import Frontend
 from tests.http_helpers import HOST, ScriptedHandler, echo, running_frontend
@@ -104,3 +106,19 @@
             await frontend.close()
             with pytest.raises(ConnectionResetError):
                 await receive_all(caller)
+
+
+async def test_a_request_that_is_read_at_the_end_of_a_stop_is_refused():
+    """Its task was cancelled before it had begun, so nobody wrote an answer."""
+    handler = ScriptedHandler(echo)
+    async with running_frontend(handler) as (frontend, port):
+        with connect(port) as caller:
+            connection = await only_connection(frontend)
+            await asyncio.sleep(0.01)
+            connection.data_received(REQUEST)
+            unfinished = RequestError(ErrorKind.OUTCOME_UNKNOWN, "the VM stops")
+            await frontend.answer_unfinished(unfinished, timedelta(milliseconds=50))
+            received = await receive(caller)
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert b"fireflylock-outcome: not run" in received
+    assert handler.seen == []
