A request that was refused before it began is never reported as of unknown outcome

What callers saw: a head that came too slowly was answered with 502, "may have run", by processes that send directly to servers, and with 408 of unknown outcome by the daemon. Callers may not send an unsafe request again after that, though it had not run.

Cause: an early refusal took its outcome from the kind of its error. A caller that is too slow in the middle of a body may have an unknown outcome; before the end of the head that is impossible.

Change: an early refusal always says that the request has not run.

--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -10,7 +10,7 @@
 
 from fireflylock.caller_exchange import CallerExchange
 from fireflylock.clock import Instant
-from fireflylock.exceptions import ErrorKind, RequestError
+from fireflylock.exceptions import ErrorKind, Outcome, RequestError
 from fireflylock.flow_protocol import FlowProtocol
 from fireflylock.http1 import BODY_BUFFER_BYTES
 from fireflylock.request_metrics import NO_SERVICE
@@ -217,7 +217,7 @@
     def refuse(self, error: RequestError) -> None:
         """Send an error response to a request that was not started, and close."""
         self.frontend.count_error(NO_SERVICE, error.kind)
-        response = self.frontend.make_error_response(error)
+        response = self.frontend.make_error_response(error, outcome=Outcome.NOT_RUN)
         response.headers.append((b"content-length", b"%d" % response.body_length))
         response.headers.append((b"connection", b"close"))
         http = h11.Connection(h11.SERVER)
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -11,10 +11,13 @@
 import pytest
 
 from fireflylock.caller import CallerConnection, Phase
+from fireflylock.clock import SystemClock
+from fireflylock.direct.frontend import DirectFrontend
 from fireflylock.exceptions import ErrorKind, RequestError
 from fireflylock.exchange import BytesBody, Response
-from fireflylock.frontend import Frontend
-from tests.http_helpers import HOST, ScriptedHandler, echo, running_frontend
+from fireflylock.frontend import Frontend, FrontendLimits
+from fireflylock.platform.dialect import PlatformCallerDialect
+from tests.http_helpers import HOST, ScriptedHandler, echo, running_frontend, send_raw
 
 HEAD = b"Host: mesa\r\nX-Key: k1\r\n"
 CLOSE = b"Connection: close\r\n"
@@ -108,6 +111,25 @@
                 await receive_all(caller)
 
 
+async def test_a_refusal_of_a_slow_head_says_that_the_request_has_not_run():
+    limits = FrontendLimits(headers_timeout=timedelta(milliseconds=50))
+    async with running_frontend(ScriptedHandler(echo), limits) as (_, port):
+        received = await send_raw(port, b"GET / HTTP/1.1\r\nHost:")
+    assert received.startswith(b"HTTP/1.1 408 ")
+    assert b"fireflylock-outcome: not run" in received
+
+
+async def test_a_refusal_of_a_slow_head_is_not_answered_with_a_status_of_unknown_outcome():
+    frontend = DirectFrontend(
+        ScriptedHandler(echo), lambda: None, SystemClock(), PlatformCallerDialect()
+    )
+    frontend.limits = FrontendLimits(headers_timeout=timedelta(milliseconds=50))
+    port = await frontend.start(HOST, 0)
+    received = await send_raw(port, b"GET / HTTP/1.1\r\nHost:")
+    await frontend.close()
+    assert received.startswith(b"HTTP/1.1 408 ")
+
+
 async def test_a_request_that_is_read_at_the_end_of_a_stop_is_refused():
     """Its task was cancelled before it had begun, so nobody wrote an answer."""
     handler = ScriptedHandler(echo)
