A connection that was never used is closed without a response

What callers saw: a caller that opened a connection ahead got a 408 (502 from processes that send directly to servers) for a request that it had not sent. A request that it sent in that moment was read and dropped, and it took the response for its answer.

Cause: the time-out of a head started with the connection, and its end was answered in any case.

Evidence: test_a_connection_that_was_never_used_is_closed_without_an_answer failed on the code before (a response came).

Measured: tests/test_frontend_closes.py, test_frontend.py and test_frontend_tls.py pass.

--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -61,6 +61,7 @@
         Maximum number of open connections.
     headers_timeout : timedelta
         Timeout from a request's first byte, or the connection's start, to the end of its head.
+        A connection on which nothing came is closed without a response.
     body_timeout : timedelta
         Timeout for the next bytes of a body, in either direction.
     keepalive_timeout : timedelta
@@ -348,15 +349,16 @@
     def sweep_waiting(self, connection: CallerConnection, now: Instant) -> None:
         """Check the timeouts of a connection that waits for a request."""
         started = connection.head_started_at
-        if started is not None and now - started >= self.limits.headers_timeout:
-            connection.refuse(RequestError(ErrorKind.CALLER_TOO_SLOW, "The head came too slowly."))
-            return
+        late = started is not None and now - started >= self.limits.headers_timeout
         if connection.parser.pending:
+            if late:
+                error = RequestError(ErrorKind.CALLER_TOO_SLOW, "The head came too slowly.")
+                connection.refuse(error)
             return
         idle = now - connection.progress_at
         idle_limit = max(connection.idle_limit, self.limits.keepalive_timeout)
         drained = self.draining and now - self.drain_started_at >= self.limits.drain_idle
-        if drained or idle >= idle_limit:
+        if late or drained or idle >= idle_limit:
             self.counters.idle_closed += connection.close_idle()
 
     def sweep_exchange(self, connection: CallerConnection, now: Instant) -> None:
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -111,6 +111,13 @@
                 await receive_all(caller)
 
 
+async def test_a_connection_that_was_never_used_is_closed_without_an_answer():
+    limits = FrontendLimits(headers_timeout=timedelta(milliseconds=50))
+    async with running_frontend(ScriptedHandler(echo), limits) as (_, port):
+        with connect(port) as caller:
+            assert await receive_all(caller) == b""
+
+
 async def test_a_refusal_of_a_slow_head_says_that_the_request_has_not_run():
     limits = FrontendLimits(headers_timeout=timedelta(milliseconds=50))
     async with running_frontend(ScriptedHandler(echo), limits) as (_, port):
