Heads and bodies that came during a stall are not refused as too slow

What callers saw: after a stall of the process, or of its VM, a head or body that had been sent in time was refused with 408.

Cause: time-outs are checked as soon as the event loop runs again, before it has read what came in the meantime.

Evidence: test_bytes_that_wait_in_the_socket_after_a_stall_are_not_too_slow failed on the code before, for a head and for a body.

Change: the time-outs of heads and bodies hold only if nothing waits in the socket.

Measured: tests/test_frontend_closes.py, test_frontend.py and test_frontend_tls.py pass.

--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -240,13 +240,20 @@
         else:
             self.transport.close()
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes, or the end of the stream, wait in the socket.
+
+        After a stall of the event loop, time-outs are checked before they are read.
+        """
+        return is_readable(self.transport.get_extra_info("socket"))
+
     def close_idle(self) -> bool:
         """Close while no request is on the connection; return False if one has arrived.
 
         A request that is on its way is not read any more: the reset tells its caller that it has
         not run, and that it can be sent again.
         """
-        if is_readable(self.transport.get_extra_info("socket")):
+        if self.has_unread_bytes():
             return False
         self.phase = Phase.CLOSING
         self.closed_idle = True
--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -351,7 +351,7 @@
         started = connection.head_started_at
         late = started is not None and now - started >= self.limits.headers_timeout
         if connection.parser.pending:
-            if late:
+            if late and not connection.has_unread_bytes():
                 error = RequestError(ErrorKind.CALLER_TOO_SLOW, "The head came too slowly.")
                 connection.refuse(error)
             return
@@ -371,6 +371,8 @@
         if now - connection.progress_at < self.limits.body_timeout:
             return
         if connection.body.waiter is not None:
+            if connection.has_unread_bytes():
+                return
             connection.close_after_response = True
             connection.body.fail(
                 RequestError(ErrorKind.CALLER_TOO_SLOW, "The body came in too slowly.")
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -137,6 +137,25 @@
     assert received.startswith(b"HTTP/1.1 408 ")
 
 
+@pytest.mark.parametrize("phase", ["head", "body"])
+async def test_bytes_that_wait_in_the_socket_after_a_stall_are_not_too_slow(phase):
+    handler = ScriptedHandler(echo)
+    request = b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 4\r\n\r\nabcd"
+    split = 10 if phase == "head" else len(request) - 2
+    async with running_frontend(handler) as (frontend, port):
+        with connect(port) as caller:
+            caller.send(request[:split])
+            connection = await only_connection(frontend)
+            await asyncio.sleep(0.05)
+            assert bool(handler.seen) == (phase == "body")
+            caller.send(request[split:])
+            connection.progress_at -= timedelta(minutes=1)
+            connection.head_started_at = connection.progress_at
+            frontend.sweep(frontend.clock.elapsed())
+            received = await receive(caller)
+    assert received.startswith(b"HTTP/1.1 200")
+
+
 async def test_a_request_that_is_read_at_the_end_of_a_stop_is_refused():
     """Its task was cancelled before it had begun, so nobody wrote an answer."""
     handler = ScriptedHandler(echo)
