A fault at one connection does not end the time-outs of all others

What callers saw: nothing yet; found by reading. An error at one connection, such as that of a socket call, ended the task that checks all time-outs: idle connections, slow heads, deadlines and last responses had no end any more, until the process stopped, whose last step then failed with that error.

Evidence: test_a_fault_at_one_connection_does_not_end_the_sweeps_of_the_others failed on the code before.

Measured: tests/test_frontend_closes.py and tests/test_frontend.py pass.

--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -315,14 +315,23 @@
         """End the connections and requests that have timed out."""
         closed_before = self.counters.idle_closed
         for connection in list(self.connections):
-            if connection.phase is Phase.CLOSING:
-                self.sweep_closing(connection, now)
-            elif connection.phase is Phase.HEAD:
-                self.sweep_waiting(connection, now)
-            else:
-                self.sweep_exchange(connection, now)
+            try:
+                self.sweep_connection(connection, now)
+            except Exception:
+                # The time-outs of all other connections depend on this loop.
+                log.exception("connection not checked", phase=connection.phase.value)
+                connection.abort()
         self.log_idle_closed(now, self.counters.idle_closed - closed_before)
 
+    def sweep_connection(self, connection: CallerConnection, now: Instant) -> None:
+        """Check the time-outs of one connection."""
+        if connection.phase is Phase.CLOSING:
+            self.sweep_closing(connection, now)
+        elif connection.phase is Phase.HEAD:
+            self.sweep_waiting(connection, now)
+        else:
+            self.sweep_exchange(connection, now)
+
     def log_idle_closed(self, now: Instant, closed: int) -> None:
         """Log how many idle connections were closed, in one line a second at most."""
         self.unlogged_idle_closed += closed
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -156,6 +156,23 @@
     assert received.startswith(b"HTTP/1.1 200")
 
 
+async def test_a_fault_at_one_connection_does_not_end_the_sweeps_of_the_others(monkeypatch):
+    limits = FrontendLimits(headers_timeout=timedelta(milliseconds=50))
+    async with running_frontend(ScriptedHandler(echo), limits) as (frontend, port):
+        with connect(port) as faulty:
+            connection = await only_connection(frontend)
+
+            def fail(error: RequestError) -> None:
+                raise OSError("fault")
+
+            connection.refuse = fail
+            faulty.send(b"GET /")
+            with pytest.raises(ConnectionResetError):
+                await asyncio.wait_for(receive_all(faulty), 1)
+            received = await asyncio.wait_for(send_raw(port, b"GET / HTTP/1.1\r\nHost:"), 1)
+    assert received.startswith(b"HTTP/1.1 408 ")
+
+
 async def test_a_request_that_is_read_at_the_end_of_a_stop_is_refused():
     """Its task was cancelled before it had begun, so nobody wrote an answer."""
     handler = ScriptedHandler(echo)
