A last response that is not read in time ends in a reset

What callers saw: a last response whose length is not announced (HTTP/1.0), read too slowly, ended as a complete one does, with a part missing.

The kernel delivered what it had and then the end of the stream, and the rest, still in the process, was discarded without being counted.

Evidence: test_a_last_response_that_its_caller_does_not_read_in_time_does_not_look_complete failed on the code before (an orderly end).

Change: it is reset and counted as a truncated response.

Measured: tests/test_frontend_closes.py and tests/test_frontend.py pass.

--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -352,8 +352,13 @@
         """Abort a connection whose caller had enough time to read the last response."""
         unsent = connection.transport.get_write_buffer_size() > 0
         timeout = self.limits.body_timeout if unsent else self.limits.linger
-        if now - connection.progress_at >= timeout:
-            connection.transport.abort()
+        if now - connection.progress_at < timeout:
+            return
+        if unsent:
+            self.counters.truncated_responses += 1
+            connection.abort()
+            return
+        connection.transport.abort()
 
     def sweep_waiting(self, connection: CallerConnection, now: Instant) -> None:
         """Check the timeouts of a connection that waits for a request."""
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -173,6 +173,24 @@
     assert received.startswith(b"HTTP/1.1 408 ")
 
 
+async def test_a_last_response_that_its_caller_does_not_read_in_time_does_not_look_complete():
+    size = 8 * 1024 * 1024
+
+    async def stream(request):
+        return Response(200, [], BytesBody(bytes(size)))
+
+    async with running_frontend(ScriptedHandler(stream)) as (frontend, port):
+        with connect(port, receive_buffer=4096) as caller:
+            caller.send(b"GET / HTTP/1.0\r\n" + HEAD + b"\r\n")
+            connection = await only_connection(frontend)
+            await wait_until(lambda: connection.phase is Phase.CLOSING)
+            assert connection.transport.get_write_buffer_size() > 0
+            frontend.sweep(frontend.clock.elapsed() + frontend.limits.body_timeout)
+            await asyncio.sleep(0.01)
+            with pytest.raises(ConnectionResetError):
+                await receive_all(caller)
+
+
 async def test_a_request_that_is_read_at_the_end_of_a_stop_is_refused():
     """Its task was cancelled before it had begun, so nobody wrote an answer."""
     handler = ScriptedHandler(echo)
