The idle time of a connection begins when its response has been delivered

What callers saw: behind a slow or full link, with a short idle limit, the connection was closed while the response was still on its way, or soon after: a request that was sent well within the limit, as the caller counts it, met the close.

Cause: the idle time began when the last byte of a response was written to the socket's buffers.

Evidence: test_an_idle_period_starts_when_the_response_is_delivered failed on the code before: of a response read after 0.7 s with a limit of 0.5 s, the caller got the end of the stream instead of its next response.

This costs one look at the socket for each response that is followed by an idle time.

--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -15,7 +15,7 @@
 from fireflylock.http1 import BODY_BUFFER_BYTES
 from fireflylock.request_metrics import NO_SERVICE
 from fireflylock.request_parser import RequestParser
-from fireflylock.sockets import is_readable, reset_on_close
+from fireflylock.sockets import is_readable, reset_on_close, unacknowledged_bytes
 from fireflylock.streams import StreamBody
 
 if TYPE_CHECKING:
@@ -85,6 +85,8 @@
         self.head_started_at: Instant | None = self.progress_at
         # Idle limit in force when the connection became idle, on which its caller relies.
         self.idle_limit = frontend.limits.keepalive_timeout
+        # Until when the last response may still be on its way to the caller; None if it is not.
+        self.delivery_ends_at: Instant | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, or refuse it if the connection limit is exceeded."""
@@ -211,6 +213,7 @@
         self.body.read_nowait()
         self.progress_at = self.frontend.clock.elapsed()
         self.idle_limit = self.frontend.limits.keepalive_timeout
+        self.delivery_ends_at = self.progress_at + self.frontend.limits.body_timeout
         self.next_request()
         self.update_reading()
 
@@ -247,6 +250,17 @@
         """
         return is_readable(self.transport.get_extra_info("socket"))
 
+    def update_delivery(self, now: Instant) -> None:
+        """Start the idle period anew while the last response is on its way to the caller."""
+        if self.delivery_ends_at is None:
+            return
+        unsent = self.transport.get_write_buffer_size() > 0
+        waits = unsent or unacknowledged_bytes(self.transport.get_extra_info("socket")) > 0
+        if not waits or now >= self.delivery_ends_at:
+            self.delivery_ends_at = None
+            return
+        self.progress_at = now
+
     def close_idle(self) -> bool:
         """Close while no request is on the connection; return False if one has arrived.
 
--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -369,6 +369,7 @@
                 error = RequestError(ErrorKind.CALLER_TOO_SLOW, "The head came too slowly.")
                 connection.refuse(error)
             return
+        connection.update_delivery(now)
         idle = now - connection.progress_at
         idle_limit = max(connection.idle_limit, self.limits.keepalive_timeout)
         drained = self.draining and now - self.drain_started_at >= self.limits.drain_idle
--- a/fireflylock/sockets.py
+++ b/fireflylock/sockets.py
@@ -1,8 +1,11 @@
-"""Socket options that detect within seconds that the other side is unresponsive."""
+"""Socket options and states: unresponsive peers, resets, and bytes that wait."""
 
+import array
+import fcntl
 import select
 import socket
 import struct
+import termios
 from asyncio.trsock import TransportSocket
 from datetime import timedelta
 
@@ -46,3 +49,10 @@
     poll = select.poll()
     poll.register(transport_socket, select.POLLIN)
     return bool(poll.poll(0))
+
+
+def unacknowledged_bytes(transport_socket: TransportSocket) -> int:
+    """Return how many written bytes the other side has not acknowledged."""
+    count = array.array("i", [0])
+    fcntl.ioctl(transport_socket.fileno(), termios.TIOCOUTQ, count)
+    return count[0]
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -191,6 +191,41 @@
                 await receive_all(caller)
 
 
+async def test_an_idle_period_starts_when_the_response_is_delivered():
+    size = 300_000
+
+    async def large(request):
+        return Response(200, [], BytesBody(bytes(size)), size)
+
+    limits = FrontendLimits(keepalive_timeout=timedelta(seconds=0.5))
+    async with running_frontend(ScriptedHandler(large), limits) as (_, port):
+        with connect(port, receive_buffer=4096) as caller:
+            caller.send(REQUEST)
+            await asyncio.sleep(0.7)
+            received = 0
+            while received < size:
+                received += len(await receive(caller))
+            await asyncio.sleep(0.2)
+            caller.send(REQUEST)
+            assert (await receive(caller)).startswith(b"HTTP/1.1 200")
+
+
+async def test_a_caller_that_never_reads_does_not_keep_an_idle_connection_open():
+    size = 300_000
+
+    async def large(request):
+        return Response(200, [], BytesBody(bytes(size)), size)
+
+    limits = FrontendLimits(
+        keepalive_timeout=timedelta(milliseconds=100), body_timeout=timedelta(milliseconds=300)
+    )
+    async with running_frontend(ScriptedHandler(large), limits) as (frontend, port):
+        with connect(port, receive_buffer=4096) as caller:
+            caller.send(REQUEST)
+            await only_connection(frontend)
+            await wait_until(lambda: not frontend.connections)
+
+
 async def test_a_request_that_is_read_at_the_end_of_a_stop_is_refused():
     """Its task was cancelled before it had begun, so nobody wrote an answer."""
     handler = ScriptedHandler(echo)
