An unexpected error while a request is parsed is answered

What callers saw: nothing yet; found by reading. An error of a kind that no check foresees, while the bytes of a request were parsed, ended its connection in an orderly way: the request had been read, and got neither an answer nor a refusal.

Cause: only errors of the known kind were handled. asyncio closes the transport after any other.

Evidence: both tests of an_unexpected_error failed on the code before (the end of the stream without a response).

Change: at a head it is answered with 500, not run; in a body the handler learns that the body is cut short, and the response names the error. Both are logged with their traceback.

Measured: tests/test_frontend_closes.py, test_frontend.py and test_frontend_fuzz.py pass.

--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -139,6 +139,10 @@
         except RequestError as error:
             self.refuse(error)
             return
+        except Exception:
+            log.exception("head not parsed")
+            self.refuse(RequestError(ErrorKind.INTERNAL))
+            return
         if head is None:
             return
         self.head_started_at = None
@@ -159,12 +163,20 @@
             for chunk in self.parser.read_body():
                 self.body.append(chunk)
         except RequestError as error:
-            self.close_after_response = True
-            self.body.fail(error)
+            self.fail_body(error)
+            return
+        except Exception:
+            log.exception("body not parsed")
+            self.fail_body(RequestError(ErrorKind.INTERNAL))
             return
         if not self.parser.in_body:
             self.body.end()
 
+    def fail_body(self, error: RequestError) -> None:
+        """End a body that can't be parsed; the connection closes after the response."""
+        self.close_after_response = True
+        self.body.fail(error)
+
     def handle_body_wait(self) -> None:
         """Restart the body timeout, and send 100 Continue if the caller waits for it."""
         self.progress_at = self.frontend.clock.elapsed()
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -226,6 +226,40 @@
             await wait_until(lambda: not frontend.connections)
 
 
+async def test_an_unexpected_error_at_a_head_is_answered():
+    handler = ScriptedHandler(echo)
+    async with running_frontend(handler) as (frontend, port):
+        with connect(port) as caller:
+            connection = await only_connection(frontend)
+
+            def fail() -> None:
+                raise ZeroDivisionError
+
+            connection.parser.next_head = fail
+            caller.send(REQUEST)
+            received = await receive_all(caller)
+    assert received.startswith(b"HTTP/1.1 500 ")
+    assert b"fireflylock-outcome: not run" in received
+    assert handler.seen == []
+
+
+async def test_an_unexpected_error_in_a_body_is_answered():
+    async with running_frontend(ScriptedHandler(echo)) as (frontend, port):
+        with connect(port) as caller:
+            caller.send(b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 4\r\n\r\n")
+            connection = await only_connection(frontend)
+            await wait_until(lambda: connection.task is not None)
+
+            def fail() -> None:
+                raise ZeroDivisionError
+
+            connection.parser.read_body = fail
+            caller.send(b"ab")
+            received = await receive_all(caller)
+    assert received.startswith(b"HTTP/1.1 500 ")
+    assert b"fireflylock-outcome: outcome unknown" in received
+
+
 async def test_a_request_that_is_read_at_the_end_of_a_stop_is_refused():
     """Its task was cancelled before it had begun, so nobody wrote an answer."""
     handler = ScriptedHandler(echo)
