--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -274,3 +274,60 @@
     assert received.startswith(b"HTTP/1.1 503 ")
     assert b"fireflylock-outcome: not run" in received
     assert handler.seen == []
+
+
+async def test_a_drain_closes_connections_that_were_never_used():
+    limits = FrontendLimits(drain_idle=timedelta(0))
+    async with running_frontend(ScriptedHandler(echo), limits) as (frontend, port):
+        with connect(port) as caller:
+            await only_connection(frontend)
+            frontend.start_draining()
+            assert await receive_all(caller) == b""
+
+
+@pytest.mark.parametrize("reason", ["caller", "drain", "isolation"])
+async def test_requests_after_an_announced_close_are_not_served(reason):
+    handler = ScriptedHandler(echo)
+    limits = FrontendLimits(linger=timedelta(milliseconds=50))
+    async with running_frontend(handler, limits) as (frontend, port):
+        with connect(port) as caller:
+            connection = await only_connection(frontend)
+            if reason == "drain":
+                frontend.start_draining()
+            frontend.sends_connection_close = reason == "isolation"
+            option = CLOSE if reason == "caller" else b""
+            caller.send(b"GET / HTTP/1.1\r\n" + HEAD + option + b"\r\n")
+            await wait_until(lambda: connection.phase is Phase.CLOSING)
+            caller.send(REQUEST)
+            received = await receive_all(caller)
+            await wait_until(lambda: not frontend.connections)
+    assert received.count(b"HTTP/1.1 200") == 1
+    assert b"connection: close\r\n" in received.lower()
+    assert len(handler.seen) == 1
+
+
+async def test_a_caller_that_ends_its_stream_gets_no_response():
+    async def never(request):
+        await asyncio.Event().wait()
+
+    handler = ScriptedHandler(never)
+    async with running_frontend(handler) as (_, port):
+        with connect(port) as caller:
+            caller.send(REQUEST)
+            await handler.called.wait()
+            caller.shutdown(socket.SHUT_WR)
+            assert await receive_all(caller) == b""
+            await asyncio.wait_for(handler.cancelled.wait(), WAIT_SECONDS)
+
+
+async def test_a_refusal_reaches_a_caller_that_still_sends_its_body():
+    limits = FrontendLimits(max_body=10)
+    async with running_frontend(ScriptedHandler(echo), limits) as (_, port):
+        with connect(port) as caller:
+            head = b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 60000\r\n\r\n"
+            caller.send(head)
+            for _ in range(20):
+                await asyncio.sleep(0.002)
+                caller.send(bytes(3000))
+            received = await receive_all(caller)
+    assert received.startswith(b"HTTP/1.1 413 ")
