A long head that follows another request is read to its end

Cause: reading is paused while many bytes wait for a handler. After a response the same rule was applied to the start of the next head, on which no handler waits, so reading was never resumed.

Evidence: test_a_long_head_that_follows_a_request_is_read_to_its_end failed on the code before (no second response within 5 s).

Change: reading is never paused while a head comes in; its size has a limit of its own.

Measured: tests/test_frontend_closes.py, test_frontend.py and test_frontend_fuzz.py pass.

--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -188,7 +188,9 @@
 
     def update_reading(self) -> None:
         """Pause or resume reading according to the bytes that are buffered."""
-        wanted = len(self.parser.pending) + self.body.buffered <= BODY_BUFFER_BYTES
+        # The limit of heads, which are parsed as they come, is the parser's.
+        is_head = self.phase is Phase.HEAD
+        wanted = is_head or len(self.parser.pending) + self.body.buffered <= BODY_BUFFER_BYTES
         if wanted and not self.reading:
             self.progress_at = self.frontend.clock.elapsed()
         self.set_reading(wanted)
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -331,3 +331,27 @@
                 caller.send(bytes(3000))
             received = await receive_all(caller)
     assert received.startswith(b"HTTP/1.1 413 ")
+
+
+async def test_a_long_head_that_follows_a_request_is_read_to_its_end():
+    """Reading was paused in the middle of the head, as in a body, and never resumed."""
+    limits = FrontendLimits(header_bytes=1 << 20)
+    may_answer = asyncio.Event()
+
+    async def wait(request):
+        await may_answer.wait()
+        return await echo(request)
+
+    long_head = b"GET / HTTP/1.1\r\n" + HEAD + b"X-Filler: " + 300_000 * b"x" + b"\r\n\r\n"
+    async with running_frontend(ScriptedHandler(wait), limits) as (frontend, port):
+        with connect(port) as caller:
+            connection = await only_connection(frontend)
+            sending = asyncio.create_task(
+                asyncio.get_running_loop().sock_sendall(caller, REQUEST + long_head)
+            )
+            await wait_until(lambda: not connection.reading)
+            may_answer.set()
+            received = b""
+            while received.count(b"HTTP/1.1 200") < 2:
+                received += await receive(caller)
+            await sending
