New limits of heads and bodies hold for open connections too

What callers saw: after a configuration with larger limits, requests on connections that had been open before were still refused with 413 or 431; after one with smaller limits they were still accepted.

Cause: a connection took its limits when it was accepted.

Evidence: test_new_limits_of_heads_and_bodies_hold_for_open_connections failed on the code before, on a used and on an unused connection.

Change: the limits in force when the first bytes of a request arrive hold for that request. A version that comes while a head or body is being read does not refuse it: test_a_request_keeps_the_limits_under_which_its_head_began.

Measured: tests/test_frontend_closes.py, test_frontend.py and test_frontend_fuzz.py pass.

--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -120,6 +120,8 @@
                 self.frontend.counters.received_after_close += 1
             return
         self.progress_at = self.frontend.clock.elapsed()
+        if not self.parser.pending and self.phase is Phase.HEAD:
+            self.apply_limits()
         self.parser.receive(data)
         if self.phase is Phase.HEAD:
             self.next_request()
@@ -128,6 +130,11 @@
             self.read_body()
         self.update_reading()
 
+    def apply_limits(self) -> None:
+        """Apply the limits now in force to the request that begins."""
+        self.parser.header_bytes = self.frontend.limits.header_bytes
+        self.parser.max_body = self.frontend.limits.max_body
+
     def next_request(self) -> None:
         """Start handling the next request if its head is complete."""
         if not self.parser.pending:
@@ -228,6 +235,7 @@
         self.progress_at = self.frontend.clock.elapsed()
         self.idle_limit = self.frontend.limits.keepalive_timeout
         self.delivery_ends_at = self.progress_at + self.frontend.limits.body_timeout
+        self.apply_limits()
         self.next_request()
         self.update_reading()
 
--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -56,7 +56,8 @@
     header_bytes : int
         Maximum size of a request's head, in bytes.
     max_body : int or None
-        Maximum size of a request's body, in bytes.
+        Maximum size of a request's body, in bytes.  A request keeps the limits of its head and
+        body that are in force when its first bytes arrive.
     max_connections : int
         Maximum number of open connections.
     headers_timeout : timedelta
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -333,6 +333,38 @@
     assert received.startswith(b"HTTP/1.1 413 ")
 
 
+@pytest.mark.parametrize("used", [False, True])
+async def test_new_limits_of_heads_and_bodies_hold_for_open_connections(used):
+    small = FrontendLimits(max_body=10, header_bytes=1024)
+    large = FrontendLimits(max_body=1000, header_bytes=8192)
+    head = b"POST / HTTP/1.1\r\n" + HEAD + b"X-Filler: " + 2000 * b"x" + b"\r\n"
+    request = head + b"Content-Length: 20\r\n\r\n" + 20 * b"y"
+    for before, after, status in ((small, large, b"200"), (large, small, b"431")):
+        async with running_frontend(ScriptedHandler(echo), before) as (frontend, port):
+            with connect(port) as caller:
+                await only_connection(frontend)
+                if used:
+                    caller.send(REQUEST)
+                    await receive(caller)
+                frontend.limits = after
+                caller.send(request)
+                assert (await receive(caller)).startswith(b"HTTP/1.1 " + status)
+
+
+async def test_a_request_keeps_the_limits_under_which_its_head_began():
+    large = FrontendLimits(max_body=1000, header_bytes=8192)
+    head = b"POST / HTTP/1.1\r\n" + HEAD + b"X-Filler: " + 2000 * b"x" + b"\r\n"
+    request = head + b"Content-Length: 20\r\n\r\n" + 20 * b"y"
+    async with running_frontend(ScriptedHandler(echo), large) as (frontend, port):
+        with connect(port) as caller:
+            connection = await only_connection(frontend)
+            caller.send(request[:1500])
+            await wait_until(lambda: bool(connection.parser.pending))
+            frontend.limits = FrontendLimits(max_body=10, header_bytes=1024)
+            caller.send(request[1500:])
+            assert (await receive(caller)).startswith(b"HTTP/1.1 200")
+
+
 async def test_a_long_head_that_follows_a_request_is_read_to_its_end():
     """Reading was paused in the middle of the head, as in a body, and never resumed."""
     limits = FrontendLimits(header_bytes=1 << 20)
