Odd registrations of servers are ignored, and the others hold

Here one such entry ended the watch of all servers for good, without a log line: a server that registered later was never known.

Cause: the decoder promised ProtocolError, but JSON that is nested too deeply raised RecursionError and a duration too long OverflowError, which ended the task of the watch. Other odd entries were accepted: with 10**400 slots every step of the VM failed; host names would have been looked up; and a start beyond 64 bits can't be sent to the other VMs.

Ruled out: a port above 65535, a port without digits, and bytes that are no JSON were ignored before; their tests passed. Ports in other digits than ASCII were taken.

JSON of other writers is now decoded by one function that raises ProtocolError for all of it. Durations are at most 366 days, servers have IPv4 addresses and ASCII ports, 1 to 10,000 slots, a start from 0 to 2**63 - 1 ms, a service, and a name that fits into a header.

--- a/fireflylock/platform/registrations.py
+++ b/fireflylock/platform/registrations.py
@@ -1,24 +1,41 @@
 """Decodes the registrations that backend servers write into the store."""
 
+import re
+from typing import Annotated
+
 import msgspec
 
 from fireflylock.direct.model import ServerEntry
 from fireflylock.exceptions import ProtocolError
-from fireflylock.platform.wire import SERVERS_PREFIX, parse_address, parse_duration
+from fireflylock.json_values import decode_json
+from fireflylock.platform.wire import (
+    MAX_SHOWN_CHARACTERS,
+    SERVERS_PREFIX,
+    parse_duration,
+    parse_server_address,
+)
 
 READY = "ready"
 LEAVING = "draining"
 
+# Requests that a server runs at once; a larger number is a mistake.
+MAX_SLOTS = 10_000
+# Unix time in milliseconds; entry VMs send it to each other as a 64-bit integer.
+MAX_BORN_MS = 2**63 - 1
+
+# Requests carry the name in a header.
+_NAME = re.compile(r"[!-~]{1,255}")
+
 
 class Registration(msgspec.Struct, rename="camel"):
     """A registration; its ``sequence`` only counts the writes of one incarnation."""
 
-    service: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)] = 0
     cold_remaining: str = "0ms"
 
 
@@ -37,18 +54,20 @@
     ProtocolError
         The registration is not valid, and its server can't be used.
     """
+    name = key.removeprefix(SERVERS_PREFIX)
+    if _NAME.fullmatch(name) is None:
+        raise ProtocolError(f"invalid server registration: name {name[:MAX_SHOWN_CHARACTERS]!r}")
     try:
-        entry = msgspec.json.decode(data, type=Registration)
-        host, port = parse_address(entry.address)
+        entry = decode_json(data, Registration)
+        host, port = parse_server_address(entry.address)
         cold_remaining = parse_duration(entry.cold_remaining)
-    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
+    except (ProtocolError, ValueError) as error:
         raise ProtocolError(f"invalid server registration: {error}") from error
     if entry.state not in (READY, LEAVING):
-        raise ProtocolError(f"invalid server registration: unknown state {entry.state!r}")
-    if entry.slots < 1:
-        raise ProtocolError(f"invalid server registration: {entry.slots} slots")
+        shown = entry.state[:MAX_SHOWN_CHARACTERS]
+        raise ProtocolError(f"invalid server registration: unknown state {shown!r}")
     return ServerEntry(
-        name=key.removeprefix(SERVERS_PREFIX),
+        name=name,
         born=entry.born,
         service=entry.service,
         zone=entry.zone,
--- a/fireflylock/platform/wire.py
+++ b/fireflylock/platform/wire.py
@@ -2,6 +2,7 @@
 
 import re
 from datetime import timedelta
+from ipaddress import IPv4Address
 
 # Id of one attempt of a caller; a caller's own retry has a new one.
 REQUEST_ID = b"x-fireflylock-attempt-identifier"
@@ -49,7 +50,14 @@
 _SECONDS = re.compile(rb"\d{1,6}(?:\.\d{1,9})?")
 _RATE = re.compile(rb"\d{1,9}(?:\.\d{1,9})?")
 _ERA = re.compile(r"[0-9]{1,6}")
-_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)", re.ASCII)
+_PORT = re.compile(r"\d{1,5}", re.ASCII)
+
+# A longer duration is a mistake; shorter ones can be added to any instant.
+MAX_DURATION = timedelta(days=366)
+MAX_TCP_PORT = 65535
+# Characters of an invalid value that are shown.
+MAX_SHOWN_CHARACTERS = 64
 
 
 def parse_duration(text: str) -> timedelta:
@@ -58,13 +66,16 @@
     Raises
     ------
     ValueError
-        `text` has another format.
+        `text` has another format, or the duration is longer than `MAX_DURATION`.
     """
+    shown = text[:MAX_SHOWN_CHARACTERS]
     match = _DURATION.fullmatch(text)
     if match is None:
-        raise ValueError(f"{text!r} is not a number followed by ms or s")
-    number = float(match[1])
-    return timedelta(milliseconds=number) if match[2] == "ms" else timedelta(seconds=number)
+        raise ValueError(f"{shown!r} is not a number followed by ms or s")
+    seconds = float(match[1]) / 1000 if match[2] == "ms" else float(match[1])
+    if seconds > MAX_DURATION.total_seconds():
+        raise ValueError(f"{shown!r} is longer than {MAX_DURATION.days} days")
+    return timedelta(seconds=seconds)
 
 
 def format_duration(value: timedelta) -> str:
@@ -96,7 +107,19 @@
     ValueError
         `text` is not a host, a colon and a port.
     """
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r} is not an address with a port")
+    host, _, port = text.rpartition(":")
+    if not host or _PORT.fullmatch(port) is None or not 0 < int(port) <= MAX_TCP_PORT:
+        raise ValueError(f"{text[:MAX_SHOWN_CHARACTERS]!r} is not an address with a port")
     return host, int(port)
+
+
+def parse_server_address(text: str) -> tuple[str, int]:
+    """Split the address of a server into host and port.
+
+    Raises
+    ------
+    ValueError
+        `text` is not an IPv4 address, a colon and a port; names are not looked up.
+    """
+    host, port = parse_address(text)
+    return str(IPv4Address(host)), port
--- /dev/null
+++ b/tests/test_direct_odd_entries.py
@@ -0,0 +1,76 @@
+"""Odd content in the store, left by another writer, must end nothing and hide nothing else."""
+
+import asyncio
+import json
+
+import pytest
+
+from fireflylock.platform import wire
+from tests.direct_site import Site
+from tests.virtual_time import VirtualTimePolicy
+
+NESTING = 100_000
+# Longer than the pause between two watch calls.
+SETTLED_SECONDS = 4.0
+
+
+@pytest.fixture
+def event_loop_policy():
+    return VirtualTimePolicy()
+
+
+@pytest.fixture
+async def site():
+    async with Site() as new_site:
+        await new_site.add_server("o0")
+        yield new_site
+
+
+def nested_too_deeply(site: Site) -> bytes:
+    """Return the registration of a server with a field that is nested too deeply."""
+    fields = json.dumps(site.servers["o0"].registration()).encode().removesuffix(b"}")
+    return fields + b', "more": ' + b"[" * NESTING + b"]" * NESTING + b"}"
+
+
+def changed(**fields: object):
+    """Return a function that returns a registration with some fields changed."""
+
+    def write(site: Site) -> bytes:
+        return json.dumps(site.servers["o0"].registration() | fields).encode()
+
+    return write
+
+
+ODD_ENTRIES = {
+    "nested too deeply": nested_too_deeply,
+    "long duration": changed(coldRemaining="9" * 400 + "s"),
+    "many slots": changed(slots=10**400),
+    "late start": changed(born=10**400),
+    "port out of range": changed(address="127.0.0.1:70000"),
+    "host name": changed(address="some.host:80"),
+    "unreadable": lambda site: b"\xff\x00",
+}
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+async def test_an_odd_entry_that_is_listed_hides_no_server(site, odd):
+    site.store.write(wire.SERVERS_PREFIX + "odd", odd(site))
+    node = await site.add_node()
+    await site.wait_until(lambda: "o0" in node.table.servers)
+    await site.add_server("f0", "files")
+    await site.wait_until(lambda: "f0" in node.table.servers)
+    assert (await site.send_request(node, "/plain/a")).status == 200
+    assert set(node.table.servers) == {"o0", "f0"}
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+async def test_an_odd_entry_that_appears_does_not_end_the_watch_of_the_servers(site, odd):
+    node = await site.add_node()
+    await site.wait_until(lambda: "o0" in node.table.servers)
+    await asyncio.sleep(SETTLED_SECONDS)
+    site.store.write(wire.SERVERS_PREFIX + "odd", odd(site))
+    await asyncio.sleep(SETTLED_SECONDS)
+    await site.add_server("f0", "files")
+    await site.wait_until(lambda: "f0" in node.table.servers)
+    assert (await site.send_request(node, "/plain/a")).status == 200
+    assert set(node.table.servers) == {"o0", "f0"}
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -158,6 +158,12 @@
         wire.parse_duration(text)
 
 
+@pytest.mark.parametrize("text", ["9" * 400 + "s", "99999999999999999s", "31622401s"])
+def test_durations_out_of_range_are_rejected(text):
+    with pytest.raises(ValueError, match="is longer than 366 days"):
+        wire.parse_duration(text)
+
+
 def test_configuration_is_decoded():
     row = ["s", "Shop.example", "/s/", "download", "1s", "250ms", 0, None, 1]
     split = [{"service": "orders", "weight": 90}, {"service": "files", "weight": 10}]
@@ -223,8 +229,31 @@
         {"slots": 0},
         {"address": "10.0.0.9"},
         {"address": None},
+        {"slots": 4.5},
+        {"slots": 10_001},
+        {"slots": 10**17},
+        {"slots": 10**400},
+        {"address": "some.host:8080"},
+        {"address": "10.0.0.999:8080"},
+        {"address": "10.0.\0:8080"},
+        {"address": "[::1]:8080"},
+        {"address": "10.0.0.9:0"},
+        {"address": "10.0.0.9:65536"},
+        {"address": "10.0.0.9:" + "9" * 5000},
+        {"address": "10.0.0.9:-1"},
+        {"address": "10.0.0.9:\u0668\u0660"},
         {"born": "now"},
+        {"born": -1},
+        {"born": 2**63},
+        {"born": 10**400},
         {"coldRemaining": 5},
+        {"coldRemaining": "9" * 400 + "s"},
+        {"coldRemaining": "99999999999999999s"},
+        {"coldRemaining": "99999999999999999999ms"},
+        {"coldRemaining": "\u0665ms"},
+        {"service": ""},
+        {"service": None},
+        {"zone": ["a"]},
     ],
 )
 def test_invalid_registrations_are_rejected(change):
@@ -234,6 +263,54 @@
         decode_registration("servers/i-1", b"\xff\x00")
 
 
+NESTING = 100_000
+VALID_FIELDS = json.dumps(REGISTRATION).encode().removesuffix(b"}")
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"null",
+        b"[]",
+        VALID_FIELDS,
+        VALID_FIELDS + b', "more": ' + b"[" * NESTING + b"]" * NESTING + b"}",
+        VALID_FIELDS + b', "more": ' + b'{"a":' * NESTING + b"1" + b"}" * NESTING + b"}",
+        VALID_FIELDS + b', "more": "\xff"}',
+        VALID_FIELDS + b', "slots": 1e400}',
+        VALID_FIELDS + b', "born": NaN}',
+    ],
+    ids=[
+        "empty",
+        "null",
+        "list",
+        "cut short",
+        "nested lists",
+        "nested objects",
+        "not UTF-8",
+        "slots 1e400",
+        "born NaN",
+    ],
+)
+def test_a_registration_that_is_no_valid_text_is_rejected(data):
+    with pytest.raises(ProtocolError):
+        decode_registration("servers/i-1", data)
+
+
+@pytest.mark.parametrize("name", ["", "a b", "a\r\nb", "\u00e9", "x" * 256])
+def test_a_registration_whose_name_fits_into_no_header_is_rejected(name):
+    with pytest.raises(ProtocolError):
+        decode_registration(f"servers/{name}", json.dumps(REGISTRATION).encode())
+
+
+@pytest.mark.parametrize(
+    "change", [{"slots": 1}, {"slots": 10_000}, {"born": 0}, {"born": 2**63 - 1}]
+)
+def test_a_registration_with_extreme_numbers_is_decoded(change):
+    entry = decode_registration("servers/i-1", json.dumps(REGISTRATION | change).encode())
+    assert entry.slots >= 1
+
+
 def test_headers_sent_to_a_server():
     callers = PlatformCallerDialect()
     headers = [(wire.TIME_LEFT, b"800"), (wire.REQUEST_ID, b"x"), (b"host", b"h")]
