A watch goes on after an unexpected error in the use of a value

Operators saw machines that stopped following the list of backend servers. Whatever the use of a value raised, other than the errors of the platform, ended the task of the watch: the VM knew of no later change of the servers, or of the configuration, and no line said so before its stop.

Such an error is now logged as "watch failed" with its traceback. All keys are listed again after a delay that doubles from 0.15 s to 5 s and starts anew once values could be used, so that a fault that stays makes no busy loop of paid calls.

Evidence: three new tests let the use of values fail. On the code before, the server and the configuration written meanwhile were not known within 20 s of virtual time, and of a fault that stays one use was counted in 60 s, where the test wants more than 12 and fewer than 20. They pass now.

--- a/fireflylock/direct/store_watcher.py
+++ b/fireflylock/direct/store_watcher.py
@@ -14,6 +14,9 @@
 # back, changes must be known well within the drain period of leaving servers.
 INITIAL_BACKOFF = timedelta(milliseconds=150)
 MAX_BACKOFF = timedelta(milliseconds=400)
+# Longest delay after an unexpected error, such as a fault in the use of a value: the next listing
+# may meet it again, and each one is paid for.
+MAX_FAULT_BACKOFF = timedelta(seconds=5)
 
 log = structlog.get_logger()
 
@@ -69,6 +72,7 @@
         self.keys: set[str] = set()
         self.unreachable_since: Instant | None = None
         self.backoff = INITIAL_BACKOFF
+        self.fault_backoff = INITIAL_BACKOFF
         self.read_task: asyncio.Task | None = None
 
     async def run(self) -> None:
@@ -116,6 +120,17 @@
                 self.record_failure(error)
                 await self.clock.sleep(self.backoff)
                 self.backoff = min(2 * self.backoff, MAX_BACKOFF)
+            except Exception:
+                # What was not used is delivered again by a listing.
+                log.exception(
+                    "watch failed",
+                    prefix=self.prefix,
+                    revision=self.revision,
+                    retry_in=self.fault_backoff.total_seconds(),
+                )
+                self.revision = 0
+                await self.clock.sleep(self.fault_backoff)
+                self.fault_backoff = min(2 * self.fault_backoff, MAX_FAULT_BACKOFF)
 
     def record_values(self, values: list[Value], is_snapshot: bool) -> None:
         """Deliver values, and record how far the store has been read."""
@@ -130,6 +145,7 @@
         self.latest_change = max(self.latest_change, latest)
         self.known_revision = max(self.known_revision, self.revision)
         self.on_values(self.clock.elapsed(), values, is_snapshot)
+        self.fault_backoff = INITIAL_BACKOFF
 
     def record_received(self, value: Value) -> None:
         """Record a value that another VM has read and sent."""
--- a/tests/test_direct_odd_entries.py
+++ b/tests/test_direct_odd_entries.py
@@ -4,8 +4,11 @@
 import json
 
 import pytest
+from structlog.testing import capture_logs
 
+from fireflylock.direct.store_watcher import MAX_FAULT_BACKOFF, StoreWatcher
 from fireflylock.platform import wire
+from standins.operator_files import config_json
 from tests.direct_site import Site
 from tests.virtual_time import VirtualTimePolicy
 
@@ -74,3 +77,47 @@
     await site.wait_until(lambda: "f0" in node.table.servers)
     assert (await site.send_request(node, "/plain/a")).status == 200
     assert set(node.table.servers) == {"o0", "f0"}
+
+
+def fail(watcher: StoreWatcher, times: int) -> list[float]:
+    """Let the next uses of a watch's values fail; return a list that gets their instants."""
+    use = watcher.on_values
+    instants: list[float] = []
+
+    def use_or_fail(now, values, is_snapshot):
+        if len(instants) == times:
+            use(now, values, is_snapshot)
+            return
+        instants.append(now.total_seconds())
+        raise KeyError("unexpected")
+
+    watcher.on_values = use_or_fail
+    return instants
+
+
+async def test_an_error_in_the_use_of_watched_servers_does_not_end_the_watch(site):
+    node = await site.add_node()
+    await asyncio.sleep(SETTLED_SECONDS)
+    failures = fail(node.servers_watcher, 1)
+    with capture_logs() as lines:
+        await site.add_server("f0", "files")
+        await site.wait_until(lambda: "f0" in node.table.servers)
+    assert len(failures) == 1
+    logged = [line for line in lines if line["event"] == "watch failed"]
+    assert [(line["prefix"], line["exc_info"]) for line in logged] == [(wire.SERVERS_PREFIX, True)]
+    assert (await site.send_request(node, "/plain/a")).status == 200
+
+
+async def test_an_error_in_the_use_of_the_configuration_does_not_end_the_watch(site):
+    node = await site.add_node()
+    fail(node.config_watcher, 2)
+    site.store.write(wire.CONFIG_KEY, config_json(5))
+    await site.wait_until(lambda: node.routes.version == 5)
+
+
+async def test_an_error_in_the_use_of_values_that_stays_causes_no_busy_loop(site):
+    node = await site.add_node()
+    failures = fail(node.servers_watcher, 1000)
+    await site.add_server("f0", "files")
+    await asyncio.sleep(60)
+    assert 60 / MAX_FAULT_BACKOFF.total_seconds() < len(failures) < 20
