A stored value that can't be decoded no longer hides the others

One item of the store whose value is not valid base64 raised ProtocolError, or ValueError where it has other characters than ASCII, for the whole answer: while it was listed, no registration of a server was read, and each listing met it again. The store's stand-in doesn't check what writers leave; whether the platform's does is not known here.

Such an item is now logged and has no data, like a deleted one: a registration names no server, a configuration or a map is refused by its decoder as before, and a key whose revision is needed to write it again can be read.

Evidence: on the code before, the four cases of the new test (listed or watched, with and without ASCII only) timed out: the server that registered later was not known within 20 s of virtual time, while "watch failed" was logged every 5 s. They pass now. The new test of a configuration passed before: the next one replaces it, and a listing read that.

--- a/fireflylock/platform/kv_store.py
+++ b/fireflylock/platform/kv_store.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from collections.abc import AsyncIterator
 from datetime import timedelta
 from typing import TypeVar
 from urllib.parse import urlencode
 
 import msgspec
+import structlog
 
 from fireflylock.clock import Clock
 from fireflylock.exceptions import (
@@ -61,6 +61,8 @@
 
 CALL_ERRORS = (OSError, TimeoutError, ProtocolError)
 
+log = structlog.get_logger()
+
 
 class Item(msgspec.Struct):
     """An item of the store; ``revision`` is the one of its last change."""
@@ -71,14 +73,20 @@
     deleted: bool = False
 
     def to_value(self, era: StoreEra) -> Value:
-        """Convert an item of the present era to a `Value`; a deleted item has no data."""
+        """Convert an item of the present era to a `Value`.
+
+        A deleted or undecodable item has no data.
+        """
         revision = era.ordered(self.revision)
         if self.deleted:
             return Value(self.key, revision, b"")
         try:
-            return Value(self.key, revision, base64.b64decode(self.value, validate=True))
-        except binascii.Error as error:
-            raise ProtocolError(f"the value of {self.key} is not valid base64") from error
+            data = base64.b64decode(self.value, validate=True)
+        except ValueError as error:
+            # Other writers leave what they like; the other items of the answer are valid.
+            log.warning("stored value can't be decoded", key=self.key, error=str(error))
+            data = b""
+        return Value(self.key, revision, data)
 
 
 class ItemsAnswer(msgspec.Struct, rename="camel"):
--- a/fireflylock/store.py
+++ b/fireflylock/store.py
@@ -40,7 +40,8 @@
         The ordered revision of the write that created it; increases across all keys, and when
         the store is restored from an older copy.
     data : bytes
-        The content; empty when a watch reports that the key was deleted.
+        The content; empty when a watch reports that the key was deleted, or when what is stored
+        can't be decoded.
     """
 
     key: str
--- a/tests/test_direct_odd_entries.py
+++ b/tests/test_direct_odd_entries.py
@@ -121,3 +121,32 @@
     await site.add_server("f0", "files")
     await asyncio.sleep(60)
     assert 60 / MAX_FAULT_BACKOFF.total_seconds() < len(failures) < 20
+
+
+@pytest.mark.parametrize("text", ["{odd}", "\u00e9"])
+@pytest.mark.parametrize("listed", [True, False])
+async def test_a_value_that_is_no_valid_base64_hides_no_server(site, listed, text):
+    if listed:
+        write_undecodable(site, wire.SERVERS_PREFIX + "odd", text)
+    node = await site.add_node()
+    await asyncio.sleep(SETTLED_SECONDS)
+    if not listed:
+        write_undecodable(site, wire.SERVERS_PREFIX + "odd", text)
+    await asyncio.sleep(SETTLED_SECONDS)
+    await site.add_server("f0", "files")
+    await site.wait_until(lambda: "f0" in node.table.servers)
+    assert set(node.table.servers) == {"o0", "f0"}
+
+
+async def test_a_configuration_that_is_no_valid_base64_is_ignored(site):
+    node = await site.add_node()
+    write_undecodable(site, wire.CONFIG_KEY)
+    await asyncio.sleep(SETTLED_SECONDS)
+    assert node.routes.version == 1
+    site.store.write(wire.CONFIG_KEY, config_json(5))
+    await site.wait_until(lambda: node.routes.version == 5)
+
+
+def write_undecodable(site: Site, key: str, text: str = "{odd}") -> None:
+    """Write a value that is no valid base64, as a store does that does not check it."""
+    site.store.content.write([(key.encode(), text.encode(), 0)])
