An odd entry among the VMs no longer cuts a VM off

An entry below the VMs' prefix that can't be decoded ended the task that registers this VM and renews its entry: VMs that start later did not hear of it, and a store that fell silent was noticed only by the time-out of a watch. One with a port above 65535, or with a NUL in its host, closed the socket for messages between VMs with the first message to it, for good: asyncio takes anything but an OSError of sendto for fatal. A host name is looked up for each message.

Such entries are now ignored with a log line. Hosts have to be IP addresses, and ports 1 to 65535.

Ruled out: addresses of VMs that are heard, which are those of the datagrams.

Evidence: all nine cases of the new test failed before: five timed out, as the VMs did not learn of each other; in three neither VM heard the other any more; and a host of dots was added as a VM. They pass now.

--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from ipaddress import ip_address
+from typing import Annotated
 
 import msgspec
 import structlog
@@ -54,6 +56,7 @@
     RequestError,
     VersionConflictError,
 )
+from fireflylock.json_values import decode_json
 from fireflylock.link_pacer import LinkPacer
 from fireflylock.metrics import Metrics, StateMetric
 from fireflylock.request_metrics import RequestMetrics
@@ -88,6 +91,7 @@
 # Descriptors kept free of callers, for connections to servers, the store and other VMs.
 RESERVED_DESCRIPTORS = 1200
 MIN_CALLER_CONNECTIONS = 256
+MAX_UDP_PORT = 65535
 # A process that has its configuration, but no maps of keys yet, reports itself ready after this:
 # it can serve services without keys.
 MAX_WAIT_FOR_MAPS = timedelta(seconds=6)
@@ -101,7 +105,24 @@
     vm: str
     zone: str
     host: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=MAX_UDP_PORT)]
+
+
+def decode_member(data: bytes) -> Member:
+    """Decode a VM's entry.
+
+    Raises
+    ------
+    ProtocolError
+        The entry is not valid, or its host is not an IP address: a message that is sent to such
+        an address looks its name up, or closes the socket.
+    """
+    member = decode_json(data, Member)
+    try:
+        ip_address(member.host)
+    except ValueError as error:
+        raise ProtocolError(f"the host of {member.vm!r} is not an IP address") from error
+    return member
 
 
 def store_rate_divisor(vms: int, placing: bool) -> int:
@@ -473,7 +494,11 @@
             await store.put(key, entry, revision, lease=self.member_lease)
         values, _ = await store.list(MEMBERS_PREFIX)
         for value in values:
-            member = msgspec.json.decode(value.data, type=Member)
+            try:
+                member = decode_member(value.data)
+            except ProtocolError as error:
+                log.warning("entry of a VM ignored", key=value.key, error=str(error))
+                continue
             if member.vm != self.node_settings.vm:
                 self.gossip.add(member.vm, (member.host, member.port), member.zone)
         self.gossip.send(self.leadership.hello)
--- a/tests/test_direct_odd_entries.py
+++ b/tests/test_direct_odd_entries.py
@@ -6,6 +6,7 @@
 import pytest
 from structlog.testing import capture_logs
 
+from fireflylock.direct.node import MEMBERS_PREFIX
 from fireflylock.direct.store_watcher import MAX_FAULT_BACKOFF, StoreWatcher
 from fireflylock.platform import wire
 from standins.operator_files import config_json
@@ -150,3 +151,32 @@
 def write_undecodable(site: Site, key: str, text: str = "{odd}") -> None:
     """Write a value that is no valid base64, as a store does that does not check it."""
     site.store.content.write([(key.encode(), text.encode(), 0)])
+
+
+MEMBER = {"vm": "vm-9", "zone": "zone-a", "host": "127.0.0.1", "port": 9}
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff",
+        b'{"vm": "vm-9"}',
+        b'{"more": ' + b"[" * NESTING + b"]" * NESTING + b"}",
+        json.dumps(MEMBER | {"port": "9"}).encode(),
+        json.dumps(MEMBER | {"port": 70000}).encode(),
+        json.dumps(MEMBER | {"port": 10**400}).encode(),
+        json.dumps(MEMBER | {"host": "127.0.\0"}).encode(),
+        json.dumps(MEMBER | {"host": "." * 5}).encode(),
+    ],
+    ids=["empty", "no text", "short", "nested", "text", "range", "large", "null", "name"],
+)
+async def test_an_odd_entry_among_the_vms_cuts_no_vm_off(site, data):
+    first = await site.add_node("vm-1")
+    site.store.write(MEMBERS_PREFIX + "odd", data)
+    second = await site.add_node("vm-2")
+    await site.wait_until(lambda: "vm-2" in first.gossip.peers and "vm-1" in second.gossip.peers)
+    await asyncio.sleep(SETTLED_SECONDS)
+    await site.wait_until(lambda: first.gossip.alive(site.clock.elapsed()) == ["vm-2"])
+    await site.wait_until(lambda: second.gossip.alive(site.clock.elapsed()) == ["vm-1"])
+    assert "vm-9" not in second.gossip.peers
