A configuration that is nested too deeply is refused as invalid

The decoder promised ProtocolError, but raised RecursionError, which ended the watch of the configuration, and since a watch survives that made it list all the time. It uses the same function as registrations now, which also refuses bytes that are not UTF-8 in unknown fields.

Evidence: of the two new cases the first failed with RecursionError and the second did not raise; they pass now.

--- a/fireflylock/platform/operator_config.py
+++ b/fireflylock/platform/operator_config.py
@@ -13,6 +13,7 @@
     Share,
 )
 from fireflylock.exceptions import ProtocolError
+from fireflylock.json_values import decode_json
 from fireflylock.platform.wire import parse_duration
 
 # A "download" route has large answers; its requests may run more than once.
@@ -98,7 +99,7 @@
         It is malformed or inconsistent, and must not be used even in part.
     """
     try:
-        table = msgspec.json.decode(data, type=ConfigTable)
+        table = decode_json(data, ConfigTable)
         services = {row.name: row for row in convert_rows(table.services, ServiceRow)}
         routes = tuple(
             convert_route(row, services) for row in convert_rows(table.routes, RouteRow)
@@ -109,7 +110,7 @@
             head_timeout=parse_duration(table.limits.header_timeout),
             idle_timeout=parse_duration(table.limits.idle_timeout),
         )
-    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
+    except (ProtocolError, ValueError) as error:
         raise ProtocolError(f"invalid configuration: {error}") from error
     specs = {
         row.name: ServiceSpec(row.name, row.health_check_path, row.max_connections, row.sharded)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -196,6 +196,16 @@
         decode_config(json.dumps(content).encode())
 
 
+@pytest.mark.parametrize(
+    "addition",
+    [b'"more": ' + b"[" * 100_000 + b"]" * 100_000, b'"more": "\xff"'],
+    ids=["nested", "not UTF-8"],
+)
+def test_a_configuration_that_is_no_valid_text_is_rejected(addition):
+    with pytest.raises(ProtocolError):
+        decode_config(config_json().removesuffix(b"}") + b", " + addition + b"}")
+
+
 REGISTRATION = {
     "service": "orders",
     "address": "10.0.0.9:8080",
