A map of keys that is nested too deeply is not read all the time

Reading such a record raised RecursionError instead of ProtocolError: the leader's task failed, and the next step, 20 ms later, read the record again, instead of after the delay of 150 ms for a record that can't be used. The record is now decoded as those of other writers are.

Keys of the service are still not placed as long as the record stays: who owns them is unknown.

Evidence: the new test failed before, as no "map of keys not loaded" was logged; it passes now.

--- a/fireflylock/direct/key_ranges.py
+++ b/fireflylock/direct/key_ranges.py
@@ -7,6 +7,7 @@
 
 from fireflylock.direct.model import KEY_COUNT, ServerEntry
 from fireflylock.exceptions import ProtocolError
+from fireflylock.json_values import decode_json
 from fireflylock.store_era import era_of, in_era
 
 
@@ -294,8 +295,8 @@
         The data is not a record, or its ranges leave gaps.
     """
     try:
-        record = msgspec.json.decode(data, type=MapRecord)
-    except msgspec.DecodeError as error:
+        record = decode_json(data, MapRecord)
+    except ProtocolError as error:
         raise ProtocolError(f"not a map of key ranges: {error}") from error
     first = 0
     for key_range in record.ranges:
--- a/tests/test_direct_odd_entries.py
+++ b/tests/test_direct_odd_entries.py
@@ -7,6 +7,7 @@
 from structlog.testing import capture_logs
 
 from fireflylock.direct.node import MEMBERS_PREFIX
+from fireflylock.direct.placer import LOAD_RETRY_DELAY, MAPS_PREFIX
 from fireflylock.direct.store_watcher import MAX_FAULT_BACKOFF, StoreWatcher
 from fireflylock.platform import wire
 from standins.operator_files import config_json
@@ -14,6 +15,7 @@
 from tests.virtual_time import VirtualTimePolicy
 
 NESTING = 100_000
+NESTED = b'{"more": ' + b"[" * NESTING + b"]" * NESTING + b"}"
 # Longer than the pause between two watch calls.
 SETTLED_SECONDS = 4.0
 
@@ -162,7 +164,7 @@
         b"",
         b"\xff",
         b'{"vm": "vm-9"}',
-        b'{"more": ' + b"[" * NESTING + b"]" * NESTING + b"}",
+        NESTED,
         json.dumps(MEMBER | {"port": "9"}).encode(),
         json.dumps(MEMBER | {"port": 70000}).encode(),
         json.dumps(MEMBER | {"port": 10**400}).encode(),
@@ -180,3 +182,16 @@
     await site.wait_until(lambda: first.gossip.alive(site.clock.elapsed()) == ["vm-2"])
     await site.wait_until(lambda: second.gossip.alive(site.clock.elapsed()) == ["vm-1"])
     assert "vm-9" not in second.gossip.peers
+
+
+async def test_a_map_of_keys_that_is_nested_too_deeply_is_not_read_in_a_busy_loop(site):
+    site.store.write(MAPS_PREFIX + "orders", NESTED)
+    node = await site.add_node()
+    await site.wait_until(lambda: node.leadership.placers)
+    with capture_logs() as lines:
+        await asyncio.sleep(SETTLED_SECONDS)
+    reads = [line for line in lines if line["event"] == "map of keys not loaded"]
+    assert 0 < len(reads) <= SETTLED_SECONDS / LOAD_RETRY_DELAY.total_seconds()
+    assert not [line for line in lines if line["event"] == "placement task failed"]
+    site.store.remove(MAPS_PREFIX + "orders")
+    await site.wait_until_granted()
