Recorded speeds that are nested too deeply are reported

Reading them raised RecursionError, and the task that loads them ended with no line about it until the process stopped. Nothing else was harmed: the leader's next record replaces them.

Evidence: the new test failed before, as "recorded speeds can't be decoded" was not logged; it passes now.

--- a/fireflylock/direct/speed_record.py
+++ b/fireflylock/direct/speed_record.py
@@ -11,7 +11,8 @@
 import structlog
 
 from fireflylock.direct.servers import ServerTable
-from fireflylock.exceptions import PlatformError, VersionConflictError
+from fireflylock.exceptions import PlatformError, ProtocolError, VersionConflictError
+from fireflylock.json_values import decode_json
 from fireflylock.store import Store, Value
 
 SPEEDS_KEY = "fireflylock/speeds"
@@ -60,8 +61,8 @@
             return
         self.revision = value.revision
         try:
-            recorded = msgspec.json.decode(value.data, type=SpeedsValue)
-        except msgspec.DecodeError as error:
+            recorded = decode_json(value.data, SpeedsValue)
+        except ProtocolError as error:
             log.error(
                 "recorded speeds can't be decoded", revision=value.revision, error=str(error)
             )
--- a/tests/test_direct_odd_entries.py
+++ b/tests/test_direct_odd_entries.py
@@ -8,6 +8,7 @@
 
 from fireflylock.direct.node import MEMBERS_PREFIX
 from fireflylock.direct.placer import LOAD_RETRY_DELAY, MAPS_PREFIX
+from fireflylock.direct.speed_record import SPEEDS_KEY
 from fireflylock.direct.store_watcher import MAX_FAULT_BACKOFF, StoreWatcher
 from fireflylock.platform import wire
 from standins.operator_files import config_json
@@ -195,3 +196,12 @@
     assert not [line for line in lines if line["event"] == "placement task failed"]
     site.store.remove(MAPS_PREFIX + "orders")
     await site.wait_until_granted()
+
+
+async def test_recorded_speeds_that_are_nested_too_deeply_are_reported_and_replaced(site):
+    site.store.write(SPEEDS_KEY, NESTED)
+    with capture_logs() as lines:
+        node = await site.add_node()
+        await site.wait_until(lambda: node.speeds_task is not None and node.speeds_task.done())
+    assert "recorded speeds can't be decoded" in [line["event"] for line in lines]
+    await site.wait_until(lambda: site.store.read(SPEEDS_KEY) != NESTED)
