Failing tests: requests are sent again to a server that does not hold their key

Two of the three fail on: a request that a server answers 421 is sent to it three times, though nothing that the VM knows of the key's owner has changed in between.

--- a/standins/platform_backend_server.py
+++ b/standins/platform_backend_server.py
@@ -58,6 +58,8 @@
         ``Server-Limit`` header of its answers; "" for none.
     arrivals : list of float
         When requests for keys that it owns, or without a key, have arrived, in seconds.
+    misdirected : int
+        Number of requests for other servers, or for keys that it does not own, that have arrived.
     """
 
     name: str
@@ -77,6 +79,7 @@
     backoff: str = ""
     limit: str = ""
     arrivals: list[float] = field(default_factory=list)
+    misdirected: int = 0
     status: int = 200
     address: str = ""
 
@@ -139,6 +142,7 @@
         key = call.headers.get(wire.KEY.decode())
         number = None if key is None else int(key)
         if expected != self.name or (self.keyed and not self.key_grants.has_grant(number)):
+            self.misdirected += 1
             return Reply(421, headers=list(NOT_RUN))
         self.arrivals.append(self.clock.elapsed().total_seconds())
         if self.refuse_next:
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
@@ -97,6 +98,68 @@
     assert sum(len(server.runs) for server in site.servers.values()) == 1
 
 
+async def test_a_request_is_not_sent_again_to_a_server_that_is_not_the_expected_one(site):
+    """arpillera-litoral-grown fresh-d361: VMs cut off from the store kept an owner that had ended.
+
+    Repeats at its address counted for the service that had the address by then.
+    """
+    node = await start_node(site)
+    for server in site.servers.values():
+        # Another process has taken its address.
+        server.name = f"not {server.name}"
+    budget = node.sender.budget("orders")
+    for _ in range(40):
+        budget.count_request(site.clock.elapsed())
+    started = asyncio.get_running_loop().time()
+    answer = await site.send_request(node, "/place/x", "order", 7, "POST", b"x")
+    assert answer.status == 503
+    assert "retry-after" in answer.headers
+    assert sum(server.misdirected for server in site.servers.values()) == 1
+    assert budget.retries == 0
+    assert asyncio.get_running_loop().time() - started < 0.5
+
+
+async def test_a_request_at_a_server_that_its_key_has_left_goes_to_the_new_owner(site):
+    await start_node(site)
+    node = await site.add_node("vm-2")
+    budget = node.sender.budget("orders")
+    for _ in range(40):
+        budget.count_request(site.clock.elapsed())
+    newer = node.view.maps["orders"]
+    key_range = newer.range_of(7)
+    previous = next(owner for owner in newer.owners() if owner != key_range.owner)
+    node.view.maps["orders"] = newer.reassigned(
+        [replace(key_range, owner=previous)], newer.next_epoch
+    )
+    request = asyncio.create_task(site.send_request(node, "/place/x", "order", 7, "POST", b"x"))
+    await site.wait_until(lambda: site.servers[previous.name].misdirected == 1)
+    await asyncio.sleep(0.1)
+    node.view.maps["orders"] = newer
+    assert (await request).status == 200
+    assert site.servers[previous.name].misdirected == 1
+    assert [run.request_id for run in site.servers[key_range.owner.name].runs] == ["order"]
+
+
+async def test_a_request_at_a_server_that_got_its_key_back_is_sent_again(site):
+    await start_node(site)
+    node = await site.add_node("vm-2")
+    budget = node.sender.budget("orders")
+    for _ in range(40):
+        budget.count_request(site.clock.elapsed())
+    older = node.view.maps["orders"]
+    key_range = older.range_of(7)
+    server = site.servers[key_range.owner.name]
+    name, server.name = server.name, "not yet"
+    request = asyncio.create_task(site.send_request(node, "/place/x", "order", 7, "POST", b"x"))
+    await site.wait_until(lambda: server.misdirected == 1)
+    server.name = name
+    node.view.maps["orders"] = older.reassigned(
+        [replace(key_range, epoch=older.next_epoch)], older.next_epoch + 1
+    )
+    assert (await request).status == 200
+    assert server.misdirected == 1
+
+
 async def test_a_safe_request_without_an_answer_is_retried(site):
     node = await start_node(site)
     for server in site.servers.values():
