A request is sent again to a server without its key only once the key has moved

What callers saw: refusals after some 500 ms.

Cause: a request that a server answered 421 was sent to it up to three times, 60 ms apart, whether or not anything had changed. Where the server had ended, its address could belong to a server of another service: repeats that the budget of the keys' service allows counted for that service, whose own budget did not bound them.

Requests whose callers had left were not looked at.

Change: after a 421 a request waits for up to 180 ms until its key has another owner, no owner, or a new epoch, and goes again then; otherwise it is refused, and nothing is taken from the budget.

--- a/fireflylock/direct/admission.py
+++ b/fireflylock/direct/admission.py
@@ -114,6 +114,10 @@
     def owner_of(self, service: str, key: int) -> Server | None:
         """Return the server that owns a key, or None while no server may run its requests."""
 
+    @abstractmethod
+    def epoch_of(self, service: str, key: int) -> int | None:
+        """Return the epoch under which a key is owned, or None if it is not known."""
+
     @abstractmethod
     def time_until_owned(self, service: str, key: int, now: Instant) -> timedelta:
         """Return the minimum time until the key has an owner."""
--- a/fireflylock/direct/ownership_view.py
+++ b/fireflylock/direct/ownership_view.py
@@ -54,6 +54,11 @@
             return None
         return server
 
+    def epoch_of(self, service: str, key: int) -> int | None:
+        """Return the epoch under which a key is owned, or None if it is not known."""
+        range_map = self.maps.get(service)
+        return None if range_map is None else range_map.range_of(key).epoch
+
     def time_until_owned(self, service: str, key: int, now: Instant) -> timedelta:
         """Return the minimum time until the key has an owner."""
         migration = self.migration_of(service, key)
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -40,8 +40,10 @@
 MAX_ATTEMPTS = 3
 # Delay before a retry at the only server that may run the request.
 SAME_SERVER_RETRY_DELAY = timedelta(milliseconds=15)
-# Delay after a server said that it does not own the key: the map here is about to change.
-MOVED_RETRY_DELAY = timedelta(milliseconds=60)
+# After a server said that it does not own the key, the map here is usually about to change.  It is
+# looked at this often, for at most the second time.
+MOVED_CHECK_INTERVAL = timedelta(milliseconds=60)
+MAX_MOVED_WAIT = timedelta(milliseconds=180)
 # Retry-After of a refusal whose cause will soon be over.
 SHORT_RETRY_AFTER = timedelta(milliseconds=50)
 # Share of the time to the latency target that a request waits until the link has room for its
@@ -164,6 +166,7 @@
                 server, number = await self.admit(request, ticket_key, tried_servers)
             except RequestError as error:
                 raise self.final_error(request, error, may_have_run) from None
+            epoch = self.epoch(request, spec)
             request.body = body.body_for_attempt()
             try:
                 response = await self.send(request, server, number)
@@ -179,6 +182,9 @@
                 attempts += 1
                 tried_servers.add(server.name)
             retryable = attempts < MAX_ATTEMPTS and not body.was_read
+            moved = spec.keyed and error.kind is ErrorKind.MOVED
+            if retryable and moved:
+                retryable = await self.wait_for_move(request, server, epoch)
             if not retryable or not self.may_retry(request, error, sent, tried_servers, spec):
                 if response is not None:
                     return response
@@ -193,9 +199,42 @@
                 sendings=attempts,
                 budget_left=self.budget(spec.name).remaining(self.clock.elapsed(), self.vms()),
             )
-            if spec.keyed and sent:
-                moved = error.kind is ErrorKind.MOVED
-                await self.clock.sleep(MOVED_RETRY_DELAY if moved else SAME_SERVER_RETRY_DELAY)
+            if spec.keyed and sent and not moved:
+                await self.clock.sleep(SAME_SERVER_RETRY_DELAY)
+
+    def epoch(self, request: RoutedRequest, spec: ServiceSpec) -> int | None:
+        """Return the epoch under which the key of a request is owned, or None without one."""
+        if not spec.keyed:
+            return None
+        return self.admission.ownership.epoch_of(request.service, request.key_number)
+
+    async def wait_for_move(
+        self, request: RoutedRequest, server: Server, epoch: int | None
+    ) -> bool:
+        """Return True once the key of a request has moved, and False if it does not in time.
+
+        Until then, the server would reject the request again.  It may have ended, and its address
+        may belong to a server of another service, whose retry budget is not the one used here.
+
+        Parameters
+        ----------
+        request : RoutedRequest
+            A request that was rejected since the server does not own its key.
+        server : Server
+            The server that it was sent to.
+        epoch : int or None
+            Epoch of the key when it was sent.
+        """
+        ownership = self.admission.ownership
+        service, key = request.service, request.key_number
+        give_up_at = min(self.clock.elapsed() + MAX_MOVED_WAIT, request.deadline)
+        while (left := give_up_at - self.clock.elapsed()) > timedelta(0):
+            await self.clock.sleep(min(left, MOVED_CHECK_INTERVAL))
+            if ownership.owner_of(service, key) is not server:
+                return True
+            if ownership.epoch_of(service, key) != epoch:
+                return True
+        return False
 
     def choose_service(self, request: RoutedRequest) -> ServiceSpec:
         """Return the service for a request, and set it on the request."""
--- a/tests/permit_fleet.py
+++ b/tests/permit_fleet.py
@@ -43,6 +43,9 @@
     def owner_of(self, service, key):
         return self.table.servers[SERVER.name]
 
+    def epoch_of(self, service, key):
+        return 1
+
     def time_until_owned(self, service, key, now):
         return timedelta(0)
 
--- a/tests/test_direct_admission.py
+++ b/tests/test_direct_admission.py
@@ -43,6 +43,9 @@
     def owner_of(self, service, key):
         return self.table.servers[self.owner] if self.owner else None
 
+    def epoch_of(self, service, key):
+        return 1
+
     def time_until_owned(self, service, key, now):
         return self.wait
 
