A registration of an unknown service no longer takes the address of a running server

What was seen: a registration that another writer had left, of a service that the configuration does not name, with the address of a running server and a later start, marked that server as replaced; it got no more requests.

Cause: any valid registration was taken as proof of what runs at its address.

Change: only services of the configuration claim addresses; they are claimed again when the configuration changes, and none before the first one.

Evidence: the new test of the table; without the check the odd registration replaces the server.

--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -158,6 +158,8 @@
         self.matcher: RouteMatcher | None = None
         self.stopping = False
         self.table = ServerTable(node_settings.bounds.drain)
+        # No address is claimed before the first configuration.
+        self.table.apply_services(self.started_at, ())
         self.view = OwnershipView(self.table)
         self.gossip = Gossip(node_settings.vm, clock, self.on_message)
         self.limits = RequestLimits(clock, self.table)
@@ -389,6 +391,7 @@
         self.matcher = RouteMatcher(routes)
         self.sender.routes = routes
         self.leadership.apply_routes(routes)
+        self.table.apply_services(self.clock.elapsed(), routes.services)
         max_connections = max(
             MIN_CALLER_CONNECTIONS, self.node_settings.file_descriptors - RESERVED_DESCRIPTORS
         )
--- a/fireflylock/direct/servers.py
+++ b/fireflylock/direct/servers.py
@@ -1,5 +1,6 @@
 """The backend servers as this VM sees them: registration, load and responsiveness."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -168,6 +169,9 @@
         self.drain = drain
         self.limited: dict[str, float] = {}
         self.servers: dict[str, Server] = {}
+        # Services of the configuration; None for all.  A registration of another service proves
+        # nothing about the server at its address.
+        self.services: frozenset[str] | None = None
         # The incarnation that started last, by address.
         self.addresses: dict[tuple[str, int], ServerEntry] = {}
         self.speeds = SpeedEstimates()
@@ -246,8 +250,17 @@
             known.leaving_since = now - self.drain if late else now
         self.claim_address(now, entry)
 
+    def apply_services(self, now: Instant, names: Iterable[str]) -> None:
+        """Apply the services of a new configuration."""
+        self.services = frozenset(names)
+        for server in list(self.servers.values()):
+            if not server.gone:
+                self.claim_address(now, server.entry)
+
     def claim_address(self, now: Instant, entry: ServerEntry) -> None:
         """Assign an address to the incarnation that started last, and mark the other gone."""
+        if self.services is not None and entry.service not in self.services:
+            return
         address = (entry.host, entry.port)
         latest = self.addresses.get(address)
         if latest is None or latest.name == entry.name:
--- a/tests/test_direct_servers.py
+++ b/tests/test_direct_servers.py
@@ -1,5 +1,6 @@
 """Tests of the server table: leaving, missing and replaced servers."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 from fireflylock.direct.key_ranges import Owner
@@ -74,6 +75,20 @@
     assert not servers.is_replaced(Owner("new", 2, "h", 80))
 
 
+def test_a_registration_of_an_unknown_service_replaces_no_server_at_its_address():
+    servers = table()
+    servers.apply_services(START, ())
+    odd = replace(entry("odd", born=2), service="unknown")
+    servers.register(START, entry())
+    servers.register(START, odd)
+    servers.apply_services(START, ["s"])
+    assert not servers.servers["s0"].gone
+    servers.register(START, odd)
+    assert not servers.servers["s0"].gone
+    servers.apply_services(START, ["s", "unknown"])
+    assert servers.servers["s0"].gone
+
+
 def test_a_late_older_registration_replaces_no_server():
     servers = table(entry("new", 2), entry("old", 1))
     assert servers.servers["old"].gone
