A late claim of leadership on another VM's lease no longer keeps everybody from leading

What was seen, in a test: a claim of the leader lease that was sent before a restore of the store and is carried out after it names a lease that has been given out again, to an entry that is renewed for as long as its VM lives. The claim then stays, its process does not know of it, and nobody leads: keys were held by nobody after 30 s.

Change: a process that finds its own claim replaces it, with a new lease.

If the claimer has ended, the claim stays until the lease's holder ends.

--- a/fireflylock/direct/leader_lease.py
+++ b/fireflylock/direct/leader_lease.py
@@ -72,13 +72,16 @@
         PlatformError
             The store did not answer; a lease that it may have granted expires by itself.
         """
-        if await self.store.get(LEADER_KEY) is not None:
+        current = await self.store.get(LEADER_KEY)
+        holder = msgspec.json.encode(self.holder)
+        # A claim of this process that had no answer may hang on a lease that is not its own.
+        if current is not None and current.data != holder:
             return False
+        expected = 0 if current is None else current.revision
         sent = self.clock.elapsed()
         lease = await self.store.grant_lease(LEASE_TTL)
         try:
-            holder = msgspec.json.encode(self.holder)
-            self.revision = await self.store.put(LEADER_KEY, holder, 0, lease=lease)
+            self.revision = await self.store.put(LEADER_KEY, holder, expected, lease=lease)
         except VersionConflictError:
             return False
         self.lease = lease
--- a/tests/test_direct_restored.py
+++ b/tests/test_direct_restored.py
@@ -1,10 +1,13 @@
 """A store that comes back from an older copy takes nothing back that is in force."""
 
 import asyncio
+import base64
 from datetime import timedelta
 
+import msgspec
 import pytest
 
+from fireflylock.direct.leader_lease import LEADER_KEY
 from fireflylock.direct.node import DirectNode
 from fireflylock.platform import wire
 from standins.operator_files import config_json
@@ -144,3 +147,18 @@
     site.store.content.grant(600, site.clock.elapsed().total_seconds())
     await asyncio.sleep(5)
     assert site.store.read("fireflylock/vms/vm-3") is not None
+
+
+async def test_a_late_claim_of_leadership_on_a_lease_of_another_vm_keeps_nobody_from_leading(site):
+    nodes = await start_nodes(site)
+    await restore(site, 0.0)
+    content = site.store.content
+    name = LEADER_KEY.encode()
+    content.end_lease(
+        next(number for number, lease in content.leases.items() if name in lease.keys)
+    )
+    lease = content.grant(600, site.clock.elapsed().total_seconds())
+    holder = base64.b64encode(msgspec.json.encode(nodes[1].leadership.leader_lease.holder))
+    content.write([(name, holder, lease)])
+    await asyncio.sleep(30)
+    assert all(len(holders(site, key)) == 1 for key in SAMPLED_KEYS)
