A second list after a restore of the store brings no server back that has left

What was seen, in tests: a server that had left, and whose registration the copy had brought back, was ready again after 4 s although a later list lacked it, or at once if the list was read a second time.

Change: what a list lacks is no longer returned, and a returned registration is judged like the first time in each list, with the time of the first.

Found by the review of the restored store; both tests failed before.

--- a/fireflylock/direct/servers.py
+++ b/fireflylock/direct/servers.py
@@ -201,15 +201,18 @@
             servers that are known here then still hold.
         """
         names = {entry.name for entry in entries}
+        for name in self.returned.keys() - names:
+            del self.returned[name]
         for name, server in list(self.servers.items()):
             if name not in names and not server.gone:
                 self.remove(now, name)
         for entry in entries:
             known = self.servers.get(entry.name)
-            if not restored or known is None or not self.is_outdated(known, entry):
+            from_copy = restored or entry.name in self.returned
+            if known is None or not from_copy or not self.is_outdated(known, entry):
                 self.register(now, entry, just_written=False)
             elif known.gone and known.entry.born == entry.born:
-                self.returned[entry.name] = (entry, now)
+                self.returned.setdefault(entry.name, (entry, now))
 
     def is_outdated(self, known: Server, entry: ServerEntry) -> bool:
         """Return whether a registration from a copy of the store is older than what is known."""
--- a/tests/test_direct_servers.py
+++ b/tests/test_direct_servers.py
@@ -128,6 +128,25 @@
     assert servers.servers["expires"].gone
 
 
+def test_a_returned_registration_that_a_later_list_lacks_does_not_count():
+    servers = table(entry())
+    servers.replace(START, [])
+    servers.replace(START + SECOND, [entry()], restored=True)
+    servers.replace(START + 2 * SECOND, [])
+    servers.tick(START + SECOND + RETURN_CONFIRMATION_TIME)
+    assert servers.servers["s0"].gone
+
+
+def test_a_second_list_after_a_restore_brings_no_server_back():
+    servers = table(entry())
+    servers.replace(START, [])
+    servers.replace(START + SECOND, [entry()], restored=True)
+    servers.replace(START + 2 * SECOND, [entry()])
+    assert servers.servers["s0"].gone
+    servers.tick(START + SECOND + RETURN_CONFIRMATION_TIME)
+    assert not servers.servers["s0"].gone
+
+
 def test_a_server_that_registers_again_after_a_restore_counts_at_once():
     servers = table(entry())
     servers.replace(START, [])
