--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -373,7 +373,9 @@
         connection.update_delivery(now)
         idle = now - connection.progress_at
         idle_limit = max(connection.idle_limit, self.limits.keepalive_timeout)
-        drained = self.draining and now - self.drain_started_at >= self.limits.drain_idle
+        delivered = connection.delivery_ends_at is None
+        drain_time = now - self.drain_started_at if self.draining else timedelta(0)
+        drained = self.draining and delivered and drain_time >= self.limits.drain_idle
         if late or drained or idle >= idle_limit:
             self.counters.idle_closed += connection.close_idle()
 
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -387,3 +387,25 @@
             while received.count(b"HTTP/1.1 200") < 2:
                 received += await receive(caller)
             await sending
+
+
+async def test_a_drain_loses_no_end_of_a_response_to_a_request_sent_before_it_was_read():
+    size = 300_000
+
+    async def large(request):
+        return Response(200, [], BytesBody(bytes(size)), size)
+
+    limits = FrontendLimits(drain_idle=timedelta(0))
+    async with running_frontend(ScriptedHandler(large), limits) as (frontend, port):
+        with connect(port, receive_buffer=4096) as caller:
+            caller.send(REQUEST)
+            connection = await only_connection(frontend)
+            await wait_until(lambda: connection.delivery_ends_at is not None)
+            frontend.start_draining()
+            frontend.sweep(frontend.clock.elapsed())
+            caller.send(REQUEST)
+            received = await receive_all(caller)
+    first, separator, second = received.rpartition(b"HTTP/1.1 200")
+    assert separator
+    assert first.endswith(bytes(size))
+    assert second.endswith(bytes(size))
