A call that waits for its turn at the store belongs to the era in which it was made

A call that names a lease or a revision of the former era, and waited for its turn across a restore, passed as a call of the new era.

--- a/fireflylock/platform/kv_store.py
+++ b/fireflylock/platform/kv_store.py
@@ -315,9 +315,10 @@
         PlatformError
             No answer arrived; a write may have taken effect or may still do so.
         """
+        # What the call names, such as a lease, was valid before it waits for its turn.
+        sent_in = self.era.number
         await self.rate_limiter.wait(writing=kind == "change")
         self.counts.calls[kind] += 1
-        sent_in = self.era.number
         body = b"" if content is None else msgspec.json.encode(content)
         try:
             answer = await self.client.call(method, path, timeout, body)
