After a restore, only maps of keys that are surely the latest are taken without waiting

What was seen, in tests with a simulated cluster: a key with two holders after a restore, if - the store is restored a second time while a leader without a memory waits: the copy's map counted as its memory, and it as a leader that knows all (two holders at 27.9 s); - VMs that had not heard the last leader lead with an old memory: keys of a leaving server were moved a second time, and a server that never saw its release took its old grant; - the next leader after such a one takes the map that it has recorded for certain. A VM that started after the restore, and won the lease first, kept all keys waiting though others remembered their owners (21 of 45 keys unheld).

Cause: whatever a VM remembered counted as the latest, but for keys whose owner refused.

Change: a map is remembered if its VM led with it, or has heard the leader until now, or knows when all its grants end, and nobody has claimed a newer one. Keys move only after the longest hold while that is uncertain, whatever the reason and whoever leads then. A VM without memory gives the lease back if others remember more.

Evidence: six tests failed before and pass.

--- a/fireflylock/direct/grant_expiry.py
+++ b/fireflylock/direct/grant_expiry.py
@@ -45,6 +45,10 @@
         """Assume that previous leaders have granted keys for the longest hold until now."""
         self.previous_grants_end = now + self.upper_bound(self.max_hold)
 
+    def end_if_granted(self, at: Instant) -> Instant:
+        """Return when the longest hold that is granted at an instant has ended."""
+        return at + self.upper_bound(self.max_hold)
+
     def limit_previous_grants(self, end: Instant) -> None:
         """Apply the previous leader's statement that all its grants end by `end`."""
         self.previous_grants_end = min(self.previous_grants_end, end)
--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -11,6 +11,7 @@
 from fireflylock.direct.expiry_broadcasts import ExpiryBroadcasts
 from fireflylock.direct.gossip import Gossip, GrantsEnd, Hello, MapChange, Moving, Placing
 from fireflylock.direct.key_control import KeyControl
+from fireflylock.direct.key_ranges import RangeMap
 from fireflylock.direct.leader_lease import LEASE_RENEW_INTERVAL, LEASE_TTL, LeaderLease
 from fireflylock.direct.model import Bounds, RouteTable
 from fireflylock.direct.ownership_view import OwnershipView
@@ -154,12 +155,38 @@
         that has not seen the restore yet has ended by its own clock.
         """
         now = self.clock.elapsed()
-        led = self.leader_lease.is_held(now)
-        self.recollection = Recollection(now, dict(self.view.maps), led)
+        led = (
+            self.leader_lease.is_held(now)
+            and bool(self.placers)
+            and all(placer.loaded for placer in self.placers.values())
+        )
+        self.recollection = Recollection(now, self.latest_maps(now, led), led)
         self.leader_lease.lose("the store was restored")
         if self.placers:
             self.step_down("the store was restored")
-        self.next_attempt_at = self.recollection.grants_from(LEASE_TTL)
+        grants_from = self.recollection.grants_from(LEASE_TTL)
+        self.next_attempt_at = max(self.next_attempt_at, grants_from)
+
+    def latest_maps(self, now: Instant, led: bool) -> dict[str, RangeMap]:
+        """Return the maps known here that were surely the latest ones before the restore.
+
+        Keys move without their owner's answer only after a hold has ended, so whoever has heard
+        the last leader until lately knows of all such moves.
+        """
+        former = self.recollection.maps
+        heard = now - self.leader_heard_at < LEADER_TIMEOUT and self.stale_since is None
+        found = {}
+        for name, known in self.view.maps.items():
+            if era_of(known.revision) != self.store.era.previous:
+                if name in former and self.store.era.number == self.store.era.previous + 1:
+                    found[name] = former[name]
+                continue
+            end = self.expiry_broadcasts.expiry_of(name, known.revision)
+            told = end is not None and now + LEASE_TTL < end
+            is_newest = self.claimed_maps.get(name, 0) <= known.revision
+            if led or (is_newest and (heard or told)):
+                found[name] = known
+        return found
 
     def map_revisions(self) -> dict[str, int]:
         """Return the revisions of the newest maps known here, by key, for the load reports."""
@@ -182,9 +209,11 @@
             return False
         for name in self.keyed_services():
             known = self.view.maps.get(name)
-            revision = 0 if known is None else known.revision
+            remembered = self.recollection.maps.get(name)
+            revision = 0 if remembered is None else remembered.revision
             claimed = self.claimed_maps.get(name, 0)
-            if era_of(max(revision, claimed)) < self.store.era.current and claimed > revision:
+            newest = max(claimed, 0 if known is None else known.revision)
+            if era_of(newest) < self.store.era.current and claimed > revision:
                 return True
         return False
 
@@ -208,6 +237,12 @@
 
     def place_keys(self, now: Instant) -> None:
         """Carry out one step of the leader for all keyed services."""
+        if self.leaves_lease_to_others(now) and not any(
+            placer.loaded for placer in self.placers.values()
+        ):
+            self.step_down("another VM remembers newer maps")
+            self.start_task(self.leader_lease.release("another VM remembers newer maps"))
+            return
         self.renew_lease(now)
         names = self.keyed_services()
         for name in names:
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -293,6 +293,10 @@
         """Take over the recorded map, which is the latest one."""
         self.map = decode_map(value.data, value.revision)
         before = self.map
+        if self.store.era.previous and self.clock.elapsed() < self.grant_expiry.end_if_granted(
+            self.recollection.grants_from(LEASE_TTL)
+        ):
+            self.map_is_certain_from = self.grant_expiry.previous_grants_end
         await self.write(before)
         # The record stood until this write, so nobody has granted anything since it.
         record = read_record(value.data)
@@ -595,9 +599,7 @@
         if outcome is GrantOutcome.REFUSED:
             # The server has seen a higher epoch, or did not understand the request: the same
             # request would be refused again, so the keys get a new epoch.
-            self.start_migration(
-                now, key_range, "epoch refused", key_range.owner, self.map_is_certain_from
-            )
+            self.start_migration(now, key_range, "epoch refused", key_range.owner)
             return
         confirmed = (key_range.first, key_range.last, key_range.epoch)
         if confirmed not in self.confirmed_grants:
@@ -612,12 +614,11 @@
         key_range: KeyRange,
         reason: str,
         target: Owner | None,
-        free_from: Instant = timedelta(0),
     ) -> None:
         """Start to move keys away from their owner, unless they are migrating already."""
         if any(key_range.overlaps(d.key_range.first, d.key_range.last) for d in self.migrations):
             return
-        migration = Migration(key_range, target, reason, now, free_from=free_from)
+        migration = Migration(key_range, target, reason, now, free_from=self.map_is_certain_from)
         self.migrations.append(migration)
         log.info(
             "keys leave their owner",
--- a/fireflylock/store_era.py
+++ b/fireflylock/store_era.py
@@ -35,6 +35,8 @@
     ----------
     number : int or None
         The present era; None before the first answer that names one.
+    previous : int
+        The era before the last restore that this process has seen; 0 if it has seen none.
     on_restored : list of callable
         Called when an answer shows for the first time that the store was restored, before any
         of its content is used.
@@ -42,6 +44,7 @@
 
     def __init__(self) -> None:
         self.number: int | None = None
+        self.previous = 0
         self.on_restored: list[Callable[[], None]] = []
 
     @property
@@ -71,7 +74,7 @@
             self.number = answered_in
         if answered_in > self.number:
             log.warning("store was restored from a copy", era=answered_in, previous=self.number)
-            self.number = answered_in
+            self.previous, self.number = self.number, answered_in
             for callback in self.on_restored:
                 callback()
             raise PlatformError("the store was restored from a copy")
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -2,11 +2,13 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
 
 from fireflylock.direct.gossip import Moving, Placing
+from fireflylock.direct.leader_lease import LEADER_KEY
 from fireflylock.direct.placer import HOLD_TIME
 from fireflylock.direct.speed_estimates import MovingAverage
 from tests.simulated_cluster import SERVICE, TRACKED_KEYS, SimulatedCluster, settled_cluster
@@ -618,6 +620,116 @@
     assert_no_violations(cluster)
 
 
+async def test_a_second_restore_makes_no_memory_of_the_copy():
+    """All VMs restart beside a restore, and the first leader without a memory is interrupted."""
+    cluster = await settled_cluster()
+    await cluster.run(12)
+    cluster.store.save_copy()
+    cluster.add_server("n", 9000)
+    await cluster.run(6)
+    cluster.store.unavailable = True
+    await cluster.run(1)
+    for name in list(cluster.vms):
+        cluster.kill_vm(name)
+    cluster.store.restore()
+    cluster.store.unavailable = False
+    for number in range(3):
+        cluster.start_vm(f"new{number}")
+    await cluster.run(2)
+    cluster.store.restore()
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
+async def cluster_with_followers_cut_off() -> tuple[SimulatedCluster, str]:
+    """Return a cluster whose leader is cut off from the other VMs, and they from the store."""
+    cluster = await settled_cluster()
+    await cluster.run(12)
+    cluster.store.save_copy()
+    leader = cluster.leader()
+    for name in cluster.vms:
+        if name != leader:
+            cluster.cut_links |= {(leader, name), (name, leader)}
+            cluster.cut_from_store.add(name)
+    return cluster, leader
+
+
+async def lose_leader_and_restore(cluster: SimulatedCluster, leader: str) -> None:
+    """Lose the leader while the store is away, restore the store, and end all cuts."""
+    cluster.store.unavailable = True
+    await cluster.run(1)
+    cluster.kill_vm(leader)
+    cluster.store.restore()
+    cluster.store.unavailable = False
+    cluster.cut_from_store.clear()
+    cluster.cut_links.clear()
+
+
+async def test_keys_of_a_leaving_server_are_not_moved_twice_by_an_old_memory():
+    cluster, leader = await cluster_with_followers_cut_off()
+    leaving = cluster.processes[0]
+    leaving.entry = replace(leaving.entry, leaving=True)
+    for vm in cluster.vms.values():
+        vm.table.register(cluster.clock.elapsed(), leaving.entry)
+    await cluster.run(0.5)
+    assert not any(leaving in cluster.holders(key) for key in TRACKED_KEYS)
+    for number in range(4):
+        cluster.add_server(f"n{number}", 9000 + number)
+    await lose_leader_and_restore(cluster, leader)
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
+@pytest.mark.parametrize("claimed", [False, True])
+async def test_a_server_that_saw_no_release_gets_no_keys_back_from_an_old_memory(claimed):
+    cluster, leader = await cluster_with_followers_cut_off()
+    cluster.cut_links.add((leader, cluster.processes[0].entry.name))
+    await cluster.run(9)
+    revisions = cluster.vms[leader].leadership.map_revisions()
+    for vm in cluster.vms.values():
+        vm.leadership.apply_claims(revisions if claimed else {})
+    await lose_leader_and_restore(cluster, leader)
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
+async def test_the_second_leader_after_a_restore_does_not_trust_the_memory_of_the_first():
+    cluster, leader = await cluster_with_followers_cut_off()
+    cluster.add_server("n", 9000)
+    await cluster.run(4)
+    await lose_leader_and_restore(cluster, leader)
+    for _ in range(300):
+        await cluster.run(0.02)
+        placers = [vm.leadership.placers.get(SERVICE) for vm in cluster.vms.values()]
+        if any(placer is not None and placer.loaded for placer in placers):
+            break
+    await cluster.run(0.1)
+    cluster.kill_vm(cluster.leader())
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
+async def test_a_vm_that_starts_after_a_restore_keeps_no_keys_waiting_that_others_remember():
+    cluster = await settled_cluster()
+    cluster.store.save_copy()
+    await cluster.run(3)
+    cluster.store.restore()
+    cluster.store.rows.pop(LEADER_KEY, None)
+    cluster.store.leases.clear()
+    new = cluster.start_vm("new").leadership
+    apply_claims, new.apply_claims = new.apply_claims, lambda revisions: None
+    await cluster.run(0.3)
+    new.apply_claims = apply_claims
+    for _ in range(100):
+        await cluster.run(0.2)
+        assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 async def run_random_history(seed: int, kinds: int) -> None:
     """Inject random faults one after another; after they end, all keys are served again."""
     cluster = await settled_cluster(seed)
