Map changes of a leader whose build knows no eras are followed

What was seen, in the review's test: while a fleet is updated, a VM that orders revisions by era did not follow a leader of the former build. Its bare revisions never equal the base of a change, and are always lower, so the map was not even read from the store.

Change: bare revisions in a leader's messages are taken for ones of the present era.

Not covered: the statement of such a leader when its grants end is not used, and the next leader waits for the longest hold; VMs of the former build read the maps from the store about every 120 ms under a new leader.

--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
 import structlog
 
 from fireflylock.clock import Clock, Instant
@@ -20,7 +21,7 @@
 from fireflylock.direct.servers import ServerTable
 from fireflylock.exceptions import PlatformError
 from fireflylock.store import Store
-from fireflylock.store_era import era_of
+from fireflylock.store_era import StoreEra, era_of
 
 # Minimum publishing rate, so that a lost datagram does not matter.
 PUBLISH_INTERVAL = timedelta(milliseconds=100)
@@ -62,6 +63,20 @@
     due_at: Instant
 
 
+def with_ordered_revisions(message: Placing, era: StoreEra) -> Placing:
+    """Return a leader's message with ordered revisions; builds without eras name bare ones."""
+    if all(era.is_ordered(revision) for revision in message.revisions.values()):
+        return message
+    revisions = {name: era.ordered(revision) for name, revision in message.revisions.items()}
+    changes = [
+        msgspec.structs.replace(
+            change, base=era.ordered(change.base), revision=era.ordered(change.revision)
+        )
+        for change in message.changes
+    ]
+    return msgspec.structs.replace(message, revisions=revisions, changes=changes)
+
+
 class Leadership:
     """Places keys while this VM is the leader, and follows the leader otherwise.
 
@@ -422,6 +437,7 @@
         """Apply what the leader has published, unless this VM is the leader."""
         if self.leader_lease.is_held(now):
             return
+        message = with_ordered_revisions(message, self.store.era)
         lease, number = self.last_message
         if message.lease == lease and message.number <= number:
             return
--- a/fireflylock/store_era.py
+++ b/fireflylock/store_era.py
@@ -85,6 +85,10 @@
         """Return the ordered revision for a revision of the present era; 0 stays 0."""
         return in_era(self.current, revision) if revision else 0
 
+    def is_ordered(self, revision: int) -> bool:
+        """Return whether a revision holds an era, if the store names eras."""
+        return not self.current or era_of(revision) > 0
+
     def is_current(self, revision: int) -> bool:
         """Return whether an ordered revision, or 0, can be used in a call now."""
         return not revision or era_of(revision) == self.current
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -7,10 +7,11 @@
 
 import pytest
 
-from fireflylock.direct.gossip import Moving, Placing
+from fireflylock.direct.gossip import MapChange, Moving, NewOwner, Placing
 from fireflylock.direct.leader_lease import LEADER_KEY
 from fireflylock.direct.placer import HOLD_TIME
 from fireflylock.direct.speed_estimates import MovingAverage
+from fireflylock.store_era import REVISIONS_PER_ERA
 from tests.simulated_cluster import SERVICE, TRACKED_KEYS, SimulatedCluster, settled_cluster
 
 
@@ -620,6 +621,22 @@
     assert_no_violations(cluster)
 
 
+async def test_map_changes_of_a_leader_without_eras_are_followed():
+    cluster = await settled_cluster()
+    name = next(name for name in cluster.vms if name != cluster.leader())
+    view, leadership = cluster.vms[name].view, cluster.vms[name].leadership
+    known = view.maps[SERVICE]
+    first = known.ranges[0]
+    other = next(owner for owner in known.owners() if owner != first.owner)
+    base, epoch = known.revision % REVISIONS_PER_ERA, known.next_epoch
+    new = NewOwner(first.first, first.last, other.name, other.born, other.host, other.port, epoch)
+    change = MapChange(SERVICE, base, base + 1, epoch + 1, [new])
+    message = Placing("old", "zone", 99, 1, [], {SERVICE: base + 1}, [change])
+    leadership.apply_leader_message(cluster.clock.elapsed(), message)
+    assert view.maps[SERVICE].range_of(first.first).owner == other
+    assert view.maps[SERVICE].revision == known.revision + 1
+
+
 async def test_a_second_restore_makes_no_memory_of_the_copy():
     """All VMs restart beside a restore, and the first leader without a memory is interrupted."""
     cluster = await settled_cluster()
