Mutants of what holds when the store is restored, and the tests that catch them

They were not tried against all other tests. Ten new tests: six catch these, three check that maps are remembered, ordered, and preferred, and one that pages of two eras are not mixed.

The older mutants were not run again.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -27,6 +27,7 @@
 from tests.mutants_freshness import FRESHNESS_MUTANTS
 from tests.mutants_limits import LIMIT_MUTANTS
 from tests.mutants_links import LINK_MUTANTS
+from tests.mutants_restored import RESTORE_MUTANTS
 
 
 def released_at_once(self, now, running):
@@ -328,6 +329,7 @@
     *LINK_MUTANTS,
     *LIMIT_MUTANTS,
     *FRESHNESS_MUTANTS,
+    *RESTORE_MUTANTS,
 )
 
 
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -10,9 +10,9 @@
 
 from fireflylock.direct.gossip import MapChange, Moving, NewOwner, Placing
 from fireflylock.direct.leader_lease import LEADER_KEY
-from fireflylock.direct.placer import HOLD_TIME
+from fireflylock.direct.placer import HOLD_TIME, MAPS_PREFIX
 from fireflylock.direct.speed_estimates import MovingAverage
-from fireflylock.store_era import REVISIONS_PER_ERA
+from fireflylock.store_era import REVISIONS_PER_ERA, era_of
 from tests.simulated_cluster import SERVICE, TRACKED_KEYS, SimulatedCluster, settled_cluster
 
 
@@ -683,15 +683,191 @@
 @pytest.mark.parametrize("outage", [0.1, 0.6, 2.0])
 async def test_a_restored_map_of_keys_is_not_taken_for_the_latest(outage):
     cluster = await settled_cluster()
+    await restore_after_moves(cluster, outage)
+    await cluster.run(15)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
+async def restore_after_moves(cluster: SimulatedCluster, seconds: float = 0.0) -> None:
+    """Restore a copy that lacks the moves of keys to a new server."""
     await cluster.run(12)
     cluster.store.save_copy()
     process = cluster.add_server("n", 9000)
     await cluster.run(6)
     assert any(process in cluster.holders(key) for key in TRACKED_KEYS)
-    cluster.store.unavailable = True
-    await cluster.run(outage)
+    cluster.store.unavailable = seconds > 0
+    await cluster.run(seconds)
+    cluster.store.restore()
+    cluster.store.unavailable = False
+
+
+async def test_keys_stay_with_their_owners_through_a_restore():
+    """Without the maps that the VMs remember, all keys wait until the longest hold has passed."""
+    cluster = await settled_cluster()
+    await restore_after_moves(cluster)
+    owners = {key: cluster.holders(key)[0] for key in TRACKED_KEYS}
+    for _ in range(50):
+        await cluster.run(0.1)
+        assert {key: cluster.holders(key) for key in TRACKED_KEYS} == {
+            key: [owner] for key, owner in owners.items()
+        }
+    assert cluster.leader()
+    assert_no_violations(cluster)
+
+
+async def test_a_vm_that_remembers_the_latest_map_leads_after_a_restore():
+    """A VM that had started after the last change of the map gave all keys new epochs."""
+    cluster = await settled_cluster(vms=2)
+    await restore_after_moves(cluster)
+    epochs = {key: max(cluster.epochs[key].values()) for key in TRACKED_KEYS}
+    cluster.kill_vm(cluster.leader())
+    cluster.start_vm("a")
+    await cluster.run(6)
+    assert cluster.leader() not in ("", "a")
+    assert {key: max(cluster.epochs[key].values()) for key in TRACKED_KEYS} == epochs
+    assert_no_violations(cluster)
+
+
+async def test_a_map_from_before_a_restore_keeps_its_place_in_the_order():
+    """VMs would send requests to the owners of the restored map."""
+    cluster = await settled_cluster()
+    await restore_after_moves(cluster)
+    vm = next(vm for name, vm in cluster.vms.items() if name != cluster.leader())
+    known = vm.view.maps[SERVICE]
+    for _ in range(2):
+        vm.leadership.start_task(vm.leadership.fetch_maps())
+        await cluster.run(0.1)
+    assert era_of(known.revision) == 1
+    assert vm.view.maps[SERVICE] == known
+
+
+async def save_copy_without_leader(cluster: SimulatedCluster) -> None:
+    """Save a copy that lacks the lease of the next leader, which leads at the end."""
+    cluster.kill_vm(cluster.leader())
+    while LEADER_KEY in cluster.store.rows:
+        await cluster.run(0.02)
+        cluster.store.expire()
+    cluster.store.save_copy()
+    await cluster.run(6)
+
+
+async def test_a_leader_does_not_go_on_with_a_lease_whose_id_was_given_out_again():
+    cluster = await settled_cluster()
+    await save_copy_without_leader(cluster)
+    lease = cluster.vms[cluster.leader()].leadership.leader_lease.lease
+    cluster.store.restore()
+    ten_minutes = timedelta(minutes=10)
+    cluster.store.leases[lease] = (ten_minutes, cluster.clock.elapsed() + ten_minutes)
+    cluster.store.next_lease = lease + 1
+    await cluster.run(5)
+    leader_lease = cluster.vms[cluster.leader()].leadership.leader_lease
+    assert leader_lease.lease != lease
+    assert cluster.store.rows[LEADER_KEY].lease == leader_lease.lease
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
+async def test_the_former_leader_has_stopped_before_another_vm_places_keys_after_a_restore():
+    """The copy lacks its lease, so that another VM may get the lease at once."""
+    cluster = await settled_cluster()
+    await save_copy_without_leader(cluster)
+    former = cluster.leader()
+    others = [vm for name, vm in cluster.vms.items() if name != former]
+    cluster.cut_links |= {(former, name) for name in cluster.vms}
+    await cluster.run(1)
+    renewed_at = cluster.vms[former].leadership.leader_lease.renewed_at
+    while cluster.vms[former].leadership.leader_lease.renewed_at == renewed_at:
+        await cluster.run(0.02)
+    cluster.cut_from_store.add(former)
+    cluster.store.restore()
+    for vm in others:
+        # It sees the restore at once.
+        vm.leadership.start_task(vm.leadership.fetch_maps())
+    while cluster.vms[former].leadership.leader_lease.is_held(cluster.clock.elapsed()):
+        await cluster.run(0.02)
+        for vm in others:
+            assert not any(placer.loaded for placer in vm.leadership.placers.values())
+    await cluster.run(3)
+    assert cluster.leader() not in ("", former)
+    assert_no_violations(cluster)
+
+
+async def test_a_refusal_after_a_restore_shows_that_another_server_may_hold_the_keys():
+    """Only the leader that is lost with the restore knew the last moves of keys."""
+    cluster = await settled_cluster()
+    leader = cluster.leader()
+    others = set(cluster.vms) - {leader}
+    await cluster.run(12)
+    cluster.store.save_copy()
+    cluster.cut_from_store |= others
+    cluster.cut_links |= {(leader, name) for name in others}
+    process = cluster.add_server("n", 9000)
+    while not any(process in cluster.holders(key) for key in TRACKED_KEYS):
+        await cluster.run(0.1)
+    cluster.kill_vm(leader)
     cluster.store.restore()
+    cluster.cut_from_store.clear()
+    cluster.cut_links.clear()
+    await cluster.run(20)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
+async def test_keys_whose_owners_no_vm_remembers_wait_until_all_holds_have_ended():
+    cluster = await settled_cluster()
+    await restore_after_moves(cluster)
+    restart_all_vms(cluster)
+    await cluster.run(20)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
+async def test_a_write_of_a_map_that_arrives_after_a_restore_changes_nothing():
+    """The map that the next leader has written may have the revision that the write expects."""
+    cluster = await settled_cluster()
+    cluster.store.save_copy()
+    # Others write to the store too.
+    cluster.store.revision += 20
+    cluster.add_server("n", 9000)
+    await cluster.run(6)
+    map_key = MAPS_PREFIX + SERVICE
+    former = cluster.leader()
+    revision = cluster.store.rows[map_key].revision
+    # No write arrives at once any more.
+    cluster.lost_writes = 2.0
+    cluster.unregister(cluster.processes[0])
+    while not cluster.scheduled:
+        await cluster.run(0.02)
+    late_writes = [write for _, write in cluster.scheduled]
+    cluster.kill_vm(former)
+    cluster.scheduled.clear()
+    cluster.lost_writes = 0.0
+    cluster.store.restore()
+    cluster.store.revision = revision - 2
+    while cluster.store.rows[map_key].revision != revision:
+        await cluster.run(0.02)
+    written = cluster.store.rows[map_key]
+    for write in late_writes:
+        write()
+    assert cluster.store.rows[map_key] == written
+
+
+async def test_timers_of_lapsing_ranges_that_a_restore_has_lost_have_not_ended():
+    cluster = await settled_cluster()
+    await cluster.run(12)
+    cluster.store.save_copy()
+    # The leader grants keys for longer once its renewals are overdue.
+    cluster.store.unavailable = True
+    await cluster.run(1)
     cluster.store.unavailable = False
+    process = cluster.processes[0]
+    key = next(key for key in TRACKED_KEYS if process in cluster.holders(key))
+    cluster.cut_links |= {(vm, process.entry.name) for vm in cluster.vms}
+    await cluster.run(4)
+    assert cluster.vms[cluster.leader()].leadership.placers[SERVICE].map.lapsing
+    assert process.key_grants.has_grant(key)
+    cluster.store.restore()
     await cluster.run(15)
     assert cluster.unheld_keys() == 0
     assert_no_violations(cluster)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -26,7 +26,7 @@
 from fireflylock.http1 import Framing
 from fireflylock.platform import cmdline, wire
 from fireflylock.platform.dialect import PlatformCallerDialect, PlatformServerDialect
-from fireflylock.platform.kv_store import KeyValueStore
+from fireflylock.platform.kv_store import ItemsAnswer, KeyValueStore
 from fireflylock.platform.operator_config import decode_config
 from fireflylock.platform.registrations import decode_registration
 from fireflylock.platform.settings import PlatformSettings, read_settings
@@ -396,6 +396,21 @@
         await anext(store.watch("p/", lost[0].revision + 1))
 
 
+async def test_pages_of_two_eras_are_not_mixed(store):
+    """The other call shows the restore, so that the second page belongs to one era only."""
+    store.standin.page = 3
+    for number in range(8):
+        store.standin.write(f"p/{number}", b"x")
+    store.standin.save_copy()
+    pages = store.pages("list", {"prefix": "p/"}, ItemsAnswer)
+    await anext(pages)
+    store.standin.restore()
+    with pytest.raises(PlatformError):
+        await store.get("p/1")
+    with pytest.raises(PlatformError):
+        await anext(pages)
+
+
 async def test_a_write_under_way_during_a_restore_is_not_taken_for_done(store):
     store.standin.save_copy()
     assert await store.get("p/1") is None
