A failing test: a former owner that was cut off accepts a remembered epoch after a restore

It guards against two holders of a key after a single restore. The VMs other than the leader hear neither the leader nor the store; a server is cut off, and its keys move once its hold has ended; the leader is lost, and the store comes back from a copy. The next leader remembers the older map and grants the keys to the former owner under its old epoch. The wait that follows a refusal does not help, as this server has seen no higher epoch and accepts.

--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -814,6 +814,30 @@
     assert_no_violations(cluster)
 
 
+async def test_a_former_owner_that_was_cut_off_accepts_no_remembered_epoch_after_a_restore():
+    """It has seen no higher epoch, so it does not refuse: its keys moved once its hold ended."""
+    cluster = await settled_cluster()
+    leader = cluster.leader()
+    others = set(cluster.vms) - {leader}
+    await cluster.run(12)
+    cluster.store.save_copy()
+    cluster.cut_from_store |= others
+    cluster.cut_links |= {(leader, name) for name in others}
+    process = cluster.processes[0]
+    key = next(key for key in TRACKED_KEYS if process in cluster.holders(key))
+    cluster.cut_links |= {(vm, process.entry.name) for vm in cluster.vms}
+    await cluster.run(8)
+    assert cluster.holders(key)
+    assert process not in cluster.holders(key)
+    cluster.kill_vm(leader)
+    cluster.store.restore()
+    cluster.cut_from_store.clear()
+    cluster.cut_links.clear()
+    await cluster.run(20)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 async def test_keys_whose_owners_no_vm_remembers_wait_until_all_holds_have_ended():
     cluster = await settled_cluster()
     await restore_after_moves(cluster)
