VMs take over a higher version of the configuration that a restored store has lost

Seen: after the store came back from an older copy, a VM that started, or one that had missed the last version, followed the copy's configuration while the others followed the newer one, until the operator wrote again.

Cause: VMs compared what they know of the configuration by revision only. After a restore the copy's older version has the higher ordered revision, so nobody seemed to be behind, and a VM with the newer version would neither have answered a request nor have been believed.

Change: load reports also hold the version of the configuration in force. A VM that has known for half a second of a higher version at a VM that is alive asks for it; the request names the asker's version, and is answered if the other one is higher. What arrives is applied by version. The time between two requests grows to 8 seconds while they don't help. Versions above 2**63 - 1 are told as that number, since messages hold no larger integers.

receive no longer compares revisions; instead it forgets whom it asked once a configuration is complete, so that a second copy of the answer is not put together again.

Mixed fleets, from the code and from tests of the answers only, not from a run of one: VMs of the previous build ignore the version in reports and requests, and aggregators among them pass it on. They tell none, so they are not asked for one, and their requests are answered by revision as before. They take over nothing that a restore has lost. A VM whose aggregator is of the previous build asks that one, in vain while its own revision is the higher one, every 8 seconds in the end.

--- a/fireflylock/direct/freshness.py
+++ b/fireflylock/direct/freshness.py
@@ -4,6 +4,9 @@
 therefore tell each other, with their load reports, the latest change that they have read; and
 they take turns at reading a copy of the store that may be old, which is cheap.  A VM that is
 behind restarts its watch.  If the store does not serve it, other VMs send it the configuration.
+
+They also tell each other the version of their configuration: a store that was restored from an
+older copy gives an older version a later revision.
 """
 
 import asyncio
@@ -34,6 +37,10 @@
 MAX_PARTS = -(-MAX_VALUE_BYTES // PART_BYTES)
 # Source of a claim that was read from the store's copy.
 STORE_COPY = "store"
+# Key in the load reports of the version of the configuration in force.
+CONFIG_VERSION = "configuration version"
+# Highest version that is told to other VMs; messages hold no larger integers.
+MAX_TOLD_VERSION = (1 << 63) - 1
 
 log = structlog.get_logger()
 
@@ -89,6 +96,8 @@
     ----------
     current : Value or None
         The configuration in force, as stored.
+    version : int
+        Its version as told to other VMs; 0 if there is none.
     """
 
     def __init__(
@@ -99,6 +108,7 @@
         self.gossip = gossip
         self.apply = apply
         self.current: Value | None = None
+        self.version = 0
         self.asked: str | None = None
         # When the last request was sent, or the last part of the answer arrived.
         self.progress_at: Instant = timedelta(0)
@@ -106,6 +116,11 @@
         self.parts: dict[int, bytes] = {}
         self.parts_of: tuple[int, int] = (0, 0)
 
+    def set_current(self, value: Value, version: int) -> None:
+        """Set the configuration in force."""
+        self.current = value
+        self.version = max(0, min(version, MAX_TOLD_VERSION))
+
     def request(self, now: Instant, sources: list[str]) -> None:
         """Ask the next one of some VMs for its configuration."""
         if not sources or now - self.progress_at < REQUEST_INTERVAL:
@@ -114,11 +129,18 @@
         self.requests += 1
         self.progress_at = now
         known = 0 if self.current is None else self.current.revision
-        self.gossip.send(ConfigurationRequest(self.vm, self.zone, known), to=[self.asked])
+        request = ConfigurationRequest(self.vm, self.zone, known, self.version)
+        self.gossip.send(request, to=[self.asked])
 
     def answer(self, message: ConfigurationRequest) -> None:
         """Send the configuration to a VM that has an older one."""
-        if self.current is None or self.current.revision <= message.known:
+        if self.current is None:
+            return
+        if message.version is None:
+            newer = self.current.revision > message.known
+        else:
+            newer = self.version > message.version
+        if not newer:
             return
         data = zlib.compress(self.current.data)
         starts = range(0, len(data), PART_BYTES)
@@ -136,8 +158,7 @@
 
     def receive(self, now: Instant, part: ConfigurationPart) -> None:
         """Collect a part, and apply the configuration once it is complete."""
-        known = 0 if self.current is None else self.current.revision
-        if part.vm != self.asked or part.revision <= known:
+        if part.vm != self.asked:
             return
         if not 0 <= part.index < part.count <= MAX_PARTS:
             raise ValueError(f"part {part.index} of {part.count}")
@@ -154,6 +175,7 @@
         data = decompressor.decompress(compressed, MAX_VALUE_BYTES)
         if not decompressor.eof:
             raise ValueError("the configuration is incomplete or too large")
+        self.asked = None
         log.info("configuration received from another VM", source=part.vm, revision=part.revision)
         self.apply(now, Value(part.key, part.revision, data))
 
@@ -193,18 +215,29 @@
         self.transfer = transfer
         self.progress = {watcher.prefix: WatchProgress(watcher) for watcher in watchers}
         self.config_prefix = watchers[0].prefix
+        # Version of the configuration in force at each other VM.
+        self.versions: dict[str, int] = {}
+        # When to ask for a higher version, if one is known, and the time until the next request.
+        self.ask_at: Instant | None = None
+        self.ask_interval = REQUEST_INTERVAL
         self.last_slot = 0
         self.probe_task: asyncio.Task | None = None
 
     def revisions(self) -> dict[str, int]:
-        """Return the latest change that this VM has seen, by prefix, for its load reports."""
-        return {
+        """Return the latest change that this VM has seen, by prefix, for its load reports.
+
+        The version of its configuration is added under `CONFIG_VERSION`.
+        """
+        revisions = {
             prefix: max(progress.watcher.latest_change, progress.latest_in_copy)
             for prefix, progress in self.progress.items()
         }
+        revisions[CONFIG_VERSION] = self.transfer.version
+        return revisions
 
     def apply_claims(self, vm: str, revisions: dict[str, int]) -> None:
-        """Record which changes another VM has read."""
+        """Record which changes another VM has read, and the version of its configuration."""
+        self.versions[vm] = revisions.get(CONFIG_VERSION, 0)
         for prefix, revision in revisions.items():
             progress = self.progress.get(prefix)
             if progress is not None:
@@ -214,6 +247,7 @@
         """Catch up where this VM is behind, and take its turn at reading the copy."""
         for prefix, progress in self.progress.items():
             self.catch_up(now, prefix, progress)
+        self.ask_for_higher_version(now)
         # A VM whose wall clock is off takes another one's turn, or none.
         slot = int(self.clock.now().timestamp() / PROBE_INTERVAL.total_seconds())
         if slot == self.last_slot:
@@ -262,6 +296,24 @@
         progress.retry_interval = min(2 * progress.retry_interval, MAX_RETRY_INTERVAL)
         progress.attempts += 1
 
+    def ask_for_higher_version(self, now: Instant) -> None:
+        """Ask other VMs for a configuration of a higher version than this VM's."""
+        sources = [
+            vm for vm in self.gossip.alive(now) if self.versions.get(vm, 0) > self.transfer.version
+        ]
+        if not sources:
+            self.ask_at = None
+            return
+        if self.ask_at is None:
+            self.ask_at = now + BEHIND_GRACE
+            self.ask_interval = REQUEST_INTERVAL
+        # Parts of an answer may still arrive.
+        if now < max(self.ask_at, self.transfer.progress_at + REQUEST_INTERVAL):
+            return
+        self.transfer.request(now, sources)
+        self.ask_at = now + self.ask_interval
+        self.ask_interval = min(2 * self.ask_interval, MAX_RETRY_INTERVAL)
+
     async def probe(self) -> None:
         """Compare what was read with a copy of the store, which may be older."""
         for prefix, progress in self.progress.items():
@@ -286,6 +338,9 @@
 
     def tidy(self) -> None:
         """Forget the claims of VMs that are no longer known."""
+        for vm in list(self.versions):
+            if vm not in self.gossip.peers:
+                del self.versions[vm]
         for progress in self.progress.values():
             for vm in list(progress.claims):
                 if vm != STORE_COPY and vm not in self.gossip.peers:
--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -306,9 +306,12 @@
     ----------
     known : int
         Revision of the sender's configuration; 0 if it has none.
+    version : int or None
+        Version of the sender's configuration; None from VMs that compare revisions only.
     """
 
     known: int
+    version: int | None = None
 
 
 class ConfigurationPart(Told, tag="c", array_like=True):
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -378,7 +378,7 @@
             if self.routes is not None and routes.version <= self.routes.version:
                 continue
             self.apply_route_table(routes, value.revision)
-            self.transfer.current = value
+            self.transfer.set_current(value, routes.version)
 
     def apply_received_config(self, now: Instant, value: Value) -> None:
         """Apply the configuration that another VM has sent."""
--- a/tests/mutants_freshness.py
+++ b/tests/mutants_freshness.py
@@ -85,6 +85,14 @@
         lambda self, message: None,
         FRESHNESS + "test_a_vm_that_the_store_turns_away_gets_the_configuration_from_another_vm",
     ),
+    Mutant(
+        "VMs do not compare the versions of their configurations",
+        Freshness,
+        "ask_for_higher_version",
+        lambda self, now: None,
+        "tests/test_direct_restored.py"
+        "::test_a_vm_that_starts_after_the_restore_takes_over_the_configuration_in_force",
+    ),
     Mutant(
         "each VM may deviate from the weights by itself",
         routes,
--- a/tests/test_direct_freshness.py
+++ b/tests/test_direct_freshness.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from fireflylock.direct.freshness import MAX_RETRY_INTERVAL
-from fireflylock.direct.gossip import ConfigurationPart
+from fireflylock.direct.freshness import CONFIG_VERSION, MAX_RETRY_INTERVAL, MAX_TOLD_VERSION
+from fireflylock.direct.gossip import ConfigurationPart, ConfigurationRequest
 from fireflylock.direct.node import DirectNode
 from fireflylock.platform import wire
 from fireflylock.store_era import in_era
@@ -160,6 +160,50 @@
     assert node.routes.version == 1
 
 
+async def test_a_false_claim_of_a_version_costs_few_requests(site):
+    (node,) = await start_nodes(site, 1)
+    liar = node.gossip.add("liar", ("127.0.0.1", 9), "zone-a")
+    node.freshness.apply_claims("liar", {CONFIG_VERSION: 1 << 60})
+    now = site.clock.elapsed()
+    hour = timedelta(hours=1)
+    for step in range(36_000):
+        liar.heard_at = now + step * hour / 36_000
+        node.freshness.ask_for_higher_version(liar.heard_at)
+    assert 0 < node.transfer.requests <= hour / MAX_RETRY_INTERVAL + 10
+    assert node.routes.version == 1
+
+
+async def test_a_vm_that_is_not_alive_is_not_asked_for_its_version(site):
+    (node,) = await start_nodes(site, 1)
+    node.gossip.add("silent", ("127.0.0.1", 9), "zone-a").heard_at = timedelta(hours=-1)
+    node.freshness.apply_claims("silent", {CONFIG_VERSION: 5})
+    await asyncio.sleep(SETTLED_SECONDS)
+    assert node.transfer.requests == 0
+
+
+@pytest.mark.parametrize(
+    ("known", "version", "answered"),
+    [(0, None, True), (LATER, None, False), (LATER, 0, True), (0, 1, False), (0, 2, False)],
+)
+async def test_a_request_is_answered_by_version_or_by_revision_if_it_names_none(
+    site, known, version, answered
+):
+    (node,) = await start_nodes(site, 1)
+    sent = []
+    node.gossip.send = lambda message, to=None: sent.append(message)
+    node.transfer.answer(ConfigurationRequest("other", "zone-a", known, version))
+    assert bool(sent) == answered
+
+
+async def test_a_version_too_large_for_a_message_does_not_end_the_reports(site):
+    nodes = await start_nodes(site, 2)
+    site.store.write(wire.CONFIG_KEY, config_json(1 << 70))
+    await site.wait_until(
+        lambda: all(MAX_TOLD_VERSION in node.freshness.versions.values() for node in nodes)
+    )
+    assert [node.routes.version for node in nodes] == [1 << 70] * 2
+
+
 # Time after trouble from which operators hold a VM to the bound again.
 CONTACT = timedelta(seconds=3)
 ROUNDS = 5
--- a/tests/test_direct_restored.py
+++ b/tests/test_direct_restored.py
@@ -107,6 +107,29 @@
         await asyncio.sleep(LOOK_SECONDS)
 
 
+async def test_a_vm_that_starts_after_the_restore_takes_over_the_configuration_in_force(site):
+    nodes = await start_nodes(site)
+    site.store.write(wire.CONFIG_KEY, config_json(5))
+    await site.wait_until(lambda: all(node.routes.version == 5 for node in nodes))
+    await restore(site, 0.6)
+    late = await site.add_node("vm-9")
+    started = site.clock.elapsed()
+    await site.wait_until(lambda: late.routes.version == 5)
+    assert site.clock.elapsed() - started < PROPAGATION
+
+
+async def test_a_vm_that_missed_the_lost_configuration_takes_it_over(site):
+    nodes = await start_nodes(site)
+    nodes[2].config_watcher.on_values = lambda *values: None
+    site.store.write(wire.CONFIG_KEY, config_json(5))
+    await site.wait_until(lambda: all(node.routes.version == 5 for node in nodes[:2]))
+    nodes[2].config_watcher.on_values = nodes[2].apply_config_values
+    await restore(site, 0.0)
+    started = site.clock.elapsed()
+    await site.wait_until(lambda: nodes[2].routes.version == 5)
+    assert site.clock.elapsed() - started < PROPAGATION
+
+
 async def test_a_shutdown_announced_in_the_lost_seconds_still_holds(site):
     nodes = await start_nodes(site)
     site.servers["f0"].register(site.store, "draining")
