After a restore, the last leader's word makes a remembered map certain; no moves for balance before

Change: a leader that steps down says which map is its last. Who has heard that of the map that it remembers need not wait. While a map is uncertain, keys are not moved for balance.

--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -175,7 +175,11 @@
             and bool(self.placers)
             and all(placer.loaded for placer in self.placers.values())
         )
-        self.recollection = Recollection(now, self.latest_maps(now, led), led)
+        maps = self.latest_maps(now, led)
+        final = frozenset(
+            name for name, known in maps.items() if self.is_final(now, name, known.revision)
+        )
+        self.recollection = Recollection(now, maps, final, led)
         self.leader_lease.lose("the store was restored")
         if self.placers:
             self.step_down("the store was restored")
@@ -196,13 +200,16 @@
                 if name in former and self.store.era.number == self.store.era.previous + 1:
                     found[name] = former[name]
                 continue
-            end = self.expiry_broadcasts.expiry_of(name, known.revision)
-            told = end is not None and now + LEASE_TTL < end
             is_newest = self.claimed_maps.get(name, 0) <= known.revision
-            if led or (is_newest and (heard or told)):
+            if led or (is_newest and (heard or self.is_final(now, name, known.revision))):
                 found[name] = known
         return found
 
+    def is_final(self, now: Instant, service: str, revision: int) -> bool:
+        """Return whether the leader that wrote a map has stepped down, but its grants last."""
+        end = self.expiry_broadcasts.expiry_of(service, revision)
+        return end is not None and now + LEASE_TTL < end
+
     def map_revisions(self) -> dict[str, int]:
         """Return the revisions of the newest maps known here, by key, for the load reports."""
         return {MAPS_PREFIX + name: known.revision for name, known in self.view.maps.items()}
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -293,7 +293,8 @@
         """Take over the recorded map, which is the latest one."""
         self.map = decode_map(value.data, value.revision)
         before = self.map
-        if self.store.era.previous and self.clock.elapsed() < self.grant_expiry.end_if_granted(
+        uncertain = self.store.era.previous and not self.recollection.is_certain(self.service)
+        if uncertain and self.clock.elapsed() < self.grant_expiry.end_if_granted(
             self.recollection.grants_from(LEASE_TTL)
         ):
             self.map_is_certain_from = self.grant_expiry.previous_grants_end
@@ -350,7 +351,7 @@
             known_end = self.expiry_broadcasts.expiry_of(self.service, known.revision)
             if known_end is not None:
                 self.grant_expiry.limit_previous_grants(known_end)
-        elif not forgotten:
+        elif not forgotten and not self.recollection.is_certain(self.service):
             self.map_is_certain_from = self.grant_expiry.previous_grants_end
         if not forgotten:
             self.last_change = self.map_change(known, [])
@@ -833,6 +834,9 @@
         """
         if now - self.planned_at < PLAN_INTERVAL or self.write_task is not None:
             return
+        # Keys that are moved would have no owner until then.
+        if now < self.map_is_certain_from:
+            return
         # A new leader has no loads yet, and would give hot keys away by their number alone.
         if not self.short_loads.is_warm(now):
             return
--- a/fireflylock/direct/recollection.py
+++ b/fireflylock/direct/recollection.py
@@ -24,14 +24,21 @@
         When it saw the restore, or started.
     maps : dict of str to RangeMap
         The newest maps that it knew, by service; none at its start.
+    final : frozenset of str
+        Services whose last leader has said that it changes the remembered map no more.
     led : bool
         Whether it held the leader lease, so that nobody else can have changed a map since.
     """
 
     at: Instant
     maps: dict[str, RangeMap] = field(default_factory=dict)
+    final: frozenset[str] = frozenset()
     led: bool = False
 
+    def is_certain(self, service: str) -> bool:
+        """Return whether nobody can have changed the remembered map of a service."""
+        return self.led or service in self.final
+
     def grants_from(self, lease_ttl: timedelta) -> Instant:
         """Return from when the former leader, whose lease the store has forgotten, has stopped."""
         return self.at if self.led else self.at + lease_ttl
