--- a/fireflylock/direct/grant_expiry.py
+++ b/fireflylock/direct/grant_expiry.py
@@ -39,11 +39,11 @@
     previous_grants_end: Instant = field(init=False)
 
     def __post_init__(self) -> None:
-        self.previous_grants_end = self.acquired_at + self.upper_bound(self.max_hold)
+        self.previous_grants_end = self.end_if_granted(self.acquired_at)
 
     def extend_previous_grants(self, now: Instant) -> None:
         """Assume that previous leaders have granted keys for the longest hold until now."""
-        self.previous_grants_end = now + self.upper_bound(self.max_hold)
+        self.previous_grants_end = self.end_if_granted(now)
 
     def end_if_granted(self, at: Instant) -> Instant:
         """Return when the longest hold that is granted at an instant has ended."""
--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -164,7 +164,7 @@
             self.fetch_task = self.start_task(self.fetch_maps())
 
     def store_restored(self) -> None:
-        """Stop to lead, as the store may have forgotten the lease; remember the latest maps.
+        """Stop leading, as the store may have forgotten the lease, and remember the latest maps.
 
         Whoever led until now may lead again at once.  The others wait until the lease of a leader
         that has not seen the restore yet has ended by its own clock.
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -165,7 +165,7 @@
         # The last change of the map that is not broadcast yet.
         self.last_change: MapChange | None = None
         self.loaded = False
-        # Until then, a server that refuses a grant shows that another one may hold the keys.
+        # Until then, keys that have to move may be held by a server that the map does not name.
         self.map_is_certain_from: Instant = timedelta(0)
         self.migrations: list[Migration] = []
         # Ranges whose owner has accepted a grant under their present epoch.
@@ -262,14 +262,10 @@
         try:
             value = await self.store.get(MAPS_PREFIX + self.service)
             remembered = self.recollection.maps.get(self.service)
-            if value is None and remembered is None:
-                pass
-            elif value is None or read_record(value.data).is_from_earlier_era(
-                self.store.era.current
-            ):
-                await self.load_after_restore(value, remembered)
-            else:
+            if value is not None and not self.is_from_copy(value):
                 await self.load_latest(value)
+            elif value is not None or remembered is not None:
+                await self.load_after_restore(value, remembered)
             self.loaded = True
             log.info(
                 "map of keys loaded",
@@ -289,6 +285,10 @@
         finally:
             self.write_task = None
 
+    def is_from_copy(self, value: Value) -> bool:
+        """Return whether a recorded map was written before the last restore of the store."""
+        return read_record(value.data).is_from_earlier_era(self.store.era.current)
+
     async def load_latest(self, value: Value) -> None:
         """Take over the recorded map, which is the latest one."""
         self.map = decode_map(value.data, value.revision)
@@ -610,11 +610,7 @@
     # Migrations.
 
     def start_migration(
-        self,
-        now: Instant,
-        key_range: KeyRange,
-        reason: str,
-        target: Owner | None,
+        self, now: Instant, key_range: KeyRange, reason: str, target: Owner | None
     ) -> None:
         """Start to move keys away from their owner, unless they are migrating already."""
         if any(key_range.overlaps(d.key_range.first, d.key_range.last) for d in self.migrations):
