Only maps that are remembered hold other VMs back from leading after a restore

Change: VMs report a map of an earlier era only if they remember it, and forget at a restore what others had reported before.

--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -180,6 +180,8 @@
             name for name, known in maps.items() if self.is_final(now, name, known.revision)
         )
         self.recollection = Recollection(now, maps, final, led)
+        # Some were made by VMs that are lost, or are not sure of them any more.
+        self.claimed_maps.clear()
         self.leader_lease.lose("the store was restored")
         if self.placers:
             self.step_down("the store was restored")
@@ -211,8 +213,18 @@
         return end is not None and now + LEASE_TTL < end
 
     def map_revisions(self) -> dict[str, int]:
-        """Return the revisions of the newest maps known here, by key, for the load reports."""
-        return {MAPS_PREFIX + name: known.revision for name, known in self.view.maps.items()}
+        """Return the revisions of the newest maps known here, by key, for the load reports.
+
+        A map that a restored store has brought back says nothing, unless it is remembered.
+        """
+        revisions = {}
+        for name, known in self.view.maps.items():
+            remembered = self.recollection.maps.get(name)
+            if era_of(known.revision) >= self.store.era.current:
+                revisions[MAPS_PREFIX + name] = known.revision
+            elif remembered is not None:
+                revisions[MAPS_PREFIX + name] = remembered.revision
+        return revisions
 
     def apply_claims(self, revisions: dict[str, int]) -> None:
         """Record the revisions of maps that another VM knows."""
