--- a/fireflylock/direct/recollection.py
+++ b/fireflylock/direct/recollection.py
@@ -23,7 +23,7 @@
     at : timedelta
         When it saw the restore, or started.
     maps : dict of str to RangeMap
-        The newest maps that it knew, by service; none at its start.
+        Maps that were surely the latest ones then, by service; none at its start.
     final : frozenset of str
         Services whose last leader has said that it changes the remembered map no more.
     led : bool
