One look at a socket serves both sides of the edge

ServerConnection had its own way to see whether bytes or an end wait in a socket, by a peek; the front end's idle close brought a second one, by poll. Both use is_readable now. Both callers ask only for open sockets, where the two agree.

--- a/fireflylock/server_connection.py
+++ b/fireflylock/server_connection.py
@@ -7,6 +7,7 @@
 
 from fireflylock.clock import Instant
 from fireflylock.flow_protocol import FlowProtocol
+from fireflylock.sockets import is_readable
 
 if TYPE_CHECKING:
     from fireflylock.server_exchange import ServerExchange, ServerNotice
@@ -109,13 +110,7 @@
 
         The end of a stream may wait in the socket before the event loop has read it.
         """
-        try:
-            self.raw_socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
+        return is_readable(self.raw_socket)
 
     def release(self) -> None:
         """Release the connection for the next exchange."""
--- a/fireflylock/sockets.py
+++ b/fireflylock/sockets.py
@@ -44,10 +44,10 @@
     raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
-def is_readable(transport_socket: TransportSocket) -> bool:
-    """Return whether bytes, or the end of the stream, wait in a socket to be read."""
+def is_readable(open_socket: socket.socket | TransportSocket) -> bool:
+    """Return whether bytes, the end of the stream or an error wait in a socket to be read."""
     poll = select.poll()
-    poll.register(transport_socket, select.POLLIN)
+    poll.register(open_socket, select.POLLIN)
     return bool(poll.poll(0))
 
 
