The front end's count of unlogged closes is derived, and a drain is one condition

No behaviour changes: the closes since the last log line are the difference of a counter that is there, and the check of a drain reads straight on.

--- a/fireflylock/frontend.py
+++ b/fireflylock/frontend.py
@@ -167,7 +167,8 @@
         # Whether responses ask callers to use another connection for further requests.
         self.sends_connection_close = False
         self.drain_started_at: Instant | None = None
-        self.unlogged_idle_closed = 0
+        # Count of idle connections closed at the last log line about them, and when that was.
+        self.idle_closed_logged = 0
         self.idle_closed_logged_at: Instant = -IDLE_LOG_INTERVAL
         # Paces large responses; None if the rate of this VM's link is not known.
         self.pacer: LinkPacer | None = None
@@ -314,7 +315,6 @@
 
     def sweep(self, now: Instant) -> None:
         """End the connections and requests that have timed out."""
-        closed_before = self.counters.idle_closed
         for connection in list(self.connections):
             try:
                 self.sweep_connection(connection, now)
@@ -322,7 +322,7 @@
                 # The time-outs of all other connections depend on this loop.
                 log.exception("connection not checked", phase=connection.phase.value)
                 connection.abort()
-        self.log_idle_closed(now, self.counters.idle_closed - closed_before)
+        self.log_idle_closed(now)
 
     def sweep_connection(self, connection: CallerConnection, now: Instant) -> None:
         """Check the time-outs of one connection."""
@@ -333,20 +333,20 @@
         else:
             self.sweep_exchange(connection, now)
 
-    def log_idle_closed(self, now: Instant, closed: int) -> None:
+    def log_idle_closed(self, now: Instant) -> None:
         """Log how many idle connections were closed, in one line a second at most."""
-        self.unlogged_idle_closed += closed
-        if not self.unlogged_idle_closed or now - self.idle_closed_logged_at < IDLE_LOG_INTERVAL:
+        closed = self.counters.idle_closed - self.idle_closed_logged
+        if not closed or now - self.idle_closed_logged_at < IDLE_LOG_INTERVAL:
             return
         log.info(
             "idle connections closed",
-            closed=self.unlogged_idle_closed,
+            closed=closed,
             received_after_close=self.counters.received_after_close,
             idle_timeout=self.limits.keepalive_timeout.total_seconds(),
             draining=self.draining,
             open=len(self.connections),
         )
-        self.unlogged_idle_closed = 0
+        self.idle_closed_logged = self.counters.idle_closed
         self.idle_closed_logged_at = now
 
     def sweep_closing(self, connection: CallerConnection, now: Instant) -> None:
@@ -373,9 +373,11 @@
         connection.update_delivery(now)
         idle = now - connection.progress_at
         idle_limit = max(connection.idle_limit, self.limits.keepalive_timeout)
-        delivered = connection.delivery_ends_at is None
-        drain_time = now - self.drain_started_at if self.draining else timedelta(0)
-        drained = self.draining and delivered and drain_time >= self.limits.drain_idle
+        drained = (
+            self.draining
+            and connection.delivery_ends_at is None
+            and now - self.drain_started_at >= self.limits.drain_idle
+        )
         if late or drained or idle >= idle_limit:
             self.counters.idle_closed += connection.close_idle()
 
