A new leader decodes the record of a map once

It did so three times: to see from which era it is, for the map, and for the end of the previous leader's grants. The map is made from the decoded record. No behaviour changes.

--- a/fireflylock/direct/key_ranges.py
+++ b/fireflylock/direct/key_ranges.py
@@ -260,6 +260,23 @@
         """Return whether the record was written before the restore that began `era`."""
         return 0 <= self.era < era
 
+    def to_map(self, revision: int) -> RangeMap:
+        """Return the map of a record that was read at a revision.
+
+        A map that was written before a restore of the store keeps its place in the order,
+        although it is read from a later era: maps that were lost in the restore are newer.
+        """
+        if self.is_from_earlier_era(era_of(revision)):
+            revision = in_era(self.era, revision)
+        owners = [Owner(o.name, o.born, o.host, o.port) for o in self.owners]
+        ranges = []
+        first = 0
+        for one in self.ranges:
+            ranges.append(KeyRange(first, one.last, owners[one.owner], one.epoch, one.handover))
+            first = one.last + 1
+        lapsing = tuple(LapsingRange(one.first, one.last, one.timer) for one in self.lapsing)
+        return RangeMap(self.service, tuple(ranges), self.next_epoch, revision, lapsing)
+
 
 def encode_map(
     range_map: RangeMap, change: str = "", grants_end_ms: int = -1, era: int = -1
@@ -311,23 +328,5 @@
 
 
 def decode_map(data: bytes, revision: int) -> RangeMap:
-    """Return the map in `data`; errors as in `read_record`.
-
-    A map that was written before a restore of the store keeps its place in the order, although
-    it is read from a later era: maps that were lost in the restore are newer.
-    """
-    record = read_record(data)
-    if record.is_from_earlier_era(era_of(revision)):
-        revision = in_era(record.era, revision)
-    owners = [Owner(o.name, o.born, o.host, o.port) for o in record.owners]
-    ranges = []
-    first = 0
-    for key_range in record.ranges:
-        ranges.append(
-            KeyRange(
-                first, key_range.last, owners[key_range.owner], key_range.epoch, key_range.handover
-            )
-        )
-        first = key_range.last + 1
-    lapsing = tuple(LapsingRange(one.first, one.last, one.timer) for one in record.lapsing)
-    return RangeMap(record.service, tuple(ranges), record.next_epoch, revision, lapsing)
+    """Return the map in `data`; errors as in `read_record`, and the revision as in `to_map`."""
+    return read_record(data).to_map(revision)
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -17,9 +17,9 @@
 from fireflylock.direct.key_ranges import (
     KeyRange,
     LapsingRange,
+    MapRecord,
     Owner,
     RangeMap,
-    decode_map,
     encode_map,
     read_record,
 )
@@ -261,11 +261,13 @@
         """
         try:
             value = await self.store.get(MAPS_PREFIX + self.service)
+            record = None if value is None else read_record(value.data)
+            revision = 0 if value is None else value.revision
             remembered = self.recollection.maps.get(self.service)
-            if value is not None and not self.is_from_copy(value):
-                await self.load_latest(value)
-            elif value is not None or remembered is not None:
-                await self.load_after_restore(value, remembered)
+            if record is not None and not record.is_from_earlier_era(self.store.era.current):
+                await self.load_latest(record, revision)
+            elif record is not None or remembered is not None:
+                await self.load_after_restore(record, revision, remembered)
             self.loaded = True
             log.info(
                 "map of keys loaded",
@@ -285,13 +287,9 @@
         finally:
             self.write_task = None
 
-    def is_from_copy(self, value: Value) -> bool:
-        """Return whether a recorded map was written before the last restore of the store."""
-        return read_record(value.data).is_from_earlier_era(self.store.era.current)
-
-    async def load_latest(self, value: Value) -> None:
+    async def load_latest(self, record: MapRecord, revision: int) -> None:
         """Take over the recorded map, which is the latest one."""
-        self.map = decode_map(value.data, value.revision)
+        self.map = record.to_map(revision)
         before = self.map
         uncertain = self.store.era.previous and not self.recollection.is_certain(self.service)
         if uncertain and self.clock.elapsed() < self.grant_expiry.end_if_granted(
@@ -300,18 +298,19 @@
             self.map_is_certain_from = self.grant_expiry.previous_grants_end
         await self.write(before)
         # The record stood until this write, so nobody has granted anything since it.
-        record = read_record(value.data)
         if record.grants_end_ms >= 0:
             within = timedelta(milliseconds=record.grants_end_ms)
             self.grant_expiry.limit_previous_grants(self.clock.elapsed() + within)
             before = replace(before, revision=record.told_revision)
-        known_end = self.expiry_broadcasts.expiry_of(self.service, value.revision)
+        known_end = self.expiry_broadcasts.expiry_of(self.service, revision)
         if known_end is not None:
             self.grant_expiry.limit_previous_grants(known_end)
         self.last_change = self.map_change(before, [])
         self.resume_lapsing(self.clock.elapsed())
 
-    async def load_after_restore(self, value: Value | None, remembered: RangeMap | None) -> None:
+    async def load_after_restore(
+        self, record: MapRecord | None, revision: int, remembered: RangeMap | None
+    ) -> None:
         """Take over the newest known map after the store was restored from an older copy.
 
         Nobody has recorded a map since, and later maps than the recorded one may be lost.  New
@@ -320,12 +319,14 @@
 
         Parameters
         ----------
-        value : Value or None
+        record : MapRecord or None
             The recorded map, which was written before the restore.
+        revision : int
+            Revision at which it was read; 0 if there is none.
         remembered : RangeMap or None
             The newest map that this process knew at the restore.
         """
-        recorded = None if value is None else decode_map(value.data, value.revision)
+        recorded = None if record is None else record.to_map(revision)
         known = remembered
         if known is None or (recorded is not None and recorded.revision > known.revision):
             known = recorded
@@ -340,13 +341,7 @@
         ranges = known.ranges
         if forgotten:
             ranges = tuple(replace(one, epoch=first_epoch, handover="") for one in ranges)
-        new = RangeMap(
-            known.service,
-            ranges,
-            first_epoch + 1,
-            0 if value is None else value.revision,
-        )
-        await self.write(new)
+        await self.write(RangeMap(known.service, ranges, first_epoch + 1, revision))
         if self.recollection.led:
             known_end = self.expiry_broadcasts.expiry_of(self.service, known.revision)
             if known_end is not None:
--- a/tests/mutants_restored.py
+++ b/tests/mutants_restored.py
@@ -79,8 +79,8 @@
     return ENCODE_MAP(range_map, change, grants_end_ms)
 
 
-def load_recorded(self, value, remembered):
-    return LOAD_AFTER_RESTORE(self, value, None)
+def load_recorded(self, record, revision, remembered):
+    return LOAD_AFTER_RESTORE(self, record, revision, None)
 
 
 def free_at_once(self, now, key_range, reason, target):
