--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -185,8 +185,7 @@
         self.leader_lease.lose("the store was restored")
         if self.placers:
             self.step_down("the store was restored")
-        grants_from = self.recollection.grants_from(LEASE_TTL)
-        self.next_attempt_at = max(self.next_attempt_at, grants_from)
+        self.next_attempt_at = max(self.next_attempt_at, self.recollection.grants_from())
 
     def latest_maps(self, now: Instant, led: bool) -> dict[str, RangeMap]:
         """Return the maps known here that were surely the latest ones before the restore.
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -24,7 +24,7 @@
     read_record,
 )
 from fireflylock.direct.lapse_timers import LapseTimers
-from fireflylock.direct.leader_lease import LEADER_KEY, LEASE_TTL, LeaderLease
+from fireflylock.direct.leader_lease import LEADER_KEY, LeaderLease
 from fireflylock.direct.load_distribution import Capacity
 from fireflylock.direct.migration import Migration, OwnerState
 from fireflylock.direct.model import KEY_COUNT
@@ -292,9 +292,8 @@
         self.map = record.to_map(revision)
         before = self.map
         uncertain = self.store.era.previous and not self.recollection.is_certain(self.service)
-        if uncertain and self.clock.elapsed() < self.grant_expiry.end_if_granted(
-            self.recollection.grants_from(LEASE_TTL)
-        ):
+        last_holds_end = self.grant_expiry.end_if_granted(self.recollection.grants_from())
+        if uncertain and self.clock.elapsed() < last_holds_end:
             self.map_is_certain_from = self.grant_expiry.previous_grants_end
         await self.write(before)
         # The record stood until this write, so nobody has granted anything since it.
@@ -331,8 +330,7 @@
         if known is None or (recorded is not None and recorded.revision > known.revision):
             known = recorded
         forgotten = known is not remembered
-        grants_from = self.recollection.grants_from(LEASE_TTL)
-        await self.sleep_until(grants_from)
+        await self.sleep_until(self.recollection.grants_from())
         self.grant_expiry.extend_previous_grants(self.clock.elapsed())
         if forgotten:
             log.warning("owners of keys are unknown until all holds end", service=self.service)
--- a/fireflylock/direct/recollection.py
+++ b/fireflylock/direct/recollection.py
@@ -9,6 +9,7 @@
 
 from fireflylock.clock import Instant
 from fireflylock.direct.key_ranges import RangeMap
+from fireflylock.direct.leader_lease import LEASE_TTL
 
 # How long a VM leaves the leader lease to one that remembers newer maps.
 MEMORY_PRIORITY_TIME = timedelta(seconds=4)
@@ -39,6 +40,6 @@
         """Return whether nobody can have changed the remembered map of a service."""
         return self.led or service in self.final
 
-    def grants_from(self, lease_ttl: timedelta) -> Instant:
+    def grants_from(self) -> Instant:
         """Return from when the former leader, whose lease the store has forgotten, has stopped."""
-        return self.at if self.led else self.at + lease_ttl
+        return self.at if self.led else self.at + LEASE_TTL
--- a/tests/mutants_restored.py
+++ b/tests/mutants_restored.py
@@ -193,7 +193,7 @@
         "the former leader's lease is not waited for",
         Recollection,
         "grants_from",
-        lambda self, lease_ttl: self.at,
+        lambda self: self.at,
         PLACING
         + "test_the_former_leader_has_stopped_before_another_vm_places_keys_after_a_restore",
     ),
