Tests of followers that are cut off share their set-up and its end

The two older tests cut the links in both directions now, as the newer ones do; their steps and assertions are as before.

--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -799,22 +799,39 @@
     assert_no_violations(cluster)
 
 
-async def test_a_refusal_after_a_restore_shows_that_another_server_may_hold_the_keys():
-    """Only the leader that is lost with the restore knew the last moves of keys."""
+async def cluster_with_followers_cut_off() -> tuple[SimulatedCluster, str]:
+    """Return a cluster whose leader is cut off from the other VMs, and they from the store."""
     cluster = await settled_cluster()
-    leader = cluster.leader()
-    others = set(cluster.vms) - {leader}
     await cluster.run(12)
     cluster.store.save_copy()
-    cluster.cut_from_store |= others
-    cluster.cut_links |= {(leader, name) for name in others}
-    process = cluster.add_server("n", 9000)
-    while not any(process in cluster.holders(key) for key in TRACKED_KEYS):
-        await cluster.run(0.1)
+    leader = cluster.leader()
+    for name in cluster.vms:
+        if name != leader:
+            cluster.cut_links |= {(leader, name), (name, leader)}
+            cluster.cut_from_store.add(name)
+    return cluster, leader
+
+
+async def lose_leader_and_restore(
+    cluster: SimulatedCluster, leader: str, outage: float = 1.0
+) -> None:
+    """Lose the leader while the store is away, restore the store, and end all cuts."""
+    cluster.store.unavailable = outage > 0
+    await cluster.run(outage)
     cluster.kill_vm(leader)
     cluster.store.restore()
+    cluster.store.unavailable = False
     cluster.cut_from_store.clear()
     cluster.cut_links.clear()
+
+
+async def test_a_refusal_after_a_restore_shows_that_another_server_may_hold_the_keys():
+    """Only the leader that is lost with the restore knew the last moves of keys."""
+    cluster, leader = await cluster_with_followers_cut_off()
+    process = cluster.add_server("n", 9000)
+    while not any(process in cluster.holders(key) for key in TRACKED_KEYS):
+        await cluster.run(0.1)
+    await lose_leader_and_restore(cluster, leader, outage=0.0)
     await cluster.run(20)
     assert cluster.unheld_keys() == 0
     assert_no_violations(cluster)
@@ -846,23 +863,14 @@
 
 async def test_a_former_owner_that_was_cut_off_accepts_no_remembered_epoch_after_a_restore():
     """It has seen no higher epoch, so it does not refuse: its keys moved once its hold ended."""
-    cluster = await settled_cluster()
-    leader = cluster.leader()
-    others = set(cluster.vms) - {leader}
-    await cluster.run(12)
-    cluster.store.save_copy()
-    cluster.cut_from_store |= others
-    cluster.cut_links |= {(leader, name) for name in others}
+    cluster, leader = await cluster_with_followers_cut_off()
     process = cluster.processes[0]
     key = next(key for key in TRACKED_KEYS if process in cluster.holders(key))
     cluster.cut_links |= {(vm, process.entry.name) for vm in cluster.vms}
     await cluster.run(8)
     assert cluster.holders(key)
     assert process not in cluster.holders(key)
-    cluster.kill_vm(leader)
-    cluster.store.restore()
-    cluster.cut_from_store.clear()
-    cluster.cut_links.clear()
+    await lose_leader_and_restore(cluster, leader, outage=0.0)
     await cluster.run(20)
     assert cluster.unheld_keys() == 0
     assert_no_violations(cluster)
@@ -965,30 +973,6 @@
     assert_no_violations(cluster)
 
 
-async def cluster_with_followers_cut_off() -> tuple[SimulatedCluster, str]:
-    """Return a cluster whose leader is cut off from the other VMs, and they from the store."""
-    cluster = await settled_cluster()
-    await cluster.run(12)
-    cluster.store.save_copy()
-    leader = cluster.leader()
-    for name in cluster.vms:
-        if name != leader:
-            cluster.cut_links |= {(leader, name), (name, leader)}
-            cluster.cut_from_store.add(name)
-    return cluster, leader
-
-
-async def lose_leader_and_restore(cluster: SimulatedCluster, leader: str) -> None:
-    """Lose the leader while the store is away, restore the store, and end all cuts."""
-    cluster.store.unavailable = True
-    await cluster.run(1)
-    cluster.kill_vm(leader)
-    cluster.store.restore()
-    cluster.store.unavailable = False
-    cluster.cut_from_store.clear()
-    cluster.cut_links.clear()
-
-
 async def test_keys_of_a_leaving_server_are_not_moved_twice_by_an_old_memory():
     cluster, leader = await cluster_with_followers_cut_off()
     leaving = cluster.processes[0]
