Review case 2: a stale answer on a control connection counts as a release

Cause: the connections for grants and releases are kept although additional bytes have arrived on them, and the next call takes these for its answer. Nothing is fixed.

The script: one additional answer after a grant, then the backend leaves.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -26,7 +26,9 @@
 
 from fireflylock.clock import SystemClock
 from fireflylock.platform import wire
-from standins.http_server import Call, HTTPServer, Reply
+from standins.http_server import Call, DropConnectionError, HTTPServer, Reply
+from standins.http_server import _read_call as read_call
+from standins.http_server import _write_reply as write_reply
 from standins.key_grants import KeyGrants
 from standins.platform_store import PlatformStore
 
@@ -137,6 +139,35 @@
         self.file.close()
 
 
+class BackendHTTPServer(HTTPServer):
+    """An HTTP server that can send bytes of no request after a complete answer.
+
+    They are the attribute ``additional`` of a reply, if it has one.
+    """
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        protocol = h11.Connection(h11.SERVER)
+        try:
+            while call := await read_call(protocol, reader):
+                reply = await self.answer(call)
+                await write_reply(protocol, writer, reply)
+                if additional := getattr(reply, "additional", b""):
+                    writer.write(additional)
+                    await writer.drain()
+                if protocol.our_state is not h11.DONE:
+                    break
+                protocol.start_next_cycle()
+        except (OSError, h11.ProtocolError, DropConnectionError, asyncio.CancelledError):
+            # An answer that nobody waits for any more ends with its connection.
+            writer.transport.abort()
+        finally:
+            self.tasks.discard(task)
+            with suppress(RuntimeError):
+                writer.close()
+
+
 @dataclass
 class Backend:
     """One incarnation of a backend server, as PROTOCOL.md describes it.
@@ -174,7 +205,7 @@
 
     def __post_init__(self) -> None:
         self.grants = KeyGrants(self.name, SystemClock(), tracked_keys=KEYS)
-        self.server = HTTPServer(self.answer)
+        self.server = BackendHTTPServer(self.answer)
 
     async def start(self, host: str, port: int = 0) -> None:
         """Start to listen."""
