--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -268,6 +268,11 @@
             "born": self.born,
         }
 
+    def forget_grants(self) -> None:
+        """Hold nothing any more: the process has ended."""
+        self.grants.grants.clear()
+        self.running.clear()
+
     def holds(self, key: int) -> bool:
         """Return whether the server holds a key now."""
         return self.grants.has_grant(key)
@@ -422,6 +427,14 @@
         self.register(backend)
         return backend
 
+    async def start_again(self, backend: Backend, host: str, port: int) -> Backend:
+        """Start a new life of a backend under its identifier and at its address."""
+        again = Backend(backend.name, backend.service, backend.zone, self.record, backend.keyed)
+        again.on_granted = backend.on_granted
+        await again.start(host, port)
+        self.backends[again.name] = again
+        return again
+
     async def start(self, keyed: int = 6, plain: int = 3, store_host: str = "") -> None:
         """Start everything, and wait until each followed key has an owner."""
         host = store_host or f"{self.network}.7"
