--- a/review/2/case.py
+++ b/review/2/case.py
@@ -63,7 +63,9 @@
         for n in range(20):
             await asyncio.sleep(0.1)
             key = (keys[0], keys[-1])[n % 2]
-            asyncio.create_task(fleet.ask(fleet.vms[n % 3], f"late-{n}", "/place/x", key=key))
+            orders.append(
+                asyncio.create_task(fleet.ask(fleet.vms[n % 3], f"late-{n}", "/place/x", key=key))
+            )
         await asyncio.gather(*orders)
         await asyncio.sleep(1)
         for key, seconds in sorted(fleet.held_by_two.items()):
--- a/review/__init__.py
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of an independent review: faults that break the users' rules."""
--- a/review/common/__init__.py
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""What the cases share."""
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -10,6 +10,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -332,12 +333,16 @@
             self.on_granted(self, first, last, epoch)
         return Reply(200 if accepted else 409)
 
+    def works_on(self, first: int, last: int) -> bool:
+        """Return whether a request for one of some keys runs."""
+        return any(key is not None and first <= key <= last for key in self.running.values())
+
     async def release(self, content: dict) -> Reply:
         """Release keys: no new work begins, and the answer waits for the work that runs."""
         first, last, epoch = content["from"], content["target"], content["fence"]
         token = self.grants.release(first, last, epoch)
         self.record.note(f"{self.name} is asked to release {first}-{last} epoch {epoch}")
-        while any(key is not None and first <= key <= last for key in self.running.values()):
+        while self.works_on(first, last):  # noqa: ASYNC110 - the work of any request may end it.
             await asyncio.sleep(0.005)
         return Reply(200, headers=[(wire.HANDOVER.decode(), token)])
 
@@ -524,6 +529,21 @@
         for backend in self.backends.values():
             await backend.server.close()
         await self.store.close()
+        self.note_logs()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def note_logs(self) -> None:
+        """Note what the entry VMs have logged about the right to place keys."""
+        events = ("map of keys loaded", "placing of keys stops here", "right to place keys won")
+        lines = []
+        for vm in self.vms:
+            path = self.folder / f"{vm}.log"
+            text = path.read_text("utf-8", "replace") if path.exists() else ""
+            for line in text.splitlines():
+                if any(f'"event": "{event}"' in line for event in events):
+                    lines.append((line[line.find('"timestamp"') :], line))
+        for _, line in sorted(lines):
+            self.record.note(f"log: {line}")
 
     # Requesters.
 
