--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,36 +1,18 @@
-"""A backend sends one additional answer to a grant, and its next release is not waited for."""
+"""A backend starts again under its identifier, and its keys are given away while it works."""
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
-from fireflylock.platform import wire
-from review.common.fleet import KEYS, Backend, CouldNotRunError, Fleet, Record, run_case
-from standins.http_server import Call, Reply
+from review.common.fleet import KEYS, CouldNotRunError, Fleet, Record, run_case
 
+# From the end of the first life to the start of the second, and from there to its first beat:
+# PROTOCOL.md has a beat approximately every `heartbeat`, 870 ms here.
+DOWN_S = 0.3
+FIRST_BEAT_S = 0.25
 # RULES.md, OWNER: two backends hold the same keys for over half a second.
 ALLOWED_S = 0.5
-# Requests that the faulty backend answers first: one additional answer is less than 3 in 100.
-ASKED = 60
-
-ADDITIONAL = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-
-
-async def additional_answer(backend: Backend) -> None:
-    """Let a backend send one additional answer, right after its next answer to a grant."""
-    sent = asyncio.Event()
-    original = backend.answer
-
-    async def answer(call: Call) -> Reply:
-        reply = await original(call)
-        if call.path == wire.GRANT_PATH and reply.status == 200 and not sent.is_set():
-            backend.record.note(f"{backend.name} sends an additional answer after that to a grant")
-            reply.additional = ADDITIONAL
-            sent.set()
-        return reply
-
-    backend.server.answer = answer
-    await sent.wait()
 
 
 async def case(record: Record, trouble: bool) -> None:
@@ -38,36 +20,42 @@
     fleet = Fleet(record, vms=3)
     try:
         await fleet.start()
-        await asyncio.sleep(2)
-        holders = fleet.holders(KEYS[5])
-        if len(holders) != 1:
-            raise CouldNotRunError(f"key {KEYS[5]} is held by {holders}")
-        backend = fleet.backends[holders[0]]
-        keys = [key for key in KEYS if backend.holds(key)]
-        for n in range(ASKED):
-            await fleet.ask(fleet.vms[n % 3], f"read-{n}", "/read/x", key=keys[n % len(keys)])
+        await asyncio.sleep(3)
+        # Keys without an owner go to the first of the idle backends by name: not to the new life.
+        first = fleet.backends["i-keyed5"]
+        keys = [key for key in KEYS if first.holds(key)]
+        if not keys:
+            raise CouldNotRunError(f"{first.name} holds no keys")
         fleet.follow_grants()
+        second = first
         if trouble:
-            await additional_answer(backend)
-        await asyncio.sleep(0.3)
-        orders = [
-            asyncio.create_task(
-                fleet.ask(fleet.vms[n % 3], f"order-{n}", "/place/ms1800", key=key)
-            )
-            for n, key in enumerate((keys[0], keys[-1]))
-        ]
-        await asyncio.sleep(0.3)
-        # Planned work: the backend leaves, and its keys move.
-        record.note(f"{backend.name} reports draining")
-        fleet.register(backend, "draining")
-        for n in range(20):
+            record.note(f"{first.name} ends")
+            host, _, port = first.address.rpartition(":")
+            await first.server.close()
+            first.forget_grants()
+            await asyncio.sleep(DOWN_S)
+            second = await fleet.start_again(first, host, int(port))
+            record.note(f"{second.name} starts again under its identifier; it holds nothing")
+        started = time.monotonic()
+        orders: list[asyncio.Task] = []
+        while time.monotonic() - started < FIRST_BEAT_S:
+            await asyncio.sleep(0.02)
+            held = [key for key in keys if second.holds(key)]
+            if held and len(orders) < 4:
+                n = len(orders)
+                ask = fleet.ask(
+                    fleet.vms[n % 3], f"order-{n}", "/place/ms2000", key=held[-(n % 2)]
+                )
+                orders.append(asyncio.create_task(ask))
+        record.note(f"{second.name} writes its first beat")
+        fleet.register(second)
+        for n in range(25):
             await asyncio.sleep(0.1)
-            key = (keys[0], keys[-1])[n % 2]
+            key = keys[n % len(keys)]
             orders.append(
                 asyncio.create_task(fleet.ask(fleet.vms[n % 3], f"late-{n}", "/place/x", key=key))
             )
         await asyncio.gather(*orders)
-        await asyncio.sleep(1)
         for key, seconds in sorted(fleet.held_by_two.items()):
             if seconds > ALLOWED_S:
                 record.rule_broken("OWNER", f"key {key} was held by two for {seconds:.2f} s")
