Review: each case reads TROUBLE in its own folder

Cause: the variable was read by the common part only, so that nothing in a case's folder showed it. What it does is unchanged.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """The leader is cut off from the store for 1.2 s, and forgets what it has granted."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -78,4 +79,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).parent, case, 115.0))
+    with_trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(Path(__file__).parent, case, 115.0, with_trouble))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """A backend starts again under its identifier, and its keys are given away while it works."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -70,4 +71,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).parent, case, 80.0))
+    with_trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(Path(__file__).parent, case, 80.0, with_trouble))
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -675,7 +675,12 @@
     raise CouldNotRunError("no free loopback network")
 
 
-def run_case(folder: Path, case: Callable[[Record, bool], Awaitable[None]], limit: float) -> int:
+def run_case(
+    folder: Path,
+    case: Callable[[Record, bool], Awaitable[None]],
+    limit: float,
+    trouble: bool,
+) -> int:
     """Run a case with or without its disruption, and return its exit status.
 
     Parameters
@@ -686,9 +691,10 @@
         Called with the record and whether there is a disruption.
     limit : float
         Seconds after which the case counts as not run.
+    trouble : bool
+        Whether the case runs with its disruption: not with ``TROUBLE=0``.
     """
     record = Record(folder / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"the case runs {'with' if trouble else 'without'} its disruption")
 
     async def limited() -> None:
