Log what proves that keys are free, and a right to place keys that resumes

Nothing showed why keys became free after an answered release, nor that a right to place keys had ended here before a late renewal brought it back. Each line names the proof, the age of the migration and the seconds until the owner's holds end, so that keys that are freed early without a proof can be seen.

--- a/fireflylock/direct/leader_lease.py
+++ b/fireflylock/direct/leader_lease.py
@@ -105,8 +105,17 @@
         if left <= timedelta(0):
             self.lose("the lease has ended")
             return False
+        now = self.clock.elapsed()
+        ended_until = self.held_until
         self.held_until = max(self.held_until, sent + min(left, LEASE_TTL) - SAFETY_MARGIN)
         self.renewed_at = sent
+        if ended_until <= now < self.held_until:
+            log.warning(
+                "right to place keys resumed",
+                lease=lease,
+                away=(now - ended_until).total_seconds(),
+                held_for=(now - self.acquired_at).total_seconds(),
+            )
         return True
 
     def lose(self, reason: str) -> None:
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -652,7 +652,7 @@
         if self.clock.elapsed() < migration.free_from:
             return
         migration.handover = answer.handover
-        migration.free = True
+        self.mark_free(migration, "release answered")
         state.record_success()
 
     def free_expired_keys(self, now: Instant) -> None:
@@ -663,17 +663,26 @@
                 continue
             if not self.has_no_pending_grant(owner) or now < migration.free_from:
                 continue
-            if not self.table.is_replaced(owner) and now < self.grant_expiry.expiry_of(owner):
-                continue
-            self.mark_free(migration)
+            if now >= self.grant_expiry.expiry_of(owner):
+                self.mark_free(migration, "holds ended")
+            elif self.table.is_replaced(owner):
+                self.mark_free(migration, "owner replaced")
 
-    def mark_free(self, migration: Migration) -> None:
-        """Mark keys as free whose owner did not answer, but can run nothing more."""
+    def mark_free(self, migration: Migration, proof: str) -> None:
+        """Mark keys as free whose owner can run nothing more."""
         migration.free = True
+        now = self.clock.elapsed()
+        owner = migration.key_range.owner
         log.info(
-            "keys are free without a release",
+            "keys are free",
             service=self.service,
-            owner=migration.key_range.owner.name,
+            first=migration.key_range.first,
+            last=migration.key_range.last,
+            owner=owner.name,
+            born=owner.born,
+            proof=proof,
+            age=(now - migration.started_at).total_seconds(),
+            holds_end_in=(self.grant_expiry.expiry_of(owner) - now).total_seconds(),
         )
 
     # Lapsing ranges: their owners can't be reached, across changes of leaders.
@@ -785,7 +794,7 @@
             self.timer_check_task = None
         for migration in self.migrations:
             if migration.timer in ended and not migration.free:
-                self.mark_free(migration)
+                self.mark_free(migration, "timer ended")
 
     def migrate_from_unfit_owners(self, now: Instant) -> None:
         """Move all keys away from owners that leave, are lost, or were restarted."""
