A leader whose right has ended does not resume under it

Cause: a leader steps down when its right has ended by its own clock, and closes its placers, and with them the record of its grants. A renewal that was answered later brought the same right back. The new placers took the time at which the right was first won for the time until which others can have granted keys.

The test failed for renewals held up for 1.2 and 1.3 s, and held for 1.4 and 1.5 s, where the lease has ended in the store too.

Ruled out: an early answer to a release (none in the trace), a timer of lapsing keys (the freed range had one, but it had not ended).

Change: a leader that steps down loses its right for good, and claims it anew as before. Besides, a placer counts all grants until its own creation as unknown, not only those before the right was won; what the leader broadcasts of the end of its grants shortens that wait, as for any other leader.

--- a/fireflylock/direct/grant_expiry.py
+++ b/fireflylock/direct/grant_expiry.py
@@ -25,21 +25,22 @@
     ----------
     max_hold : timedelta
         Longest hold that any leader grants.
-    acquired_at : timedelta
-        When the leader lease was acquired: all requests of other leaders arrived before.
+    created_at : timedelta
+        When this record was created under the leader lease: all requests of other leaders, and
+        of earlier placers of this process, arrived before.
     expiries : dict of Owner to timedelta
         Latest expiry of an owner's hold by the grants of this process.
     previous_grants_end : timedelta
-        Latest expiry of the grants of previous leaders.
+        Latest expiry of the grants that this record does not hold.
     """
 
     max_hold: timedelta
-    acquired_at: Instant
+    created_at: Instant
     expiries: dict[Owner, Instant] = field(default_factory=dict)
     previous_grants_end: Instant = field(init=False)
 
     def __post_init__(self) -> None:
-        self.previous_grants_end = self.end_if_granted(self.acquired_at)
+        self.previous_grants_end = self.end_if_granted(self.created_at)
 
     def extend_previous_grants(self, now: Instant) -> None:
         """Assume that previous leaders have granted keys for the longest hold until now."""
--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -264,6 +264,9 @@
             self.place_keys(now)
             return
         if self.placers:
+            # A renewal that is answered late must not bring it back: what was granted under it
+            # is known to the placers alone.
+            self.leader_lease.lose("it has ended")
             self.step_down("the right has ended")
         if self.acquire_task is None and now >= self.next_attempt_at and self.keyed_services():
             self.attempt_if_leaderless(now)
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -158,7 +158,7 @@
         self.timers_checked_at: Instant = timedelta(0)
         self.lapsing_retry_at: Instant = timedelta(0)
         self.timer_check_task: asyncio.Task | None = None
-        self.grant_expiry = GrantExpiry(max_hold, leader_lease.acquired_at)
+        self.grant_expiry = GrantExpiry(max_hold, clock.elapsed())
         self.short_loads = KeyLoads(leader_lease.acquired_at, SHORT_TIME_CONSTANT)
         self.long_loads = KeyLoads(leader_lease.acquired_at, LONG_TIME_CONSTANT)
         self.map: RangeMap | None = None
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -153,8 +153,17 @@
         if self.shared.unavailable or self.vm in self.cluster.cut_from_store:
             await self.clock.sleep(timedelta(milliseconds=500))
             raise PlatformError("no answer")
+        await self.wait_for_link()
         self.shared.expire()
 
+    async def wait_for_link(self) -> None:
+        """Wait while the VM's bytes are held up on their way to the store."""
+        ends_at = self.clock.elapsed() + CALL_TIMEOUT
+        while self.vm in self.cluster.held_up:
+            if self.clock.elapsed() >= ends_at:
+                raise PlatformError("no answer")
+            await self.clock.sleep(STEP)
+
     async def simulate_call(self) -> None:
         """Wait for a call, which may fail, and for the era of its answer."""
         sent_in = self.era.number
@@ -347,6 +356,8 @@
         self.processes: list[ServerProcess] = []
         self.vms: dict[str, VM] = {}
         self.cut_from_store: set[str] = set()
+        # VMs whose calls to the store are held up, and arrive once the VM is removed from here.
+        self.held_up: set[str] = set()
         self.cut_links: set[tuple[str, str]] = set()
         self.suspended: set[str] = set()
         # Bytes that leaders have broadcast to each VM.
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -350,6 +350,25 @@
     assert_no_violations(cluster)
 
 
+@pytest.mark.parametrize("seconds", [1.2, 1.3, 1.4, 1.5])
+async def test_a_leader_whose_renewals_are_held_up_does_not_forget_its_grants(seconds):
+    """A late renewal brought the lease back, and keys were free while their owner held them."""
+    cluster = await settled_cluster()
+    # Only the leader itself can have granted anything that lasts until now.
+    await cluster.run(12)
+    leader = cluster.leader()
+    process = cluster.holders(TRACKED_KEYS[0])[0]
+    cluster.held_up.add(leader)
+    await cluster.run(seconds)
+    cluster.cut_links.add((leader, process.entry.name))
+    cluster.unregister(process)
+    cluster.held_up.clear()
+    await cluster.run(6)
+    assert_no_violations(cluster)
+    await cluster.run(6)
+    assert cluster.unheld_keys() == 0
+
+
 async def test_a_reordered_or_duplicate_broadcast_is_ignored():
     cluster = await settled_cluster()
     other = next(vm for name, vm in cluster.vms.items() if name != cluster.leader())
