Keys become free by a proof only, and a registration is none

Cause: the leader took a later registration under an owner's name or address for the end of all work on the owner's keys. A second incarnation accepts renewals that were meant for the first until its first beat is read, since a grant names the server and not its incarnation. An entry of another writer looked the same.

Ruled out: a late grant to the first incarnation (its process had ended), and the probe of the second one (it releases one key only, at the lowest epoch).

Change: end_of_work.py has the kinds of proof, and Migration.set_free, which takes one for its own keys and owner, is the only way to a free key: an answered release, another server's answer at the address where it is also registered, expired holds, an ended timer. A registration only makes the leader ask for the keys.

Cost: a server that has started again answers its release within milliseconds, or when its work has ended; one that does not answer keeps its keys until its holds end.

--- a/fireflylock/direct/key_control.py
+++ b/fireflylock/direct/key_control.py
@@ -28,10 +28,13 @@
         Whether the server confirmed that it runs nothing more on the keys.
     handover : str
         State that it passes on to the next owner.
+    other_server : bool
+        Whether a server of another name answered at the address.
     """
 
     answered: bool
     handover: str = ""
+    other_server: bool = False
 
 
 class KeyControl(ABC):
--- a/fireflylock/direct/migration.py
+++ b/fireflylock/direct/migration.py
@@ -5,7 +5,9 @@
 from datetime import timedelta
 
 from fireflylock.clock import Instant
+from fireflylock.direct.end_of_work import EndOfWork
 from fireflylock.direct.key_ranges import KeyRange, Owner
+from fireflylock.exceptions import InvariantError
 
 
 @dataclass
@@ -22,8 +24,8 @@
         For the log.
     started_at : timedelta
         When the migration started.
-    free : bool
-        Whether the owner certainly runs nothing more on them.
+    end_of_work : EndOfWork or None
+        Proof that the owner runs nothing more on them, or None.
     handover : str
         State that the owner passed on.
     timer : str
@@ -37,11 +39,31 @@
     target: Owner | None
     reason: str
     started_at: Instant
-    free: bool = False
+    end_of_work: EndOfWork | None = field(default=None, init=False)
     handover: str = ""
     timer: str = ""
     free_from: Instant = timedelta(0)
 
+    @property
+    def free(self) -> bool:
+        """Whether another server may own the keys."""
+        return self.end_of_work is not None
+
+    def set_free(self, now: Instant, proof: EndOfWork) -> bool:
+        """Make the keys free by a proof; return whether they have become free.
+
+        Raises
+        ------
+        InvariantError
+            The proof is not one for these keys and their owner.
+        """
+        if not proof.covers(self.key_range, self.timer, now):
+            raise InvariantError(f"{proof} does not prove that {self.key_range} is free")
+        if self.free or now < self.free_from:
+            return False
+        self.end_of_work = proof
+        return True
+
 
 @dataclass
 class OwnerState:
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -9,6 +9,13 @@
 import structlog
 
 from fireflylock.clock import Clock, Instant
+from fireflylock.direct.end_of_work import (
+    AddressReused,
+    EndOfWork,
+    HoldsExpired,
+    ReleaseAnswered,
+    TimerEnded,
+)
 from fireflylock.direct.expiry_broadcasts import ExpiryBroadcasts
 from fireflylock.direct.gossip import MapChange, Moving, NewOwner
 from fireflylock.direct.grant_expiry import GrantExpiry
@@ -647,31 +654,29 @@
             return
         epoch = self.map.next_epoch
         answer = await self.control.release(migration.key_range, epoch, RELEASE_TIMEOUT)
-        if not answer.answered or migration.free:
-            return
-        if self.clock.elapsed() < migration.free_from:
-            return
-        migration.handover = answer.handover
-        self.mark_free(migration, "release answered")
-        state.record_success()
+        if answer.answered:
+            if self.set_free(migration, ReleaseAnswered(migration.key_range, epoch)):
+                migration.handover = answer.handover
+                state.record_success()
+        elif answer.other_server and self.table.is_replaced(owner):
+            self.set_free(migration, AddressReused(owner))
 
     def free_expired_keys(self, now: Instant) -> None:
-        """Free the keys of owners that certainly can run nothing more."""
+        """Free the keys of owners whose holds have all expired."""
         for migration in self.migrations:
             owner = migration.key_range.owner
-            if migration.free:
-                continue
-            if not self.has_no_pending_grant(owner) or now < migration.free_from:
-                continue
-            if now >= self.grant_expiry.expiry_of(owner):
-                self.mark_free(migration, "holds ended")
-            elif self.table.is_replaced(owner):
-                self.mark_free(migration, "owner replaced")
-
-    def mark_free(self, migration: Migration, proof: str) -> None:
-        """Mark keys as free whose owner can run nothing more."""
-        migration.free = True
+            expiry = self.grant_expiry.expiry_of(owner)
+            if not migration.free and self.has_no_pending_grant(owner) and now >= expiry:
+                self.set_free(migration, HoldsExpired(owner, expiry))
+
+    def set_free(self, migration: Migration, proof: EndOfWork) -> bool:
+        """Make keys free by a proof, unless they are free; return whether they have become free.
+
+        All ways to a free key end here.
+        """
         now = self.clock.elapsed()
+        if not migration.set_free(now, proof):
+            return False
         owner = migration.key_range.owner
         log.info(
             "keys are free",
@@ -680,10 +685,11 @@
             last=migration.key_range.last,
             owner=owner.name,
             born=owner.born,
-            proof=proof,
+            proof=proof.description,
             age=(now - migration.started_at).total_seconds(),
             holds_end_in=(self.grant_expiry.expiry_of(owner) - now).total_seconds(),
         )
+        return True
 
     # Lapsing ranges: their owners can't be reached, across changes of leaders.
 
@@ -794,7 +800,7 @@
             self.timer_check_task = None
         for migration in self.migrations:
             if migration.timer in ended and not migration.free:
-                self.mark_free(migration, "timer ended")
+                self.set_free(migration, TimerEnded(migration.timer))
 
     def migrate_from_unfit_owners(self, now: Instant) -> None:
         """Move all keys away from owners that leave, are lost, or were restarted."""
--- a/fireflylock/platform/grants.py
+++ b/fireflylock/platform/grants.py
@@ -72,6 +72,9 @@
         except (OSError, TimeoutError, ProtocolError) as error:
             log.warning("release not answered", server=key_range.owner.name, error=repr(error))
             return ReleaseResult(answered=False)
+        if answer.status == MISDIRECTED:
+            log.warning("release reached another server", server=key_range.owner.name)
+            return ReleaseResult(answered=False, other_server=True)
         if answer.status != OK:
             log.warning("release refused", server=key_range.owner.name, status=answer.status)
             return ReleaseResult(answered=False)
