An answer on a used control connection releases no keys

Cause: answers to grants and releases name no call. The additional answer stayed on the kept connection and was taken for the answer to the next call there, the release, so that the keys counted as released at once.

Change: a release has a connection of its own, on which no earlier call can be answered. An idle connection on which anything has arrived is not used again. A grant counts as applied whatever its answer says: a refusal or another server's answer on a kept connection may be one to an earlier call as well.

--- a/fireflylock/direct/key_control.py
+++ b/fireflylock/direct/key_control.py
@@ -10,10 +10,14 @@
 
 
 class GrantOutcome(enum.Enum):
-    """What is certain about a grant."""
+    """What a server's answer says about a grant.
+
+    Only ``UNSENT`` is certain: an answer may be one to an earlier request.
+    """
 
     GRANTED = "granted"
     REFUSED = "refused"
+    MISDIRECTED = "misdirected"
     UNANSWERED = "unanswered"
     UNSENT = "unsent"
 
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -542,7 +542,7 @@
         """Grant or renew one range with retries; return False if the owner does not respond."""
         for _ in range(GRANT_ATTEMPTS):
             outcome = await self.grant(key_range)
-            if outcome is GrantOutcome.UNSENT:
+            if outcome in (GrantOutcome.UNSENT, GrantOutcome.MISDIRECTED):
                 await self.clock.sleep(UNSENT_RETRY_DELAY)
             elif outcome is not GrantOutcome.UNANSWERED:
                 return True
@@ -562,7 +562,7 @@
                 )
             finally:
                 now = self.clock.elapsed()
-                if outcome in (GrantOutcome.GRANTED, GrantOutcome.UNANSWERED):
+                if outcome is not GrantOutcome.UNSENT:
                     self.grant_expiry.record_grant(now, key_range.owner, hold)
         self.record_outcome(now, key_range, state, outcome)
         return outcome
@@ -582,7 +582,7 @@
         self, now: Instant, key_range: KeyRange, state: OwnerState, outcome: GrantOutcome
     ) -> None:
         """Update the owner's state after a grant."""
-        if outcome in (GrantOutcome.UNANSWERED, GrantOutcome.UNSENT):
+        if outcome not in (GrantOutcome.GRANTED, GrantOutcome.REFUSED):
             if state.failing_since is None:
                 log.warning(
                     "server does not respond", server=key_range.owner.name, why=outcome.value
--- a/fireflylock/http_client.py
+++ b/fireflylock/http_client.py
@@ -97,6 +97,22 @@
             chunks.append(bytes(event.data))
         return b"".join(chunks)
 
+    async def is_in_step(self) -> bool:
+        """Return whether an idle connection is open and nothing came after the last response.
+
+        What came would be taken for the response to the next call.
+        """
+        if self.reader.at_eof() or self.writer.is_closing() or self.protocol.trailing_data[0]:
+            return False
+        try:
+            async with asyncio.timeout(0):
+                await self.reader.read(1)
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def may_be_reused(self) -> bool:
         """Prepare for the next exchange; return False if the connection must be closed."""
         if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
@@ -159,6 +175,7 @@
         body: bytes = b"",
         still_allowed: Callable[[], bool] | None = None,
         headers: Sequence[tuple[str, str]] = (),
+        exclusive: bool = False,
     ) -> HTTPResponse:
         """Make one call and return its response.
 
@@ -172,6 +189,9 @@
             Called in the same synchronous step that writes the first bytes.
         headers : sequence of (str, str)
             Sent in addition to the headers of every call.
+        exclusive : bool
+            Whether to use a new connection for this call alone, so that no late response to an
+            earlier call can be taken for its response.
 
         Raises
         ------
@@ -183,7 +203,7 @@
         end = asyncio.get_running_loop().time() + timeout.total_seconds()
         try:
             async with asyncio.timeout(min(timeout, CONNECT_TIMEOUT).total_seconds()):
-                connection = await self._connection()
+                connection = await (self._connect() if exclusive else self._connection())
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"no connection to {self.host}: {error!r}") from error
         try:
@@ -196,7 +216,10 @@
         except BaseException:
             connection.reset()
             raise
-        self._keep(connection)
+        if exclusive:
+            connection.close()
+        else:
+            self._keep(connection)
         return answer
 
     async def stream(
@@ -252,9 +275,13 @@
         """Return an idle connection or a new one."""
         while self.idle:
             connection = self.idle.pop()
-            if not connection.reader.at_eof() and not connection.writer.is_closing():
+            if await connection.is_in_step():
                 return connection
             connection.close()
+        return await self._connect()
+
+    async def _connect(self) -> HTTPConnection:
+        """Return a new connection."""
         reader, writer = await asyncio.open_connection(self.host, self.port)
         if self.ack_timeout is not None:
             set_ack_timeout(writer.get_extra_info("socket"), self.ack_timeout)
--- a/fireflylock/platform/grants.py
+++ b/fireflylock/platform/grants.py
@@ -22,8 +22,8 @@
 # Longest wait for the answer to a grant, which a server sends at once; it leaves time for one
 # retransmission of a lost packet, as TCP's shortest retransmission time-out is 200 ms.
 GRANT_TIMEOUT = timedelta(milliseconds=300)
-# Idle connections kept to one server: one for renewals, some for releases.
-MAX_IDLE_CONNECTIONS = 3
+# Idle connections kept to one server, for renewals.
+MAX_IDLE_CONNECTIONS = 1
 
 OK = 200
 # Another server has the address now; it did not apply the request.
@@ -59,15 +59,23 @@
             return GrantOutcome.GRANTED
         if answer.status == MISDIRECTED:
             log.warning("grant reached another server", server=key_range.owner.name)
-            return GrantOutcome.UNSENT
+            return GrantOutcome.MISDIRECTED
         log.warning("grant refused", server=key_range.owner.name, status=answer.status)
         return GrantOutcome.REFUSED
 
     async def release(self, key_range: KeyRange, epoch: int, timeout: timedelta) -> ReleaseResult:
-        """Revoke keys; returns once the requests that were running for them have ended."""
+        """Revoke keys; returns once the requests that were running for them have ended.
+
+        An answer names no call.  A faulty server may send more than one, so that an answer on a
+        connection that was used before may belong to an earlier call.
+        """
         try:
             answer = await self.call(
-                key_range.owner, RELEASE_PATH, control_fields(key_range, epoch), timeout
+                key_range.owner,
+                RELEASE_PATH,
+                control_fields(key_range, epoch),
+                timeout,
+                exclusive=True,
             )
         except (OSError, TimeoutError, ProtocolError) as error:
             log.warning("release not answered", server=key_range.owner.name, error=repr(error))
@@ -87,6 +95,7 @@
         content: dict,
         timeout: timedelta,
         still_allowed: Callable[[], bool] | None = None,
+        exclusive: bool = False,
     ) -> HTTPResponse:
         """Send a grant or release to `owner` and return the answer."""
         address = (owner.host, owner.port)
@@ -101,7 +110,7 @@
         body = msgspec.json.encode(content)
         # Another server may have the address by now, and must not apply the request.
         headers = [(EXPECTED_SERVER.decode(), owner.name)]
-        answer = await client.call("POST", path, timeout, body, still_allowed, headers)
+        answer = await client.call("POST", path, timeout, body, still_allowed, headers, exclusive)
         if answer.status != MISDIRECTED and answer.headers.get(LEAVING.decode()) == "1":
             self.on_leaving(owner)
         return answer
