An entry that lacks fields names no backend server

Cause: entries were decoded without version, sequence and coldRemaining, so that another writer's entry was taken for the registration of a process that has replaced the live one.

--- a/fireflylock/platform/registrations.py
+++ b/fireflylock/platform/registrations.py
@@ -28,15 +28,21 @@
 
 
 class Registration(msgspec.Struct, rename="camel"):
-    """A registration; its ``sequence`` only counts the writes of one incarnation."""
+    """A registration; its ``sequence`` only counts the writes of one incarnation.
+
+    Servers write all fields but ``born``, which not all of them know.  An entry that lacks others
+    is another writer's, and names no server.
+    """
 
     service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
     zone: str
+    version: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
+    cold_remaining: str
+    sequence: int
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)] = 0
-    cold_remaining: str = "0ms"
 
 
 def decode_registration(key: str, data: bytes) -> ServerEntry:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -273,6 +273,20 @@
         decode_registration("servers/i-1", b"\xff\x00")
 
 
+@pytest.mark.parametrize("field", [name for name in REGISTRATION if name != "born"])
+def test_a_registration_without_a_field_names_no_server(field):
+    """Another writer's entry took a live server's address, and its keys."""
+    fields = {name: value for name, value in REGISTRATION.items() if name != field}
+    with pytest.raises(ProtocolError):
+        decode_registration("servers/i-1", json.dumps(fields).encode())
+
+
+@pytest.mark.parametrize("change", [{"version": 4}, {"sequence": "4"}, {"sequence": 4.5}])
+def test_a_registration_with_a_field_of_another_type_names_no_server(change):
+    with pytest.raises(ProtocolError):
+        decode_registration("servers/i-1", json.dumps(REGISTRATION | change).encode())
+
+
 NESTING = 100_000
 VALID_FIELDS = json.dumps(REGISTRATION).encode().removesuffix(b"}")
 
