An entry of an unconfigured service replaces no server of its name

Cause: the table of servers replaced the known entry by one of any service under the same name, and took the later born for a second incarnation.

Change: such an entry is kept aside while the known server's service is configured and its own is not ("It names no backend to use; the others hold"). It counts once a configuration names its service, and is dropped with the next registration of the server, or when the key is removed.

--- a/fireflylock/direct/servers.py
+++ b/fireflylock/direct/servers.py
@@ -172,6 +172,9 @@
         # Services of the configuration; None for all.  A registration of another service proves
         # nothing about the server at its address.
         self.services: frozenset[str] | None = None
+        # Registrations of other services under the names of servers, which would replace them if
+        # their service was configured.
+        self.unconfigured: dict[str, ServerEntry] = {}
         # The incarnation that started last, by address.
         self.addresses: dict[tuple[str, int], ServerEntry] = {}
         self.speeds = SpeedEstimates()
@@ -201,8 +204,9 @@
             servers that are known here then still hold.
         """
         names = {entry.name for entry in entries}
-        for name in self.returned.keys() - names:
-            del self.returned[name]
+        for kept in (self.returned, self.unconfigured):
+            for name in kept.keys() - names:
+                del kept[name]
         for name, server in list(self.servers.items()):
             if name not in names and not server.gone:
                 self.remove(now, name)
@@ -233,9 +237,13 @@
             Whether it was written just now.  Otherwise a server that announced its shutdown did
             so at an unknown time and gets no more requests: its drain period may be over.
         """
+        known = self.servers.get(entry.name)
+        if known is not None and self.names_no_server(entry, known):
+            self.unconfigured[entry.name] = entry
+            return
         self.missing.pop(entry.name, None)
         self.returned.pop(entry.name, None)
-        known = self.servers.get(entry.name)
+        self.unconfigured.pop(entry.name, None)
         if known is None or known.entry.born != entry.born:
             self.speeds.forget(entry.name)
             self.limited.pop(entry.name, None)
@@ -253,9 +261,20 @@
             known.leaving_since = now - self.drain if late else now
         self.claim_address(now, entry)
 
+    def names_no_server(self, entry: ServerEntry, known: Server) -> bool:
+        """Return whether an entry is another writer's: its service is not one that is configured.
+
+        The last registration of the server under that name holds.
+        """
+        if self.services is None or entry.service == known.entry.service:
+            return False
+        return entry.service not in self.services and known.entry.service in self.services
+
     def apply_services(self, now: Instant, names: Iterable[str]) -> None:
         """Apply the services of a new configuration."""
         self.services = frozenset(names)
+        for entry in list(self.unconfigured.values()):
+            self.register(now, entry, just_written=False)
         for server in list(self.servers.values()):
             if not server.gone:
                 self.claim_address(now, server.entry)
@@ -298,6 +317,7 @@
     def remove(self, now: Instant, name: str) -> None:
         """Mark a server as gone, or as missing during a reregistration period."""
         self.returned.pop(name, None)
+        self.unconfigured.pop(name, None)
         server = self.servers.get(name)
         if server is None or server.gone:
             return
--- a/tests/test_direct_servers.py
+++ b/tests/test_direct_servers.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 from datetime import timedelta
 
+import pytest
+
 from fireflylock.direct.key_ranges import Owner
 from fireflylock.direct.model import ServerEntry
 from fireflylock.direct.servers import (
@@ -89,6 +91,47 @@
     assert servers.servers["s0"].gone
 
 
+def test_an_entry_of_an_unknown_service_replaces_no_server_of_its_name():
+    """A live server lost its keys until its own next registration."""
+    servers = table(entry())
+    servers.apply_services(START, ["s"])
+    odd = replace(entry(born=2), service="unknown")
+    for apply in (
+        lambda: servers.register(START, odd),
+        lambda: servers.replace(START, [odd]),
+    ):
+        apply()
+        assert not servers.is_replaced(Owner("s0", 1, "h", 80))
+        assert servers.find_incarnation(Owner("s0", 1, "h", 80)) is not None
+        assert not servers.servers["s0"].gone
+    servers.register(START, entry())
+    servers.apply_services(START, ["s", "unknown"])
+    assert servers.servers["s0"].entry.service == "s"
+
+
+def test_an_entry_replaces_the_server_of_its_name_once_its_service_is_configured():
+    servers = table(entry())
+    servers.apply_services(START, ["s"])
+    servers.register(START, replace(entry(born=2), service="new"))
+    servers.apply_services(START, ["s", "new"])
+    assert servers.is_replaced(Owner("s0", 1, "h", 80))
+    assert servers.servers["s0"].entry.service == "new"
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_a_server_whose_entry_is_removed_is_gone_whatever_was_written_there(whole):
+    servers = table(entry())
+    servers.apply_services(START, ["s"])
+    servers.register(START, replace(entry(born=2), service="new"))
+    if whole:
+        servers.replace(START, [])
+    else:
+        servers.remove(START, "s0")
+    assert servers.servers["s0"].gone
+    servers.apply_services(START, ["s", "new"])
+    assert servers.servers["s0"].gone
+
+
 def test_a_late_older_registration_replaces_no_server():
     servers = table(entry("new", 2), entry("old", 1))
     assert servers.servers["old"].gone
