A server's new registration cuts none of the requests that it works on

Cause: the VMs close all connections to an incarnation that is not registered any more. A second incarnation gets requests for the first until its registration is read; an entry of another writer had the same effect.

Evidence: the test failed before, 502 for 200.

Change: connections to a server that is gone are closed when they are idle or their request ends. Those to a process that has ended are reset by its kernel, or end by the keep-alive probes.

--- a/fireflylock/backend.py
+++ b/fireflylock/backend.py
@@ -304,10 +304,16 @@
 
     def close(self) -> None:
         """Close all connections immediately."""
+        self.retire()
+        for connection in list(self.connections):
+            connection.abort()
+
+    def retire(self) -> None:
+        """Send nothing more; close idle connections, and those in use when their requests end."""
         self.closed = True
         if self.idle_timer is not None:
             self.idle_timer.cancel()
-        for connection in list(self.connections):
+        for connection in list(self.idle):
             connection.abort()
         self.control_connection.close()
         self.load_connection.close()
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -115,6 +115,8 @@
         self.split_balancer.vms = vms
         self.budgets: dict[str, SharedRetryBudget] = {}
         self.pools: dict[Owner, ServerPool] = {}
+        # Pools of servers that are gone, with requests in progress.
+        self.retired_pools: list[ServerPool] = []
         # Seconds of requested work by service and key since the last take_key_work.
         self.key_work: dict[str, dict[int, float]] = {}
         self.answered_log_budget = LogBudget(ANSWERED_LOG_RATE, ANSWERED_LOG_RATE)
@@ -545,14 +547,20 @@
         return max(MIN_CONNECTIONS, share)
 
     def maintain_pools(self) -> None:
-        """Adapt the pools' limits to the fleet size, and close those of servers that are gone."""
+        """Adapt the pools' limits to the fleet size, and retire those of servers that are gone.
+
+        A server that has started again may be at work on requests that were sent before its new
+        registration was read; connections to one that has ended are reset, or time out.
+        """
+        self.retired_pools = [pool for pool in self.retired_pools if pool.open_count]
         for owner, pool in list(self.pools.items()):
             server = self.table.find_incarnation(owner)
             if server is not None and (not server.gone or server.running):
                 pool.set_connection_limit(self.connection_limit(server.entry.service))
                 continue
-            pool.close()
+            pool.retire()
             del self.pools[owner]
+            self.retired_pools.append(pool)
 
     def take_key_work(self) -> dict[str, dict[int, float]]:
         """Return the work by service and key since the last call."""
@@ -561,5 +569,5 @@
 
     def close(self) -> None:
         """Close all connections."""
-        for pool in self.pools.values():
+        for pool in (*self.pools.values(), *self.retired_pools):
             pool.close()
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -98,6 +98,25 @@
     assert sum(len(server.runs) for server in site.servers.values()) == 1
 
 
+async def test_a_new_registration_of_a_server_cuts_none_of_its_requests(site):
+    """Orders at a server that had started again were answered 502 although it worked on."""
+    node = await start_node(site)
+    for server in site.servers.values():
+        server.service_time = timedelta(seconds=0.6)
+    order = asyncio.create_task(site.send_request(node, "/place/x", "order", 7, "POST", b"x"))
+    plain = asyncio.create_task(site.send_request(node, "/plain/x", "plain"))
+    await asyncio.sleep(0.1)
+    for server in site.servers.values():
+        server.born += 1
+        server.register(site.store)
+    names = site.servers
+    await site.wait_until(lambda: all(node.table.servers[n].entry.born > 1 for n in names))
+    node.sender.maintain_pools()
+    assert (await order).status == 200
+    assert (await plain).status == 200
+    await site.wait_until(lambda: not any(pool.open_count for pool in node.sender.retired_pools))
+
+
 async def test_a_request_is_not_sent_again_to_a_server_that_is_not_the_expected_one(site):
     """arpillera-litoral-grown fresh-d361: VMs cut off from the store kept an owner that had ended.
 
