Endless answers to control requests are not kept in memory

Reported by operators of a system like ours: a faulty backend server sent bytes without end, and the machine that had called it ran out of memory.

The client of grants and releases kept up to 16 MiB of each answer, its default, which is meant for the store's lists.

Change: the body of an answer to a control request may have 4 KiB.

--- a/fireflylock/platform/grants.py
+++ b/fireflylock/platform/grants.py
@@ -22,6 +22,8 @@
 # Longest wait for the answer to a grant, which a server sends at once; it leaves time for one
 # retransmission of a lost packet, as TCP's shortest retransmission time-out is 200 ms.
 GRANT_TIMEOUT = timedelta(milliseconds=300)
+# Longest body of an answer, which has none on a sound server.
+MAX_ANSWER_BYTES = 4 * 1024
 # Idle connections kept to one server, for renewals.
 MAX_IDLE_CONNECTIONS = 1
 
@@ -103,6 +105,7 @@
         if client is None:
             client = HTTPClient(
                 f"http://{owner.host}:{owner.port}",
+                max_response_bytes=MAX_ANSWER_BYTES,
                 max_idle_connections=MAX_IDLE_CONNECTIONS,
                 ack_timeout=GRANT_TIMEOUT,
             )
--- a/tests/test_direct_control_answers.py
+++ b/tests/test_direct_control_answers.py
@@ -1,13 +1,15 @@
 """Tests of answers to grants and releases from a server that sends more than it was asked for."""
 
 import asyncio
+import contextlib
+import tracemalloc
 from datetime import timedelta
 
 import h11
 import pytest
 
 from fireflylock.direct.end_of_work import ReleaseAnswered
-from fireflylock.direct.key_control import GrantOutcome
+from fireflylock.direct.key_control import GrantOutcome, ReleaseResult
 from fireflylock.direct.key_ranges import KeyRange, Owner
 from fireflylock.http_client import HTTPClient
 from fireflylock.platform import wire
@@ -17,6 +19,8 @@
 ADDITIONAL = b"HTTP/1.1 200 OK\r\nX-Fireflylock-Handover: old\r\nContent-Length: 0\r\n\r\n"
 HOLD = timedelta(seconds=3)
 TIMEOUT = timedelta(milliseconds=300)
+# Buffers of both sides of eight connections.
+MAX_MEMORY_BYTES = 8 * 1024 * 1024
 
 
 class TalkativeServer:
@@ -97,6 +101,39 @@
         server.server.close()
 
 
+@pytest.mark.parametrize(
+    "part",
+    [b"400\r\n" + b"b" * 1024 + b"\r\n", b"1\r\nb\r\n" * 400],
+    ids=["long chunks", "short chunks"],
+)
+async def test_endless_answers_to_control_requests_are_not_kept_in_memory(part):
+    """The answers to the grants of one round could take a VM's whole memory."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            await reader.readuntil(b"}")
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while True:
+                writer.write(part)
+                await writer.drain()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    owner = Owner("s1", 1, "127.0.0.1", server.sockets[0].getsockname()[1])
+    control = GrantClient()
+    key_range = KeyRange(0, 10, owner, 1)
+    tracemalloc.start()
+    try:
+        calls = [control.grant(key_range, HOLD, lambda: True) for _ in range(4)]
+        calls += [control.release(key_range, 2, timedelta(seconds=2)) for _ in range(4)]
+        for result in await asyncio.gather(*calls):
+            assert result in (GrantOutcome.UNANSWERED, ReleaseResult(answered=False))
+        assert tracemalloc.get_traced_memory()[1] < MAX_MEMORY_BYTES
+    finally:
+        tracemalloc.stop()
+        control.close()
+        server.close()
+
+
 async def test_a_connection_with_an_additional_answer_carries_no_further_call():
     server = TalkativeServer(late=False)
     owner = await server.start()
