One faulty backend server no longer holds up the callers of others

Cause: all parser events in what was read at once were handled before anything else ran, 43,691 in 256 KB of one-byte chunks. Answers to other requests were bounded by the bytes of their bodies, which may be empty.

Change: an exchange handles 16 events in one turn of the loop, joins what they bring, and reads no more before the rest is handled; after 16 answers to other requests the connection is closed. fireflylock_response_backlogs_total counts what takes many turns.

--- a/fireflylock/backend.py
+++ b/fireflylock/backend.py
@@ -50,6 +50,8 @@
         Time without an acknowledgement after which the kernel ends a connection.
     on_notice : callable or None
         Called with what a response says about the server itself, and when its request was sent.
+    on_backlog : callable or None
+        Called when far more of a response has arrived than is handled in one go.
     """
 
     def __init__(
@@ -62,9 +64,11 @@
         dialect: ServerDialect | None = None,
         ack_timeout: timedelta | None = None,
         on_notice: Callable[[ServerNotice, Instant], None] | None = None,
+        on_backlog: Callable[[], None] | None = None,
     ) -> None:
         self.server = server
         self.on_notice = on_notice
+        self.on_backlog = on_backlog
         self.set_connection_limit(connection_limit)
         self.clock = clock
         self.connect_timeout = connect_timeout
@@ -263,6 +267,11 @@
             self.idle.remove(connection)
         self.wake_waiter()
 
+    def backlog_found(self, connection: ServerConnection) -> None:
+        """Pass on that far more of a response has arrived than is handled in one go."""
+        if self.on_backlog is not None:
+            self.on_backlog()
+
     def notice_received(self, notice: ServerNotice, sent_at: Instant) -> None:
         """Pass on what a response said about the server itself."""
         if self.on_notice is not None:
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -635,7 +635,7 @@
         ]
 
     def connection_metrics(self) -> list[StateMetric]:
-        """Return the metrics of callers' connections."""
+        """Return the metrics of connections to callers and servers."""
         counters = self.frontend.counters
         return [
             StateMetric(
@@ -659,6 +659,13 @@
                 lambda: [((), counters.truncated_responses)],
                 counts=True,
             ),
+            StateMetric(
+                "response_backlogs",
+                "Responses of servers that arrived in more parts than are handled in one go.",
+                (),
+                lambda: [((), self.sender.response_backlogs)],
+                counts=True,
+            ),
         ]
 
     def scrape(self) -> StatusAnswer:
--- a/fireflylock/direct/sender.py
+++ b/fireflylock/direct/sender.py
@@ -117,6 +117,8 @@
         self.pools: dict[Owner, ServerPool] = {}
         # Pools of servers that are gone, with requests in progress.
         self.retired_pools: list[ServerPool] = []
+        # Responses that arrived in more parts than are handled in one go.
+        self.response_backlogs = 0
         # Seconds of requested work by service and key since the last take_key_work.
         self.key_work: dict[str, dict[int, float]] = {}
         self.answered_log_budget = LogBudget(ANSWERED_LOG_RATE, ANSWERED_LOG_RATE)
@@ -536,10 +538,22 @@
             dialect=self.servers,
             ack_timeout=ACK_TIMEOUT,
             on_notice=lambda notice, sent_at: self.apply_notice(owner, notice, sent_at),
+            on_backlog=lambda: self.record_backlog(owner),
         )
         self.pools[owner] = known
         return known
 
+    def record_backlog(self, owner: Owner) -> None:
+        """Count and log a response that arrives in more parts than are handled in one go."""
+        self.response_backlogs += 1
+        event = "response handled in many turns"
+        if self.failed_log_budget.allows(self.clock.elapsed(), event):
+            log.warning(
+                event,
+                server=owner.name,
+                left_out=self.failed_log_budget.take_omitted(event),
+            )
+
     def connection_limit(self, service: str) -> int:
         """Return this VM's share of the connections that a server of a service accepts."""
         spec = self.routes.services.get(service)
--- a/fireflylock/server_connection.py
+++ b/fireflylock/server_connection.py
@@ -24,6 +24,8 @@
     sent, answered, refused, unknown, abandoned : int
         Requests written to a connection; those answered; those refused in a typed way;
         those that failed after the send; those that nobody waited for any more.
+    backlogs : int
+        Responses of which far more arrived at once than is handled in one go.
     """
 
     opened: int = 0
@@ -34,6 +36,7 @@
     refused: int = 0
     unknown: int = 0
     abandoned: int = 0
+    backlogs: int = 0
 
 
 class ConnectionOwner:
@@ -53,6 +56,9 @@
     def connection_closed(self, connection: "ServerConnection") -> None:
         """Handle that the connection has ended."""
 
+    def backlog_found(self, connection: "ServerConnection") -> None:
+        """Handle that far more of a response has arrived than is handled in one go."""
+
     def notice_received(self, notice: "ServerNotice", sent_at: Instant) -> None:
         """Handle what the response to a request sent at `sent_at` said about the server itself."""
 
--- a/fireflylock/server_exchange.py
+++ b/fireflylock/server_exchange.py
@@ -25,10 +25,16 @@
 METHODS_WITHOUT_BODY = ("GET", "HEAD", "OPTIONS", "DELETE")
 
 
-# Limits on the interim (1xx) heads before a response, and on the bytes of responses to other
-# requests, after which the connection is closed; either could go on without end.
+# Limits on the interim (1xx) heads before a response, and on the responses to other requests and
+# their bytes, after which the connection is closed; either could go on without end.
 MAX_INTERIM_RESPONSES = 16
+MAX_SKIPPED_RESPONSES = 16
 MAX_SKIPPED_BYTES = 512 * 1024
+# Parser events that one exchange handles before other tasks run.  A server may send a body in
+# very short chunks, which take far more work than their bytes suggest.
+MAX_EVENTS_PER_TURN = 16
+# Consecutive turns after which an exchange is reported as a backlog.
+BACKLOG_TURNS = 64
 
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
@@ -117,7 +123,11 @@
     def buffer_changed(self) -> None:
         """Pause or resume reading, unless the connection was already released."""
         if not self.exchange.finished:
-            self.exchange.connection.set_reading(self.buffered <= BODY_BUFFER_BYTES)
+            self.exchange.continue_reading()
+
+    def has_room(self) -> bool:
+        """Return whether more bytes may be buffered."""
+        return self.buffered <= BODY_BUFFER_BYTES
 
     def append(self, data: bytes) -> None:
         """Add bytes received from the connection."""
@@ -166,7 +176,13 @@
         # Whether the incoming response belongs to another request and is dropped.
         self.skipping = False
         self.skipped_bytes = 0
+        self.skipped_responses = 0
         self.interim_responses = 0
+        # Whether received bytes wait for their turn, and the next turn once it is scheduled.
+        self.has_backlog = False
+        self.next_turn: asyncio.Handle | None = None
+        self.consecutive_turns = 0
+        self.backlog_reported = False
         self.sender: asyncio.Task[None] | None = None
         self.deadline_timer: asyncio.TimerHandle | None = None
         self.finished = False
@@ -235,39 +251,84 @@
             return
         try:
             self.http.receive_data(data)
-            self.read_events()
         except h11.RemoteProtocolError as error:
             self.fail(RequestError(ErrorKind.OUTCOME_UNKNOWN, f"Invalid answer: {error}"))
             return
-        if self.response is not None and not self.head.done() and not self.finished:
-            self.deliver()
+        if not self.has_backlog:
+            self.take_turn()
 
-    def read_events(self) -> None:
-        """Handle all events in the received bytes."""
-        while True:
-            event = self.http.next_event()
-            kind = type(event)
-            if kind is h11.Data:
-                if self.skipping:
-                    self.skip(len(event.data))
+    def take_turn(self) -> None:
+        """Handle the next events in the received bytes, and leave the rest for another turn."""
+        self.next_turn = None
+        try:
+            self.has_backlog = self.read_events()
+        except h11.RemoteProtocolError as error:
+            self.fail(RequestError(ErrorKind.OUTCOME_UNKNOWN, f"Invalid answer: {error}"))
+            return
+        if self.finished:
+            return
+        if self.response is not None and not self.head.done():
+            self.deliver()
+        self.count_turn()
+        if not self.finished:
+            self.continue_reading()
+
+    def count_turn(self) -> None:
+        """Count the turns of a backlog, and report one that is long."""
+        if not self.has_backlog:
+            self.consecutive_turns = 0
+            return
+        self.consecutive_turns += 1
+        if self.consecutive_turns >= BACKLOG_TURNS and not self.backlog_reported:
+            self.backlog_reported = True
+            self.counters.backlogs += 1
+            self.connection.owner.backlog_found(self.connection)
+
+    def continue_reading(self) -> None:
+        """Schedule the next turn, or read from the connection, while the body has room."""
+        has_room = self.body.has_room()
+        self.connection.set_reading(has_room and not self.has_backlog)
+        if has_room and self.has_backlog and self.next_turn is None:
+            self.next_turn = asyncio.get_running_loop().call_soon(self.take_turn)
+
+    def read_events(self) -> bool:
+        """Handle events in the received bytes; return whether others may be left."""
+        parts: list[bytes] = []
+        try:
+            for _ in range(MAX_EVENTS_PER_TURN):
+                event = self.http.next_event()
+                kind = type(event)
+                if kind is h11.Data:
+                    if self.skipping:
+                        self.skip(len(event.data))
+                    else:
+                        parts.append(bytes(event.data))
+                elif kind is h11.Response:
+                    self.handle_response_head(event)
+                elif kind is h11.EndOfMessage and self.skipping:
+                    self.continue_after_skipped_response()
+                elif kind is h11.EndOfMessage:
+                    self.add_to_body(parts)
+                    self.body.end()
+                    if self.response is not None and not self.head.done():
+                        self.deliver()
+                    self.handle_response_end()
+                    return False
+                elif kind is h11.InformationalResponse:
+                    self.interim_responses += 1
+                    if self.interim_responses > MAX_INTERIM_RESPONSES:
+                        raise h11.RemoteProtocolError("too many interim answers")
                 else:
-                    self.body.append(bytes(event.data))
-            elif kind is h11.Response:
-                self.handle_response_head(event)
-            elif kind is h11.EndOfMessage and self.skipping:
-                self.continue_after_skipped_response()
-            elif kind is h11.EndOfMessage:
-                self.body.end()
-                if self.response is not None and not self.head.done():
-                    self.deliver()
-                self.handle_response_end()
-                return
-            elif kind is h11.InformationalResponse:
-                self.interim_responses += 1
-                if self.interim_responses > MAX_INTERIM_RESPONSES:
-                    raise h11.RemoteProtocolError("too many interim answers")
-            else:
-                return
+                    return False
+            return True
+        finally:
+            self.add_to_body(parts)
+
+    def add_to_body(self, parts: list[bytes]) -> None:
+        """Move received parts into the body; short ones are joined."""
+        if parts:
+            self.body.append(parts[0] if len(parts) == 1 else b"".join(parts))
+            parts.clear()
 
     def skip(self, size: int) -> None:
         """Drop bytes of a response to another request.
@@ -290,6 +351,9 @@
         if notice is not None:
             self.connection.owner.notice_received(notice, self.sent_at)
         if self.dialect.belongs_to_other_request(self.request, framing.headers):
+            self.skipped_responses += 1
+            if self.skipped_responses > MAX_SKIPPED_RESPONSES:
+                raise h11.RemoteProtocolError("too many answers to other requests")
             self.skipping = True
             return
         problem = self.dialect.problem(self.request, head.status_code, framing.headers)
@@ -384,8 +448,10 @@
         self.connection.abort()
 
     def finish(self) -> None:
-        """Stop the timer and the sender task of this exchange."""
+        """Stop the timer, the next turn and the sender task of this exchange."""
         self.finished = True
+        if self.next_turn is not None:
+            self.next_turn.cancel()
         if self.deadline_timer is not None:
             self.deadline_timer.cancel()
         if self.sender is not None and self.sender is not asyncio.current_task():
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -1,6 +1,7 @@
 """Tests of the connections to a backend server: what was sent, and what is certain."""
 
 import asyncio
+import contextlib
 import json
 from datetime import timedelta
 
@@ -8,7 +9,8 @@
 
 from fireflylock.exceptions import BodyCutShortError, ErrorKind, ProtocolError, RequestError
 from fireflylock.exchange import Body, read_all
-from fireflylock.server_exchange import RefusedHeaderDialect
+from fireflylock.http1 import BODY_BUFFER_BYTES
+from fireflylock.server_exchange import BACKLOG_TURNS, MAX_EVENTS_PER_TURN, RefusedHeaderDialect
 from standins import backend_server
 from standins.http_connection import BUFFER_BYTES
 from tests.http_helpers import HOST, new_pool, new_request, raw_server
@@ -383,3 +385,59 @@
     options = backend_server.parse_options(["--name", "s1", "--service", "mesa"])
     assert options.host == HOST
     assert options.checks_grants == "yes"
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+SHORT_CHUNK = b"1\r\nb\r\n"
+
+
+async def test_an_endless_body_in_short_chunks_leaves_each_turn_of_the_loop_to_others():
+    """One faulty server held up the callers of all others for seconds."""
+    ended = asyncio.Event()
+
+    async def serve(reader, writer):
+        await read_head(reader)
+        writer.write(HEAD)
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(SHORT_CHUNK * 10_000)
+                await writer.drain()
+        ended.set()
+
+    async with raw_server(serve) as pool:
+        response = await pool.exchange(new_request(), [], allow_send)
+        received = 0
+        for _ in range(2_000):
+            received += len(response.body.read_nowait())
+            await asyncio.sleep(0)
+            assert response.body.buffered <= MAX_EVENTS_PER_TURN
+        assert received > MAX_EVENTS_PER_TURN * BACKLOG_TURNS
+        assert pool.counters.backlogs == 1
+        await response.body.close()
+        await ended.wait()
+
+
+async def test_a_body_in_short_chunks_arrives_whole_although_its_reader_is_slow():
+    size = 3 * BODY_BUFFER_BYTES
+    body = bytes(n % 251 for n in range(size))
+    chunked = b"".join(b"1\r\n%c\r\n" % n for n in body)
+
+    async with raw_server(ScriptedServer(HEAD + chunked + b"0\r\n\r\n")) as pool:
+        response = await pool.exchange(new_request(), [], allow_send)
+        received = b""
+        while part := await response.body.read():
+            received += part
+            if len(received) < BODY_BUFFER_BYTES:
+                await asyncio.sleep(0.01)
+                assert response.body.buffered <= BODY_BUFFER_BYTES + MAX_EVENTS_PER_TURN
+        assert received == body
+        assert not pool.connections or pool.idle
+
+
+async def test_responses_that_arrive_at_once_in_many_turns_end_in_order():
+    """The end of the stream is handled after what came before it."""
+    body = b"HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+    body += SHORT_CHUNK * (10 * MAX_EVENTS_PER_TURN) + b"0\r\n\r\n"
+    async with raw_server(ScriptedServer(body)) as pool:
+        response = await pool.exchange(new_request(), [], allow_send)
+        assert await read_all(response.body, 10_000) == b"b" * 10 * MAX_EVENTS_PER_TURN
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -10,7 +10,11 @@
 from fireflylock.exceptions import ProtocolError
 from fireflylock.http_client import HTTPClient
 from fireflylock.platform import wire
-from fireflylock.server_exchange import MAX_INTERIM_RESPONSES, MAX_SKIPPED_BYTES
+from fireflylock.server_exchange import (
+    MAX_INTERIM_RESPONSES,
+    MAX_SKIPPED_BYTES,
+    MAX_SKIPPED_RESPONSES,
+)
 from tests.direct_site import Site
 
 # Memory that one request may use here: buffers of both connections, and an answer read
@@ -31,6 +35,8 @@
         b"400\r\n" + b"f" * 1024 + b"\r\n",
     ),
     "foreign answers": (b"", FOREIGN + b"Content-Length: 1024\r\n\r\n" + b"f" * 1024),
+    "foreign empty answers": (b"", FOREIGN + b"Content-Length: 0\r\n\r\n"),
+    "short chunks": (CHUNKED, b"1\r\nb\r\n" * 400),
     "chunk header": (CHUNKED + b"1;", b"e" * 4096),
     "trailers": (CHUNKED + b"0\r\n", b"X-More: aaaaaaaa\r\n" * 200),
     "body": (CHUNKED, b"400\r\n" + b"b" * 1024 + b"\r\n"),
@@ -117,6 +123,18 @@
         assert (await site.send_request(node, "/plain/", "second")).status == 200
 
 
+async def test_repeated_empty_answers_to_other_requests_end_the_request_early():
+    """They took the event loop until the deadline: their bodies have no bytes to count."""
+    start, again = ANSWERS["foreign empty answers"]
+    async with Site() as site, EndlessServer(start, again, 0.0) as endless:
+        server = await site.add_server("f0", "files")
+        server.address = endless.address
+        server.register(site.store)
+        node = await site.add_node()
+        answer = await site.send_request(node, "/plain/", "first", left="4000")
+        assert (answer.status, answer.body) == (502, b"outcome-unknown")
+
+
 @pytest.mark.parametrize("name", ["head", "headers", "interim heads", "trailers", "unframed body"])
 async def test_an_endless_response_from_the_store_ends_with_its_call(name):
     start, again = ANSWERS[name]
@@ -134,3 +152,4 @@
     # One late answer of the largest size that is read whole, and a few interim heads.
     assert MAX_SKIPPED_BYTES >= 256 * 1024
     assert MAX_INTERIM_RESPONSES >= 4
+    assert MAX_SKIPPED_RESPONSES >= 4
