Keys of an owner whose address another server has are free once it registers

Callers would wait up to a second longer than before: the proof needs the other server's answer to a release and its registration, in either order, but an answer that came first was forgotten, and the next release was due up to a second later.

Change: the answer is remembered with the migration.

--- a/fireflylock/direct/migration.py
+++ b/fireflylock/direct/migration.py
@@ -31,6 +31,8 @@
     timer : str
         Timer in the store that ends once the owner certainly holds the keys no longer; empty
         while none is recorded.
+    other_server_answered : bool
+        Whether a server of another name has answered a release at the owner's address.
     free_from : timedelta
         Until then another server may hold the keys, whatever their owner answers.
     """
@@ -42,6 +44,7 @@
     end_of_work: EndOfWork | None = field(default=None, init=False)
     handover: str = ""
     timer: str = ""
+    other_server_answered: bool = False
     free_from: Instant = timedelta(0)
 
     @property
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -196,7 +196,7 @@
         if self.map is None:
             self.create_initial_map(now)
             return
-        self.free_expired_keys(now)
+        self.free_keys_of_ended_owners(now)
         self.migrate_from_unfit_owners(now)
         self.balance(now)
         self.assign_free_keys(now)
@@ -654,19 +654,23 @@
             return
         epoch = self.map.next_epoch
         answer = await self.control.release(migration.key_range, epoch, RELEASE_TIMEOUT)
-        if answer.answered:
-            if self.set_free(migration, ReleaseAnswered(migration.key_range, epoch)):
-                migration.handover = answer.handover
-                state.record_success()
-        elif answer.other_server and self.table.is_replaced(owner):
-            self.set_free(migration, AddressReused(owner))
-
-    def free_expired_keys(self, now: Instant) -> None:
-        """Free the keys of owners whose holds have all expired."""
+        if answer.answered and self.set_free(
+            migration, ReleaseAnswered(migration.key_range, epoch)
+        ):
+            migration.handover = answer.handover
+            state.record_success()
+        migration.other_server_answered |= answer.other_server
+
+    def free_keys_of_ended_owners(self, now: Instant) -> None:
+        """Free the keys of owners that have ended, or whose holds have all expired."""
         for migration in self.migrations:
+            if migration.free:
+                continue
             owner = migration.key_range.owner
             expiry = self.grant_expiry.expiry_of(owner)
-            if not migration.free and self.has_no_pending_grant(owner) and now >= expiry:
+            if migration.other_server_answered and self.table.is_replaced(owner):
+                self.set_free(migration, AddressReused(owner))
+            elif self.has_no_pending_grant(owner) and now >= expiry:
                 self.set_free(migration, HoldsExpired(owner, expiry))
 
     def set_free(self, migration: Migration, proof: EndOfWork) -> bool:
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -204,6 +204,21 @@
     assert_no_violations(cluster)
 
 
+async def test_another_server_at_the_address_frees_keys_as_soon_as_it_registers():
+    """Keys waited for the next release, although its answer had come before the registration."""
+    cluster = await settled_cluster()
+    dead = cluster.processes[0]
+    cluster.crash(dead, registered=False)
+    await cluster.run(0.05)
+    cluster.add_server("another", dead.entry.port, register_after=timedelta(seconds=1.2))
+    await cluster.run(1.15)
+    placer = next(iter(cluster.vms[cluster.leader()].leadership.placers.values()))
+    assert not any(migration.free for migration in placer.migrations)
+    await cluster.run(0.3)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 async def test_a_registration_at_the_address_of_a_live_server_frees_no_keys():
     """An entry of another writer took the keys away that a live server worked on."""
     cluster = await settled_cluster()
