A hot key that stays no longer ends a round of planning

The leader's planning raised a KeyError: the relief of an overloaded server sets a hot key aside that no other server can take, and with it the start of its range, which the merging of small ranges then looked for. The merging gets the loads as they were.

--- a/fireflylock/direct/planner.py
+++ b/fireflylock/direct/planner.py
@@ -140,7 +140,8 @@
     if long_loads is not None and not moves:
         relieve_overloaded_servers(distribution, moves, STEADY)
     if long_loads is not None and not moves:
-        merge_small_ranges(distribution, range_map, moves)
+        # The relief may have set hot keys aside, and with them the starts of their ranges.
+        merge_small_ranges(LoadDistribution(range_map, long_loads, servers), range_map, moves)
     return moves[:MAX_MOVES]
 
 
--- a/tests/test_direct_planner.py
+++ b/tests/test_direct_planner.py
@@ -299,3 +299,17 @@
     moved = apply_moves(range_map, plan(range_map, capacities, loads, loads))
     distribution = LoadDistribution(moved, loads, capacities)
     assert distribution.utilization(owner(0)) <= 1.0
+
+
+def test_small_ranges_are_merged_although_a_hot_key_at_the_start_of_a_range_stays():
+    """A round of planning ended with a KeyError."""
+    bounds = [*range(0, KEY_COUNT, KEY_COUNT // 24)][:24]
+    ranges = [
+        KeyRange(first, last - 1, owner(number % 2), 1)
+        for number, (first, last) in enumerate(zip(bounds, [*bounds[1:], KEY_COUNT], strict=True))
+    ]
+    loads = {bounds[2]: 6.0}
+    moves = plan(RangeMap("s", tuple(ranges), 2), servers(2), None, loads)
+    assert moves
+    assert {move.reason for move in moves} == {"tidy"}
+    assert not any(move.first <= bounds[2] <= move.last for move in moves)
