Closing a connection that its caller has reset raises nothing

The log had a traceback (ENOTCONN): the end of the stream was sent on a connection whose reset the event loop had not read yet.

--- a/fireflylock/caller.py
+++ b/fireflylock/caller.py
@@ -261,7 +261,11 @@
         if self.transport.can_write_eof():
             # Closing immediately, with unread input, would reset the connection and might
             # discard the response.  The front end's sweep closes the connection later.
-            self.transport.write_eof()
+            try:
+                self.transport.write_eof()
+            except OSError as error:
+                log.debug("caller had reset its connection", error=str(error))
+                self.transport.abort()
         else:
             self.transport.close()
 
--- a/tests/test_frontend_closes.py
+++ b/tests/test_frontend_closes.py
@@ -17,6 +17,7 @@
 from fireflylock.exchange import BytesBody, Response
 from fireflylock.frontend import Frontend, FrontendLimits
 from fireflylock.platform.dialect import PlatformCallerDialect
+from fireflylock.sockets import reset_on_close
 from tests.http_helpers import HOST, ScriptedHandler, echo, running_frontend, send_raw
 
 HEAD = b"Host: mesa\r\nX-Key: k1\r\n"
@@ -409,3 +410,19 @@
     assert separator
     assert first.endswith(bytes(size))
     assert second.endswith(bytes(size))
+
+
+async def test_closing_a_connection_that_its_caller_has_reset_leaves_no_error():
+    """The log had a traceback for it."""
+    async with running_frontend(echo) as (frontend, port):
+        caller = connect(port)
+        caller.send(REQUEST)
+        await receive(caller)
+        (connection,) = frontend.connections
+        reset_on_close(caller)
+        caller.close()
+        # The event loop has not read the reset yet.
+        connection.close()
+        async with asyncio.timeout(WAIT_SECONDS):
+            while frontend.connections:  # noqa: ASYNC110 - the front end has no event for it.
+                await asyncio.sleep(0.01)
