An answer that names no request is passed to nobody

An additional 4xx or 5xx answer without an id, which a faulty server may send where the next answer is expected, was passed to the next request on its connection.

PROTOCOL.md: servers echo the id of the request ("The ID identifies it"). A success and a refusal of a request that must not run twice had to name their request before; now every answer has to.

The test that said that a safe request accepts a refusal without an id asked for the fault; it now asks that no such answer is accepted, whatever the request.

--- a/fireflylock/platform/dialect.py
+++ b/fireflylock/platform/dialect.py
@@ -89,14 +89,17 @@
         """Return why an answer can't be accepted as the server's answer to the request, or ""."""
         if 200 <= status < 300 and header(headers, SIGNATURE) is None:
             return "a success without the server's signature"
-        if 200 <= status < 300 and header(headers, REQUEST_ID) is None:
-            return "a success that names no request"
-        if status in NOT_RUN_STATUSES and not request.idempotent:
-            # Callers rely on the status, and the answer may belong to another request.
-            if header(headers, REQUEST_ID) is None:
-                return f"a status {status} that names no request"
-            if status != MISDIRECTED and header(headers, NOT_RUN) is None:
-                return f"a status {status} without the server's word that it did not run"
+        if header(headers, REQUEST_ID) is None:
+            # It may belong to another request, whatever its status.
+            return f"a status {status} that names no request"
+        if (
+            status in NOT_RUN_STATUSES
+            and not request.idempotent
+            and status != MISDIRECTED
+            and header(headers, NOT_RUN) is None
+        ):
+            # Callers rely on the status.
+            return f"a status {status} without the server's word that it did not run"
         if header(headers, b"content-encoding") is not None:
             return "an encoded body, which nobody asked for"
         return ""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -512,11 +512,23 @@
     unsafe, safe = request_of("order", False), request_of("order", True)
     certain = status == 421 and named
     assert bool(servers.problem(unsafe, status, headers)) is not certain
-    assert not servers.problem(safe, status, headers)
+    # An answer that names no request belongs to none, also where the status promises nothing.
+    assert bool(servers.problem(safe, status, headers)) is not named
     confirmed = [(wire.REQUEST_ID, b"order"), (wire.NOT_RUN, b"1")]
     assert not servers.problem(unsafe, status, confirmed)
 
 
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("status", [200, 304, 400, 404, 409, 500, 502, 504])
+def test_an_answer_that_names_no_request_is_passed_to_nobody(status, idempotent):
+    """An additional failure without an id was passed to the next request on its connection."""
+    servers = PlatformServerDialect()
+    request = request_of("order", idempotent)
+    signed = (wire.SIGNATURE, b"s")
+    assert servers.problem(request, status, [signed])
+    assert not servers.problem(request, status, [signed, (wire.REQUEST_ID, b"order")])
+
+
 def request_of(request_id, idempotent):
     return Request(
         request_id, "s", "", "", "POST", b"/", [], BytesBody(), 0, timedelta(0), idempotent
