--- a/fireflylock/platform/cmdline.py
+++ b/fireflylock/platform/cmdline.py
@@ -40,6 +40,9 @@
     """Run the process and return its exit status."""
     options = build_parser().parse_args(arguments)
     path = options.settings or os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        print(f"fireflylock: {SETTINGS_VARIABLE} is not set, nor --settings", file=sys.stderr)
+        return BAD_SETTINGS
     try:
         settings = read_settings(path, options.metrics_port)
     except SettingsError as error:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -29,7 +29,7 @@
 from fireflylock.platform.kv_store import ItemsAnswer, KeyValueStore
 from fireflylock.platform.operator_config import decode_config
 from fireflylock.platform.registrations import decode_registration
-from fireflylock.platform.settings import PlatformSettings, read_settings
+from fireflylock.platform.settings import SETTINGS_VARIABLE, PlatformSettings, read_settings
 from fireflylock.server_exchange import ServerNotice
 from fireflylock.store_era import StoreEra, in_era
 from standins.operator_files import config_json, settings_toml
@@ -134,6 +134,14 @@
     assert json.loads(completed.stdout.splitlines()[-1])["event"] == "process can't listen"
 
 
+def test_a_start_without_settings_names_the_variable_in_one_line(monkeypatch, capsys):
+    monkeypatch.delenv(SETTINGS_VARIABLE, raising=False)
+    assert cmdline.main([]) == cmdline.BAD_SETTINGS == 2
+    assert (
+        capsys.readouterr().err == f"fireflylock: {SETTINGS_VARIABLE} is not set, nor --settings\n"
+    )
+
+
 @pytest.mark.parametrize("text", ["", "= 3", "[self]"])
 def test_empty_or_missing_settings_are_rejected(tmp_path, text):
     assert cmdline.main(["--settings", str(settings_file(tmp_path, text))]) == 2
