--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,9 +2,11 @@
 
 import json
 import re
+import signal
 import socket
 import subprocess
 import sys
+import time
 from datetime import timedelta
 from pathlib import Path
 
@@ -142,6 +144,34 @@
     )
 
 
+@pytest.mark.parametrize("delay", [0.0, 0.05, 0.1, 0.15, 0.25])
+def test_sighup_in_the_first_moments_does_not_end_the_process(tmp_path, delay):
+    """SIGHUP ended a process that was still importing its modules."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+        text = settings_toml("vm", "a", "127.0.0.1", (port, port, port), ("127.0.0.1", 1))
+        command = [sys.executable, "-m", "fireflylock.platform", "--settings"]
+        command.append(str(settings_file(tmp_path, text)))
+        with subprocess.Popen(command, stdout=subprocess.DEVNULL) as process:
+            wait_until_started(process)
+            time.sleep(delay)
+            process.send_signal(signal.SIGHUP)
+            assert process.wait(60) == cmdline.CANNOT_LISTEN
+
+
+def wait_until_started(process: subprocess.Popen) -> None:
+    """Return once the interpreter of a process runs the program's first lines."""
+    mask = 1 << (signal.SIGHUP - 1)
+    end = time.monotonic() + 30
+    while time.monotonic() < end:
+        fields = Path(f"/proc/{process.pid}/status").read_text().splitlines()
+        ignored = next(line for line in fields if line.startswith("SigIgn:"))
+        if int(ignored.split()[1], 16) & mask:
+            return
+        time.sleep(0.001)
+    raise AssertionError("the program did not start")
+
+
 @pytest.mark.parametrize("text", ["", "= 3", "[self]"])
 def test_empty_or_missing_settings_are_rejected(tmp_path, text):
     assert cmdline.main(["--settings", str(settings_file(tmp_path, text))]) == 2
