--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -27,6 +27,7 @@
 from tests.mutants_freshness import FRESHNESS_MUTANTS
 from tests.mutants_limits import LIMIT_MUTANTS
 from tests.mutants_links import LINK_MUTANTS
+from tests.mutants_proofs import PROOF_MUTANTS
 from tests.mutants_restored import RESTORE_MUTANTS
 
 
@@ -329,6 +330,7 @@
     *LINK_MUTANTS,
     *LIMIT_MUTANTS,
     *FRESHNESS_MUTANTS,
+    *PROOF_MUTANTS,
     *RESTORE_MUTANTS,
 )
 
