The planner computes loads again only when ranges are to be merged

Since each round without moves, four a second, computed the load of all keys once more, although most rounds merge nothing: the number of ranges was checked afterwards. The check comes first now; what is planned is unchanged.

--- a/fireflylock/direct/planner.py
+++ b/fireflylock/direct/planner.py
@@ -140,8 +140,7 @@
     if long_loads is not None and not moves:
         relieve_overloaded_servers(distribution, moves, STEADY)
     if long_loads is not None and not moves:
-        # The relief may have set hot keys aside, and with them the starts of their ranges.
-        merge_small_ranges(LoadDistribution(range_map, long_loads, servers), range_map, moves)
+        merge_small_ranges(range_map, servers, long_loads, moves)
     return moves[:MAX_MOVES]
 
 
@@ -234,21 +233,24 @@
 
 
 def merge_small_ranges(
-    distribution: LoadDistribution, range_map: RangeMap, moves: list[Move]
+    range_map: RangeMap, servers: list[Capacity], loads: dict[int, float], moves: list[Move]
 ) -> None:
     """Move small ranges to a neighbour's owner, so that there are fewer ranges."""
-    if len(range_map.ranges) <= MAX_RANGES_PER_SERVER * len(distribution.capacity):
+    if len(range_map.ranges) <= MAX_RANGES_PER_SERVER * len(servers):
         return
-    loads = {}
-    for owner, range_loads in distribution.range_loads.items():
-        for range_load in range_loads:
-            loads[range_load.key_range.first] = (owner, range_load.load)
+    # The relief of overloaded servers sets hot keys aside, and with them the starts of ranges.
+    distribution = LoadDistribution(range_map, loads, servers)
+    range_loads = {
+        one.key_range.first: (owner, one.load)
+        for owner, owned in distribution.range_loads.items()
+        for one in owned
+    }
     key_ranges = range_map.ranges
     taken = set()
     for before, key_range, after in zip(key_ranges, key_ranges[1:], key_ranges[2:], strict=False):
         if len(moves) >= MAX_SMALL_RANGE_MOVES:
             return
-        owner, load = loads[key_range.first]
+        owner, load = range_loads[key_range.first]
         capacity = distribution.capacity.get(owner)
         if capacity is None or load > SMALL_RANGE_LOAD * capacity or before.first in taken:
             continue
