--- a/fireflylock/direct/servers.py
+++ b/fireflylock/direct/servers.py
@@ -266,9 +266,11 @@
 
         The last registration of the server under that name holds.
         """
-        if self.services is None or entry.service == known.entry.service:
-            return False
-        return entry.service not in self.services and known.entry.service in self.services
+        return not self.is_configured(entry) and self.is_configured(known.entry)
+
+    def is_configured(self, entry: ServerEntry) -> bool:
+        """Return whether the service of an entry is configured, as far as that is known."""
+        return self.services is None or entry.service in self.services
 
     def apply_services(self, now: Instant, names: Iterable[str]) -> None:
         """Apply the services of a new configuration."""
@@ -281,7 +283,7 @@
 
     def claim_address(self, now: Instant, entry: ServerEntry) -> None:
         """Assign an address to the incarnation that started last, and mark the other gone."""
-        if self.services is not None and entry.service not in self.services:
+        if not self.is_configured(entry):
             return
         address = (entry.host, entry.port)
         latest = self.addresses.get(address)
