A response's body no longer asks to read on for each part

Since an exchange decides at the end of each turn whether it reads on. The body did so too whenever it was appended to, with what the turn before had left over, which scheduled an empty turn at the end of a backlog.

--- a/fireflylock/server_exchange.py
+++ b/fireflylock/server_exchange.py
@@ -129,11 +129,6 @@
         """Return whether more bytes may be buffered."""
         return self.buffered <= BODY_BUFFER_BYTES
 
-    def append(self, data: bytes) -> None:
-        """Add bytes received from the connection."""
-        super().append(data)
-        self.buffer_changed()
-
     async def close(self) -> None:
         """Cancel the request at the server if the body is not complete."""
         self.chunks.clear()
