Log what a new leader knows of maps from before a restore

Nothing told a leader that trusts the recorded map from one that remembers a newer map, or waits: "map of keys loaded" now names the store's era, the remembered revision, and for how long servers that the map does not name may hold keys.

--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -280,6 +280,11 @@
                 "map of keys loaded",
                 service=self.service,
                 revision=0 if self.map is None else self.map.revision,
+                era=self.store.era.current,
+                remembered=0 if remembered is None else remembered.revision,
+                certain_in=max(
+                    timedelta(0), self.map_is_certain_from - self.clock.elapsed()
+                ).total_seconds(),
                 others_end_in=(
                     self.grant_expiry.previous_grants_end - self.clock.elapsed()
                 ).total_seconds(),
