A first map after a restore of the store waits for earlier grants (OWNER)

The store is restored from a copy that is older than any map of a service, and all VMs have restarted since. The next leader finds no map, takes it for the first start, and grants all keys with epoch 1 while servers hold keys that were granted before: two servers work on a key, and epochs are given out again.

Cause: the absence of a map was taken for a proof that nobody has been granted anything. That holds for a store that was never restored only.

Change: in a store that was ever restored, a leader without a map waits until everything has expired that was granted before it saw the restore, or before it started, and begins with epochs above all that were given out before.

Evidence: the new test failed before (keys 0 and others were granted with epoch 1, which is not above that of their holder), and passes.

--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -275,6 +275,8 @@
                 await self.load_latest(record, revision)
             elif record is not None or remembered is not None:
                 await self.load_after_restore(record, revision, remembered)
+            elif self.store.era.is_restored:
+                await self.wait_for_lost_grants()
             self.loaded = True
             log.info(
                 "map of keys loaded",
@@ -347,7 +349,7 @@
         if forgotten:
             log.warning("owners of keys are unknown until all holds end", service=self.service)
             await self.sleep_until(self.grant_expiry.previous_grants_end)
-        first_epoch = max(known.next_epoch, self.store.era.current * EPOCHS_PER_ERA)
+        first_epoch = max(known.next_epoch, self.first_epoch_of_era())
         ranges = known.ranges
         if forgotten:
             ranges = tuple(replace(one, epoch=first_epoch, handover="") for one in ranges)
@@ -362,6 +364,17 @@
             self.last_change = self.map_change(known, [])
             self.resume_lapsing(self.clock.elapsed(), known.lapsing)
 
+    def first_epoch_of_era(self) -> int:
+        """Return an epoch above all that were given out before the last restore of the store."""
+        return self.store.era.current * EPOCHS_PER_ERA if self.store.era.is_restored else 1
+
+    async def wait_for_lost_grants(self) -> None:
+        """Return once all grants have expired that were made under a map which a restore lost."""
+        end = self.grant_expiry.end_if_granted(self.recollection.grants_from())
+        if self.clock.elapsed() < end:
+            log.warning("owners of keys are unknown until all holds end", service=self.service)
+            await self.sleep_until(end)
+
     async def sleep_until(self, instant: Instant) -> None:
         """Return at an instant, which may have passed."""
         await self.clock.sleep(max(timedelta(0), instant - self.clock.elapsed()))
@@ -395,7 +408,7 @@
             or self.write_task is not None
         ):
             return
-        new = initial_map(self.service, servers)
+        new = initial_map(self.service, servers, self.first_epoch_of_era())
         self.write_task = self.start_task(self.record_map(new, [], []))
 
     async def record_map(
--- a/fireflylock/direct/planner.py
+++ b/fireflylock/direct/planner.py
@@ -77,15 +77,15 @@
     reason: str
 
 
-def initial_map(service: str, servers: list[Capacity]) -> RangeMap:
+def initial_map(service: str, servers: list[Capacity], epoch: int = 1) -> RangeMap:
     """Return a map of equal ranges; those of one server are not adjacent."""
     owners = [server.owner for server in servers] * INITIAL_RANGES_PER_SERVER
     ranges = []
     for index, owner in enumerate(owners):
         first = index * KEY_COUNT // len(owners)
         last = (index + 1) * KEY_COUNT // len(owners) - 1
-        ranges.append(KeyRange(first, last, owner, 1))
-    return RangeMap(service, tuple(ranges), next_epoch=2)
+        ranges.append(KeyRange(first, last, owner, epoch))
+    return RangeMap(service, tuple(ranges), next_epoch=epoch + 1)
 
 
 @dataclass(frozen=True)
--- a/fireflylock/store_era.py
+++ b/fireflylock/store_era.py
@@ -14,6 +14,8 @@
 
 # Number of ordered revisions in each era; a power of ten keeps them readable in logs.
 REVISIONS_PER_ERA = 10**12
+# Era of a store that was never restored.
+FIRST_ERA = 1
 
 log = structlog.get_logger()
 
@@ -52,6 +54,11 @@
         """The present era; 0 for a store that names none."""
         return self.number or 0
 
+    @property
+    def is_restored(self) -> bool:
+        """Whether the store was ever restored, perhaps before this process started."""
+        return self.current > FIRST_ERA
+
     def check_answer(self, sent_in: int | None, answered_in: int) -> None:
         """Accept an answer only if it belongs to the era in which the call was sent.
 
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -992,6 +992,24 @@
     assert_no_violations(cluster)
 
 
+async def test_a_first_map_after_a_restore_waits_for_grants_under_the_lost_map():
+    """The copy is older than any map, and no VM that knew one has survived."""
+    cluster = SimulatedCluster(1)
+    cluster.store.save_copy()
+    for number in range(6):
+        cluster.add_server(f"s{number}", 8000 + number)
+    for number in range(3):
+        cluster.start_vm(f"vm{number}")
+    await cluster.run(8)
+    cluster.add_server("n", 9000)
+    await cluster.run(6)
+    cluster.store.restore()
+    restart_all_vms(cluster)
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 async def test_a_write_of_a_map_that_arrives_after_a_restore_changes_nothing():
     """The map that the next leader has written may have the revision that the write expects."""
     cluster = await settled_cluster()
