--- a/tests/mutants_restored.py
+++ b/tests/mutants_restored.py
@@ -19,7 +19,6 @@
 RESTORED = "tests/test_direct_restored.py::"
 PLACING = "tests/test_direct_placing.py::"
 RESTORED_MAP = PLACING + "test_a_restored_map_of_keys_is_not_taken_for_the_latest"
-HISTORIES = PLACING + "test_random_histories_with_a_restored_store_never_give_a_key_two_owners"
 SERVERS = "tests/test_direct_servers.py::"
 
 CHECK_ANSWER = StoreEra.check_answer
@@ -75,8 +74,16 @@
         after = page.items[-1].key
 
 
-def names_no_era(range_map, change="", grants_end_ms=-1, era=-1):
-    return ENCODE_MAP(range_map, change, grants_end_ms)
+def names_no_era(range_map, change="", grants_end_ms=-1, era=-1, uncertain_ms=0):
+    return ENCODE_MAP(range_map, change, grants_end_ms, uncertain_ms=uncertain_ms)
+
+
+def records_certain_map(range_map, change="", grants_end_ms=-1, era=-1, uncertain_ms=0):
+    return ENCODE_MAP(range_map, change, grants_end_ms, era)
+
+
+async def waits_for_no_lost_grants(self):
+    """Let the first map be placed at once."""
 
 
 def load_recorded(self, record, revision, remembered):
@@ -129,6 +136,20 @@
 
 
 RESTORE_MUTANTS = (
+    Mutant(
+        "a first map after a restore is placed at once",
+        Placer,
+        "wait_for_lost_grants",
+        waits_for_no_lost_grants,
+        PLACING + "test_a_first_map_after_a_restore_waits_for_grants_under_the_lost_map",
+    ),
+    Mutant(
+        "the recorded map does not tell for how long it is uncertain",
+        placer,
+        "encode_map",
+        records_certain_map,
+        PLACING + "test_a_leader_that_started_after_a_restore_learns_that_the_map_is_not_certain",
+    ),
     Mutant(
         "revisions are not ordered by the store's era",
         store,
@@ -187,7 +208,11 @@
         PLACING + "test_keys_stay_with_their_owners_through_a_restore",
     ),
     Mutant(
-        "epochs may be given out again after a restore", placer, "EPOCHS_PER_ERA", 0, HISTORIES
+        "epochs may be given out again after a restore",
+        placer,
+        "EPOCHS_PER_ERA",
+        0,
+        PLACING + "test_keys_whose_owners_no_vm_remembers_wait_until_all_holds_have_ended",
     ),
     Mutant(
         "the former leader's lease is not waited for",
