--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	$(PYTHON) -m bench load --json
 	$(PYTHON) -m bench cost --json
 	$(PYTHON) -m bench recovery --json
+	$(PYTHON) -m bench faulty --json
 
 # The short form of the load benchmark has the same bounds on a shorter evening.  There only
 # library-app keeps all of them; "make bench" plays whole evenings of all four services, where
--- a/standins/operator_files.py
+++ b/standins/operator_files.py
@@ -13,6 +13,7 @@
     ["place", HOST, "/place/", "unsafe", "2000ms", "500ms", 1, "orders", 2, None],
     ["plain", HOST, "/plain/", "safe", "2000ms", "500ms", 2, "files", 2, None],
 ]
+SERVICES = [["orders", "/health", 100, True], ["files", "/health", 100, None]]
 
 SETTINGS = """
 [self]
@@ -38,7 +39,9 @@
 """
 
 
-def config_json(version: int = 1, routes: list[list] | None = None) -> bytes:
+def config_json(
+    version: int = 1, routes: list[list] | None = None, services: list[list] | None = None
+) -> bytes:
     """Return a configuration as JSON."""
     return json.dumps(
         {
@@ -46,7 +49,7 @@
             "routes": {"columns": ROUTE_COLUMNS, "rows": ROUTES if routes is None else routes},
             "services": {
                 "columns": SERVICE_COLUMNS,
-                "rows": [["orders", "/health", 100, True], ["files", "/health", 100, None]],
+                "rows": SERVICES if services is None else services,
             },
             "limits": {
                 "maxHeaderBytes": 16384,
