Keys that were about to move before a restore are not granted to their owner (OWNER)

A server is cut off, its hold ends, and the leader gives its keys on. It is lost with a restore of the store within half a second, before any VM has heard of the move. The next leader takes its memory for the latest map, and renews the keys of the server that was cut off, which has seen no release and accepts: it and the new owner hold the same keys.

What that leader had said about keys that were on the move was not remembered, nor which were lapsing.

Change: the keys that the leader named as moving are lapsing in the remembered map, so that their owner gets no grant, and they are not given on before the map is certain. The map that is written after a restore names lapsing ranges with a timer of their own: the leader after that must not grant them either.

Evidence: the new test failed in both forms with keys held by two servers, and passes.

--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 import msgspec
@@ -12,9 +12,9 @@
 from fireflylock.direct.expiry_broadcasts import ExpiryBroadcasts
 from fireflylock.direct.gossip import Gossip, GrantsEnd, Hello, MapChange, Moving, Placing
 from fireflylock.direct.key_control import KeyControl
-from fireflylock.direct.key_ranges import RangeMap
+from fireflylock.direct.key_ranges import LapsingRange, RangeMap
 from fireflylock.direct.leader_lease import LEASE_RENEW_INTERVAL, LEASE_TTL, LeaderLease
-from fireflylock.direct.model import Bounds, RouteTable
+from fireflylock.direct.model import KEY_COUNT, Bounds, RouteTable
 from fireflylock.direct.ownership_view import OwnershipView
 from fireflylock.direct.placer import MAPS_PREFIX, Placer
 from fireflylock.direct.recollection import MEMORY_PRIORITY_TIME, Recollection
@@ -77,6 +77,18 @@
     return msgspec.structs.replace(message, revisions=revisions, changes=changes)
 
 
+def lapsing_ranges(service: str, moving: list[Moving]) -> tuple[LapsingRange, ...]:
+    """Return the keys of a service that a leader has named as moving, as disjoint ranges."""
+    found = []
+    next_key = 0
+    for move in sorted(moving, key=lambda move: move.first):
+        first = max(move.first, next_key)
+        if move.service == service and first <= move.last < KEY_COUNT:
+            found.append(LapsingRange(first, move.last, ""))
+            next_key = move.last + 1
+    return tuple(found)
+
+
 class Leadership:
     """Places keys while this VM is the leader, and follows the leader otherwise.
 
@@ -143,8 +155,9 @@
         self.published_at: Instant = timedelta(0)
         self.changes: list[PendingChange] = []
         self.publish_count = 0
-        # Lease and number of the last message from a leader.
+        # Lease and number of the last message from a leader, and the migrations that it named.
         self.last_message = (0, 0)
+        self.told_moving: list[Moving] = []
         self.recollection = Recollection(clock.elapsed())
         # Revisions of the newest maps that other VMs know, by service.
         self.claimed_maps: dict[str, int] = {}
@@ -191,7 +204,8 @@
         """Return the maps known here that were surely the latest ones before the restore.
 
         Keys move without their owner's answer only after a hold has ended, so whoever has heard
-        the last leader until lately knows of all such moves.
+        the last leader until lately knows of all such moves, or that they were about to be made.
+        The latter are lapsing in the returned map.
         """
         former = self.recollection.maps
         heard = now - self.leader_heard_at < LEADER_TIMEOUT and self.stale_since is None
@@ -202,8 +216,10 @@
                     found[name] = former[name]
                 continue
             is_newest = self.claimed_maps.get(name, 0) <= known.revision
-            if led or (is_newest and (heard or self.is_final(now, name, known.revision))):
+            if led or (is_newest and self.is_final(now, name, known.revision)):
                 found[name] = known
+            elif is_newest and heard:
+                found[name] = replace(known, lapsing=lapsing_ranges(name, self.told_moving))
         return found
 
     def is_final(self, now: Instant, service: str, revision: int) -> bool:
@@ -463,6 +479,7 @@
         if message.lease == lease and message.number <= number:
             return
         self.last_message = (message.lease, message.number)
+        self.told_moving = message.moving
         self.leader_vm = message.vm
         self.leader_heard_at = now
         self.failed_attempts = 0
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -372,14 +372,23 @@
             ranges = tuple(replace(one, epoch=first_epoch, handover="") for one in ranges)
         if not forgotten and not self.recollection.is_certain(self.service):
             self.map_is_certain_from = self.grant_expiry.previous_grants_end
-        await self.write(RangeMap(known.service, ranges, first_epoch + 1, revision))
+        lapsing = () if forgotten else await self.with_new_timer(known.lapsing)
+        await self.write(RangeMap(known.service, ranges, first_epoch + 1, revision, lapsing))
         if self.recollection.led:
             known_end = self.expiry_broadcasts.expiry_of(self.service, known.revision)
             if known_end is not None:
                 self.grant_expiry.limit_previous_grants(known_end)
         if not forgotten:
             self.last_change = self.map_change(known, [])
-            self.resume_lapsing(self.clock.elapsed(), known.lapsing)
+            self.resume_lapsing(self.clock.elapsed())
+
+    async def with_new_timer(self, lapsing: tuple[LapsingRange, ...]) -> tuple[LapsingRange, ...]:
+        """Return lapsing ranges from before a restore with a timer that the store has not lost."""
+        if not lapsing:
+            return ()
+        wait = self.grant_expiry.previous_grants_end - self.clock.elapsed()
+        timer = await self.timers.start(wait * (1.0 + TIMER_DRIFT) + TIMER_MARGIN)
+        return tuple(replace(one, timer=timer) for one in lapsing)
 
     def first_epoch_of_era(self) -> int:
         """Return an epoch above all that were given out before the last restore of the store."""
@@ -733,27 +742,16 @@
 
     # Lapsing ranges: their owners can't be reached, across changes of leaders.
 
-    def resume_lapsing(
-        self, now: Instant, restored: tuple[LapsingRange, ...] | None = None
-    ) -> None:
-        """Continue to wait for the ranges that previous leaders have recorded as lapsing.
-
-        Parameters
-        ----------
-        now : timedelta
-            Current instant.
-        restored : tuple of LapsingRange or None
-            Such ranges from before a restore of the store, which may have lost their timers.
-        """
-        for known in self.map.lapsing if restored is None else restored:
-            timer = known.timer if restored is None else ""
+    def resume_lapsing(self, now: Instant) -> None:
+        """Continue to wait for the ranges that are recorded as lapsing."""
+        for known in self.map.lapsing:
             for key_range in self.map.ranges_between(known.first, known.last):
                 migration = Migration(
                     key_range,
                     None,
                     "lapsing",
                     now,
-                    timer=timer,
+                    timer=known.timer,
                     free_from=self.map_is_certain_from,
                 )
                 self.migrations.append(migration)
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -9,7 +9,9 @@
 import pytest
 
 from fireflylock.direct.gossip import MapChange, Moving, NewOwner, Placing
+from fireflylock.direct.key_ranges import Owner
 from fireflylock.direct.leader_lease import LEADER_KEY
+from fireflylock.direct.leadership import lapsing_ranges
 from fireflylock.direct.placer import HOLD_TIME, MAPS_PREFIX
 from fireflylock.direct.speed_estimates import MovingAverage
 from fireflylock.store_era import REVISIONS_PER_ERA, era_of
@@ -1011,6 +1013,54 @@
     assert_no_violations(cluster)
 
 
+async def restore_without_leader(cluster: SimulatedCluster, leader: str) -> None:
+    """Lose the leader and restore the store, which the other VMs see at once."""
+    cluster.kill_vm(leader)
+    cluster.store.restore()
+    for vm in cluster.vms.values():
+        vm.leadership.start_task(vm.leadership.fetch_maps())
+    await cluster.run(0.04)
+    assert all(vm.leadership.recollection.maps for vm in cluster.vms.values())
+
+
+@pytest.mark.parametrize("next_leader_ends", [False, True])
+async def test_keys_that_were_about_to_move_before_a_restore_are_not_granted_to_their_owner(
+    next_leader_ends,
+):
+    """Its hold had ended, it saw no release, and no VM that is left heard of the move."""
+    cluster = await settled_cluster()
+    leader = cluster.leader()
+    await cluster.run(12)
+    cluster.store.save_copy()
+    placer = cluster.vms[leader].leadership.placers[SERVICE]
+    # As it does while its renewals are overdue.
+    placer.current_hold = lambda now: placer.max_hold
+    process = cluster.processes[0]
+    owner = Owner.of(process.entry)
+    cluster.cut_links.add((leader, process.entry.name))
+    end = placer.grant_expiry.expiry_of(owner)
+    while end - cluster.clock.elapsed() > timedelta(seconds=0.2):
+        await cluster.run(0.02)
+        end = placer.grant_expiry.expiry_of(owner)
+    cluster.cut_links |= {(leader, name) for name in cluster.vms}
+    while owner in placer.map.owners() or cluster.unheld_keys():
+        await cluster.run(0.02)
+    await restore_without_leader(cluster, leader)
+    if next_leader_ends:
+        await run_until_placing(cluster)
+        cluster.kill_vm(cluster.leader())
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
+def test_keys_that_a_leader_names_twice_as_moving_are_lapsing_once():
+    """A range whose owner is not reached, and a part of it that migrates."""
+    named = [(SERVICE, 0, 99), (SERVICE, 0, 9), (SERVICE, 90, 120), ("other", 130, 140)]
+    found = lapsing_ranges(SERVICE, [Moving(*one, 0) for one in named])
+    assert [(one.first, one.last) for one in found] == [(0, 99), (100, 120)]
+
+
 async def test_a_former_owner_that_was_cut_off_accepts_no_remembered_epoch_after_a_restore():
     """It has seen no higher epoch, so it does not refuse: its keys moved once its hold ended."""
     cluster, leader = await cluster_with_followers_cut_off()
