A second restore makes no map certain that was not (OWNER)

After a restore of the store, keys may be held by a server that no map names. The leader gives no keys on until those holds have ended. If it sees a second restore meanwhile, it takes its map for certain, as nobody else can have changed it: the former owner answers a release, and the keys are granted to a third server while the second one holds them.

Cause: what a process remembers at a restore told who may have changed the map since it was written, but not that it was uncertain already.

Change: a recollection names the services whose map is doubtful: the leader knows it, and others take it so for the longest hold after the restore before. So they do if they have missed a restore.

Evidence: the new test failed in both forms with keys held by two servers, and passes.

--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -11,6 +11,7 @@
 from fireflylock.clock import Clock, Instant
 from fireflylock.direct.expiry_broadcasts import ExpiryBroadcasts
 from fireflylock.direct.gossip import Gossip, GrantsEnd, Hello, MapChange, Moving, Placing
+from fireflylock.direct.grant_expiry import GrantExpiry
 from fireflylock.direct.key_control import KeyControl
 from fireflylock.direct.key_ranges import LapsingRange, RangeMap
 from fireflylock.direct.leader_lease import LEASE_RENEW_INTERVAL, LEASE_TTL, LeaderLease
@@ -21,7 +22,7 @@
 from fireflylock.direct.servers import ServerTable
 from fireflylock.exceptions import PlatformError
 from fireflylock.store import Store
-from fireflylock.store_era import StoreEra, era_of
+from fireflylock.store_era import FIRST_ERA, StoreEra, era_of
 
 # Minimum publishing rate, so that a lost datagram does not matter.
 PUBLISH_INTERVAL = timedelta(milliseconds=100)
@@ -192,7 +193,8 @@
         final = frozenset(
             name for name, known in maps.items() if self.is_final(now, name, known.revision)
         )
-        self.recollection = Recollection(now, maps, final, led)
+        doubtful = frozenset(name for name in maps if self.is_doubtful(now, name, led))
+        self.recollection = Recollection(now, maps, final, led, doubtful)
         # Some were made by VMs that are lost, or are not sure of them any more.
         self.claimed_maps.clear()
         self.leader_lease.lose("the store was restored")
@@ -222,6 +224,19 @@
                 found[name] = replace(known, lapsing=lapsing_ranges(name, self.told_moving))
         return found
 
+    def is_doubtful(self, now: Instant, service: str, led: bool) -> bool:
+        """Return whether keys may be held by servers unknown since a restore before the last one.
+
+        This process saw that earlier restore, or started after it.
+        """
+        if led:
+            return now < self.placers[service].map_is_certain_from
+        era = self.store.era
+        if era.previous == FIRST_ERA and era.number == FIRST_ERA + 1:
+            return False
+        lost_grants = GrantExpiry(self.bounds.max_hold, self.recollection.grants_from())
+        return era.number != era.previous + 1 or now < lost_grants.previous_grants_end
+
     def is_final(self, now: Instant, service: str, revision: int) -> bool:
         """Return whether the leader that wrote a map has stepped down, but its grants last."""
         end = self.expiry_broadcasts.expiry_of(service, revision)
--- a/fireflylock/direct/recollection.py
+++ b/fireflylock/direct/recollection.py
@@ -29,16 +29,20 @@
         Services whose last leader has said that it changes the remembered map no more.
     led : bool
         Whether it held the leader lease, so that nobody else can have changed a map since.
+    doubtful : frozenset of str
+        Services with keys that may still be held by servers which no map has named since an
+        earlier restore.
     """
 
     at: Instant
     maps: dict[str, RangeMap] = field(default_factory=dict)
     final: frozenset[str] = frozenset()
     led: bool = False
+    doubtful: frozenset[str] = frozenset()
 
     def is_certain(self, service: str) -> bool:
-        """Return whether nobody can have changed the remembered map of a service."""
-        return self.led or service in self.final
+        """Return whether the remembered map of a service names all servers that may hold keys."""
+        return (self.led or service in self.final) and service not in self.doubtful
 
     def grants_from(self) -> Instant:
         """Return from when the former leader, whose lease the store has forgotten, has stopped."""
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1061,6 +1061,33 @@
     assert [(one.first, one.last) for one in found] == [(0, 99), (100, 120)]
 
 
+@pytest.mark.parametrize("delay", [0.02, 0.3])
+async def test_a_second_restore_makes_no_uncertain_map_certain(delay):
+    """A move that nobody has heard of before the first restore; one leader sees the second."""
+    cluster = await settled_cluster()
+    leader = cluster.leader()
+    target = Owner.of(cluster.add_server("n", 9000).entry)
+    await cluster.run(12)
+    cluster.store.save_copy()
+    placer = cluster.vms[leader].leadership.placers[SERVICE]
+    # As it does while its renewals are overdue.
+    placer.current_hold = lambda now: placer.max_hold
+    cluster.cut_links |= {(leader, name) for name in cluster.vms}
+    moved = next(one for one in placer.map.ranges if one.owner != target)
+    placer.start_migration(cluster.clock.elapsed(), moved, "test", target)
+    while placer.migrations or cluster.unheld_keys():
+        await cluster.run(0.02)
+    assert placer.map.range_of(moved.first).owner == target
+    await restore_without_leader(cluster, leader)
+    await run_until_placing(cluster)
+    cluster.store.save_copy()
+    await cluster.run(delay)
+    cluster.store.restore()
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 async def test_a_former_owner_that_was_cut_off_accepts_no_remembered_epoch_after_a_restore():
     """It has seen no higher epoch, so it does not refuse: its keys moved once its hold ended."""
     cluster, leader = await cluster_with_followers_cut_off()
