A memory that another VM may have led with is used for one lease time only (OWNER)

After a restore of the store a VM that remembers the maps is cut off, while another one leads and moves the keys of a server that is cut off from it. That leader is lost with a second restore. The VM that was cut off takes what it remembered at the first restore for the latest map, and renews the keys of their former owner.

Cause: a memory was carried over a second restore at any age, if this VM knew of no later map.

Change: it is carried over for one lease time, in which only the former leader can have led; and not if another VM has claimed a newer map.

Evidence: the new test failed with keys held by two servers, and passes.

--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -210,14 +210,19 @@
         The latter are lapsing in the returned map.
         """
         former = self.recollection.maps
+        # Afterwards another VM that remembers the same map may have changed it.
+        if now - self.recollection.at > LEASE_TTL:
+            former = {}
         heard = now - self.leader_heard_at < LEADER_TIMEOUT and self.stale_since is None
         found = {}
         for name, known in self.view.maps.items():
+            claimed = self.claimed_maps.get(name, 0)
             if era_of(known.revision) != self.store.era.previous:
-                if name in former and self.store.era.number == self.store.era.previous + 1:
+                follows = self.store.era.number == self.store.era.previous + 1
+                if follows and name in former and claimed <= former[name].revision:
                     found[name] = former[name]
                 continue
-            is_newest = self.claimed_maps.get(name, 0) <= known.revision
+            is_newest = claimed <= known.revision
             if led or (is_newest and self.is_final(now, name, known.revision)):
                 found[name] = known
             elif is_newest and heard:
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1088,6 +1088,34 @@
     assert_no_violations(cluster)
 
 
+async def test_a_memory_that_another_vm_has_led_with_is_not_used_after_a_second_restore():
+    """The VM that led in between moved keys without an answer; the other one was cut off."""
+    cluster = await settled_cluster(vms=2)
+    leader = cluster.leader()
+    other = next(name for name in cluster.vms if name != leader)
+    vm = cluster.vms[other].leadership
+    await cluster.run(12)
+    cluster.store.save_copy()
+    cluster.store.restore()
+    vm.start_task(vm.fetch_maps())
+    cluster.cut_links |= {(leader, other), (other, leader)}
+    await cluster.run(0.04)
+    assert vm.recollection.maps
+    process = cluster.processes[0]
+    cluster.cut_from_store.add(other)
+    cluster.cut_links.add((leader, process.entry.name))
+    await cluster.run(9)
+    assert not any(process in cluster.holders(key) for key in TRACKED_KEYS)
+    cluster.kill_vm(leader)
+    cluster.store.restore()
+    cluster.cut_from_store.clear()
+    cluster.cut_links.clear()
+    vm.start_task(vm.fetch_maps())
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 async def test_a_former_owner_that_was_cut_off_accepts_no_remembered_epoch_after_a_restore():
     """It has seen no higher epoch, so it does not refuse: its keys moved once its hold ended."""
     cluster, leader = await cluster_with_followers_cut_off()
