A VM that reaches the store only after a restore counts holds from then (OWNER)

A VM starts, is cut off from the store for longer than the longest hold, and reaches it after a restore to a copy from before the first map; the VM that led until then is lost. The first one grants all keys at once, while servers hold keys that were granted just before the restore.

Cause: what a process that remembers nothing does not know was counted from its start. It has seen no restore since its first answer of the store, but there may have been one before that answer.

Change: it is counted from the store's first answer.

Evidence: the new test failed with keys held by two servers, and passes.

--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -162,6 +162,7 @@
         self.recollection = Recollection(clock.elapsed())
         # Revisions of the newest maps that other VMs know, by service.
         self.claimed_maps: dict[str, int] = {}
+        store.era.on_known.append(self.era_known)
         store.era.on_restored.append(self.store_restored)
         self.stale_since: Instant | None = None
         self.has_unpublished = False
@@ -177,6 +178,10 @@
         if missing and self.fetch_task is None:
             self.fetch_task = self.start_task(self.fetch_maps())
 
+    def era_known(self) -> None:
+        """Remember nothing from before the store's first answer: it may have been restored."""
+        self.recollection = Recollection(self.clock.elapsed())
+
     def store_restored(self) -> None:
         """Stop leading, as the store may have forgotten the lease, and remember the latest maps.
 
--- a/fireflylock/direct/recollection.py
+++ b/fireflylock/direct/recollection.py
@@ -17,14 +17,14 @@
 
 @dataclass(frozen=True)
 class Recollection:
-    """The state of a process at the last restore that it has seen, or at its start.
+    """The state of a process at the last restore that it has seen, or at its first answer.
 
     Attributes
     ----------
     at : timedelta
-        When it saw the restore, or started.
+        When it saw the restore, or the store's first answer.
     maps : dict of str to RangeMap
-        Maps that were surely the latest ones then, by service; none at its start.
+        Maps that were surely the latest ones then, by service; none at the first answer.
     final : frozenset of str
         Services whose last leader has said that it changes the remembered map no more.
     led : bool
--- a/fireflylock/store_era.py
+++ b/fireflylock/store_era.py
@@ -39,6 +39,8 @@
         The present era; None before the first answer that names one.
     previous : int
         The era before the last restore that this process has seen; 0 if it has seen none.
+    on_known : list of callable
+        Called when the first answer has named an era.
     on_restored : list of callable
         Called when an answer shows for the first time that the store was restored, before any
         of its content is used.
@@ -47,6 +49,7 @@
     def __init__(self) -> None:
         self.number: int | None = None
         self.previous = 0
+        self.on_known: list[Callable[[], None]] = []
         self.on_restored: list[Callable[[], None]] = []
 
     @property
@@ -79,6 +82,8 @@
         """
         if self.number is None:
             self.number = answered_in
+            for callback in self.on_known:
+                callback()
         if answered_in > self.number:
             log.warning("store was restored from a copy", era=answered_in, previous=self.number)
             self.previous, self.number = self.number, answered_in
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1158,6 +1158,26 @@
     assert_no_violations(cluster)
 
 
+async def test_a_vm_that_reaches_the_store_only_after_a_restore_counts_holds_from_then():
+    """It had started long before; another VM placed keys until the restore."""
+    cluster = SimulatedCluster(1)
+    cluster.store.save_copy()
+    for number in range(6):
+        cluster.add_server(f"s{number}", 8000 + number)
+    cluster.start_vm("leader")
+    await cluster.run(8)
+    cluster.cut_from_store.add("late")
+    cluster.start_vm("late")
+    cluster.add_server("n", 9000)
+    await cluster.run(14)
+    cluster.kill_vm("leader")
+    cluster.store.restore()
+    cluster.cut_from_store.clear()
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 async def test_a_write_of_a_map_that_arrives_after_a_restore_changes_nothing():
     """The map that the next leader has written may have the revision that the write expects."""
     cluster = await settled_cluster()
