A VM that was frozen takes no old messages for the latest before a restore (OWNER)

A VM is frozen while the leader moves keys whose owner does not answer, or while another one takes over and does so. That leader is lost with a restore of the store. The VM resumes, reads the messages that came before its socket was full, and takes them for news: the map that they name for the latest one, or a leader that stepped down long ago for the last one, so that its map is even certain. It renews the keys of their former owner, and may lead at once.

Cause: how old a message is was counted from when it is read.

Evidence: the new test failed in both forms with keys held by two servers, and passes.

--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -159,6 +159,9 @@
         # Lease and number of the last message from a leader, and the migrations that it named.
         self.last_message = (0, 0)
         self.told_moving: list[Moving] = []
+        # When this process last ran, and when it resumed after it did not for a while.
+        self.ran_at: Instant = clock.elapsed()
+        self.resumed_at: Instant | None = None
         self.recollection = Recollection(clock.elapsed())
         # Revisions of the newest maps that other VMs know, by service.
         self.claimed_maps: dict[str, int] = {}
@@ -189,6 +192,7 @@
         that has not seen the restore yet has ended by its own clock.
         """
         now = self.clock.elapsed()
+        self.notice_pause(now)
         led = (
             self.leader_lease.is_held(now)
             and bool(self.placers)
@@ -218,7 +222,11 @@
         # Afterwards another VM that remembers the same map may have changed it.
         if now - self.recollection.at > LEASE_TTL:
             former = {}
-        heard = now - self.leader_heard_at < LEADER_TIMEOUT and self.stale_since is None
+        heard = (
+            now - self.leader_heard_at < LEADER_TIMEOUT
+            and self.stale_since is None
+            and not self.has_resumed_within(now, LEADER_TIMEOUT)
+        )
         found = {}
         for name, known in self.view.maps.items():
             claimed = self.claimed_maps.get(name, 0)
@@ -250,7 +258,19 @@
     def is_final(self, now: Instant, service: str, revision: int) -> bool:
         """Return whether the leader that wrote a map has stepped down, but its grants last."""
         end = self.expiry_broadcasts.expiry_of(service, revision)
-        return end is not None and now + LEASE_TTL < end
+        if end is None or now + LEASE_TTL >= end:
+            return False
+        return not self.has_resumed_within(now, self.bounds.max_hold + LEASE_TTL)
+
+    def notice_pause(self, now: Instant) -> None:
+        """Notice that this process has not run for a while: what arrived then is taken late."""
+        if now - self.ran_at > LEADER_TIMEOUT:
+            self.resumed_at = now
+        self.ran_at = now
+
+    def has_resumed_within(self, now: Instant, interval: timedelta) -> bool:
+        """Return whether this process has resumed, after a while, this short a time ago."""
+        return self.resumed_at is not None and now - self.resumed_at <= interval
 
     def map_revisions(self) -> dict[str, int]:
         """Return the revisions of the newest maps known here, by key, for the load reports.
@@ -299,6 +319,7 @@
 
     def step(self, now: Instant) -> None:
         """Lead, or try to become the leader if there is none."""
+        self.notice_pause(now)
         if self.stopped:
             return
         if self.leader_lease.is_held(now):
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from fireflylock.direct.gossip import MapChange, Moving, NewOwner, Placing
+from fireflylock.direct.gossip import GrantsEnd, MapChange, Moving, NewOwner, Placing
 from fireflylock.direct.key_ranges import Owner
 from fireflylock.direct.leader_lease import LEADER_KEY
 from fireflylock.direct.leadership import lapsing_ranges
@@ -1116,6 +1116,47 @@
     assert_no_violations(cluster)
 
 
+@pytest.mark.parametrize("steps_down", [False, True])
+async def test_a_vm_that_was_frozen_takes_no_old_messages_for_the_latest_before_a_restore(
+    steps_down,
+):
+    """Its socket held what came first, and was too full for what came later."""
+    cluster = await settled_cluster()
+    leader = cluster.leader()
+    frozen = next(name for name in cluster.vms if name != leader)
+    await cluster.run(12)
+    cluster.store.save_copy()
+    sender, receiver = cluster.vms[leader].leadership, cluster.vms[frozen].leadership
+    held_up = []
+    sender.broadcast = lambda now, message: held_up.append(message)
+    sender.gossip.send = held_up.append
+    cluster.suspended.add(frozen)
+    if steps_down:
+        cluster.cut_from_store.add(leader)
+        while cluster.leader() in ("", leader):
+            await cluster.run(0.1)
+    else:
+        await cluster.run(0.2)
+    received = list(held_up)
+    process = cluster.processes[0]
+    cluster.cut_links |= {(vm, process.entry.name) for vm in cluster.vms if vm != frozen}
+    while cluster.holders(TRACKED_KEYS[0]) in ([], [process]):
+        await cluster.run(0.1)
+    for name in set(cluster.vms) - {frozen}:
+        cluster.kill_vm(name)
+    cluster.store.restore()
+    cluster.suspended.clear()
+    for message in received:
+        if isinstance(message, GrantsEnd):
+            receiver.expiry_broadcasts.apply(cluster.clock.elapsed(), message)
+        else:
+            receiver.apply_leader_message(cluster.clock.elapsed(), message)
+    receiver.start_task(receiver.fetch_maps())
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 async def test_a_former_owner_that_was_cut_off_accepts_no_remembered_epoch_after_a_restore():
     """It has seen no higher epoch, so it does not refuse: its keys moved once its hold ended."""
     cluster, leader = await cluster_with_followers_cut_off()
