Epochs after a restore begin anew whatever number the first era has (OWNER)

A store whose first era is 0 has era 1 after its first restore. That era then counted as never restored, so epochs of the lost maps were given out again.

Change: a map that was recorded in an earlier era is followed by epochs of the present era, as before.

--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -366,7 +366,7 @@
         if forgotten:
             log.warning("owners of keys are unknown until all holds end", service=self.service)
             await self.sleep_until(self.grant_expiry.previous_grants_end)
-        first_epoch = max(known.next_epoch, self.first_epoch_of_era())
+        first_epoch = max(known.next_epoch, self.store.era.current * EPOCHS_PER_ERA)
         ranges = known.ranges
         if forgotten:
             ranges = tuple(replace(one, epoch=first_epoch, handover="") for one in ranges)
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1219,6 +1219,26 @@
     assert_no_violations(cluster)
 
 
+@pytest.mark.parametrize("first_era", [0, 1, 7])
+async def test_epochs_are_not_given_out_again_whatever_number_the_first_era_has(first_era):
+    cluster = SimulatedCluster(1)
+    cluster.store.era = first_era
+    for number in range(6):
+        cluster.add_server(f"s{number}", 8000 + number)
+    for number in range(3):
+        cluster.start_vm(f"vm{number}")
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    cluster.store.save_copy()
+    cluster.add_server("n", 9000)
+    await cluster.run(8)
+    cluster.store.restore()
+    restart_all_vms(cluster)
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 async def test_a_write_of_a_map_that_arrives_after_a_restore_changes_nothing():
     """The map that the next leader has written may have the revision that the write expects."""
     cluster = await settled_cluster()
