A map that has become certain after a restore is recorded once more

The record tells for how long it is uncertain, counted from when it is read. A record that has stood for a minute made a leader that had just started give no keys on for 10.3 s.

Change: the leader records the map once more when it has become certain, one write a restore.

Evidence: the new test failed with 10.3 s of uncertainty, and passes.

--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -174,6 +174,8 @@
         self.loaded = False
         # Until then, keys that have to move may be held by a server that the map does not name.
         self.map_is_certain_from: Instant = timedelta(0)
+        # Whether the recorded map says that it is uncertain.
+        self.recorded_as_uncertain = False
         self.migrations: list[Migration] = []
         # Ranges whose owner has accepted a grant under their present epoch.
         self.confirmed_grants: set[tuple[int, int, int]] = set()
@@ -202,6 +204,7 @@
         self.assign_free_keys(now)
         self.record_lapsing(now)
         self.check_timers(now)
+        self.record_certainty(now)
         self.renew(now)
         self.probe_servers_without_keys(now)
 
@@ -413,7 +416,8 @@
             return read_record(value.data).change == change
 
         era = self.store.era.current
-        data = encode_map(new, change, era=era, uncertain_ms=self.uncertain_ms())
+        uncertain_ms = self.uncertain_ms()
+        data = encode_map(new, change, era=era, uncertain_ms=uncertain_ms)
         key = MAPS_PREFIX + self.service
         revision = await write_with_change_id(
             self.store,
@@ -425,6 +429,14 @@
             also_expected={LEADER_KEY: self.leader_lease.revision},
         )
         self.map = replace(new, revision=revision)
+        self.recorded_as_uncertain = uncertain_ms > 0
+
+    def record_certainty(self, now: Instant) -> None:
+        """Record the map once more when it has become certain, for leaders that start later."""
+        if not self.recorded_as_uncertain or now < self.map_is_certain_from:
+            return
+        if self.write_task is None:
+            self.write_task = self.start_task(self.record_map(self.map, [], []))
 
     def create_initial_map(self, now: Instant) -> None:
         """Assign all keys once the servers have registered."""
@@ -472,7 +484,7 @@
             (key_range.first, key_range.last, key_range.epoch) for key_range in self.map.ranges
         }
         self.confirmed_grants &= present
-        if changes:
+        if new.revision:
             self.last_change = self.map_change(new, changes)
         self.on_change()
         fresh = [
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1239,6 +1239,27 @@
     assert_no_violations(cluster)
 
 
+async def test_a_record_that_has_stood_for_long_holds_up_no_keys():
+    """A minute after the restore, nothing of the lost map can be held any more."""
+    cluster = await settled_cluster()
+    leader = cluster.leader()
+    await cluster.run(12)
+    cluster.store.save_copy()
+    await cluster.run(1)
+    cluster.kill_vm(leader)
+    cluster.store.restore()
+    for vm in cluster.vms.values():
+        vm.leadership.start_task(vm.leadership.fetch_maps())
+    await run_until_placing(cluster)
+    await cluster.run(60)
+    for name in list(cluster.vms):
+        cluster.kill_vm(name)
+    cluster.start_vm("new")
+    await run_until_placing(cluster)
+    placer = cluster.vms["new"].leadership.placers[SERVICE]
+    assert placer.map_is_certain_from - cluster.clock.elapsed() < timedelta(seconds=1)
+
+
 async def test_a_write_of_a_map_that_arrives_after_a_restore_changes_nothing():
     """The map that the next leader has written may have the revision that the write expects."""
     cluster = await settled_cluster()
