--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -256,10 +256,15 @@
         return era.number != era.previous + 1 or now < lost_grants.previous_grants_end
 
     def is_final(self, now: Instant, service: str, revision: int) -> bool:
-        """Return whether the leader that wrote a map has stepped down, but its grants last."""
+        """Return whether the leader that wrote a map has stepped down, but its grants last.
+
+        Another VM may have led since.  One that hears most of the others knows that.
+        """
         end = self.expiry_broadcasts.expiry_of(service, revision)
         if end is None or now + LEASE_TTL >= end:
             return False
+        if 2 * len(self.gossip.alive(now)) < self.gossip.fleet_size(now) - 1:
+            return False
         return not self.has_resumed_within(now, self.bounds.max_hold + LEASE_TTL)
 
     def notice_pause(self, now: Instant) -> None:
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from fireflylock.clock import Clock, FakeClock, Instant
-from fireflylock.direct.gossip import GrantsEnd, Hello, Placing
+from fireflylock.direct.gossip import PEER_RETENTION, GrantsEnd, Hello, Placing
 from fireflylock.direct.key_control import GrantOutcome, KeyControl, ReleaseResult
 from fireflylock.direct.key_ranges import KeyRange, Owner
 from fireflylock.direct.leader_lease import Holder, LeaderLease
@@ -333,13 +333,17 @@
         self.vm = vm
 
     def alive(self, now: Instant) -> list[str]:
-        """Return the other VMs that run."""
-        suspended = self.cluster.suspended
-        return [vm for vm in self.cluster.vms if vm != self.vm and vm not in suspended]
+        """Return the other VMs that run and are heard."""
+        cluster = self.cluster
+        away = {self.vm, *cluster.suspended}
+        away |= {vm for vm, heard_by in cluster.cut_links if heard_by == self.vm}
+        return [vm for vm in cluster.vms if vm not in away]
 
     def fleet_size(self, now: Instant) -> int:
-        """Return the number of VMs, this one included."""
-        return len(self.cluster.vms)
+        """Return the number of VMs that run or ended lately, this one included."""
+        ended = self.cluster.vms_ended_at
+        lately = {vm for vm, at in ended.items() if now - at < PEER_RETENTION}
+        return len(self.cluster.vms.keys() | lately)
 
     def send(self, message: Placing | GrantsEnd) -> None:
         """Deliver a message to the other VMs."""
@@ -399,6 +403,7 @@
         self.broadcast_bytes = 0
         self.scheduled: list[tuple[Instant, object]] = []
         self.boots = 0
+        self.vms_ended_at: dict[str, Instant] = {}
         # Durations of control requests to some servers.
         self.control_request_times: dict[str, timedelta] = {}
         # Planned stops in progress.
@@ -552,6 +557,7 @@
     def kill_vm(self, name: str) -> None:
         """End a process at once: nothing is released, calls in progress are cancelled."""
         vm = self.vms.pop(name)
+        self.vms_ended_at[name] = self.clock.elapsed()
         self.suspended.discard(name)
         vm.leadership.stopped = True
         for placer in vm.leadership.placers.values():
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1260,6 +1260,45 @@
     assert placer.map_is_certain_from - cluster.clock.elapsed() < timedelta(seconds=1)
 
 
+async def test_a_leader_that_stepped_down_is_not_the_last_one_for_a_vm_that_was_cut_off():
+    """Another one has led since, and moved keys: the broadcast of the first proves nothing."""
+    cluster = await settled_cluster()
+    await cluster.run(12)
+    cluster.store.save_copy()
+    former = cluster.leader()
+    cluster.store.unavailable = True
+    while cluster.vms[former].leadership.placers:
+        await cluster.run(0.02)
+    await cluster.run(0.1)
+    alone = next(name for name in cluster.vms if name != former)
+    others = [name for name in cluster.vms if name != alone]
+    cluster.cut_from_store.add(alone)
+    cluster.cut_links |= {(name, alone) for name in others} | {(alone, name) for name in others}
+    cluster.store.unavailable = False
+    leaving = cluster.processes[0]
+    await run_until_placing(cluster)
+    placer = cluster.vms[cluster.leader()].leadership.placers[SERVICE]
+    # As it does while its renewals are overdue.
+    placer.current_hold = lambda now: placer.max_hold
+    leaving.entry = replace(leaving.entry, leaving=True)
+    for vm in cluster.vms.values():
+        vm.table.register(cluster.clock.elapsed(), leaving.entry)
+    while any(leaving in cluster.holders(key) for key in TRACKED_KEYS) or cluster.unheld_keys():
+        await cluster.run(0.02)
+    for name in others:
+        cluster.kill_vm(name)
+    for number in range(4):
+        cluster.add_server(f"n{number}", 9000 + number)
+    cluster.store.restore()
+    cluster.cut_from_store.clear()
+    cluster.cut_links.clear()
+    vm = cluster.vms[alone]
+    vm.leadership.start_task(vm.leadership.fetch_maps())
+    await cluster.run(0.06)
+    await cluster.run(25)
+    assert_no_violations(cluster)
+
+
 async def test_a_write_of_a_map_that_arrives_after_a_restore_changes_nothing():
     """The map that the next leader has written may have the revision that the write expects."""
     cluster = await settled_cluster()
