Mutants of what is remembered across restores; an unheard move that no VM was told of

Keys that the leader had named as moving are lapsing now, so that the test of a leader that started after a restore did not reach the record's uncertainty any more: its move now begins after the last message. It fails if the record does not tell of the uncertainty.

"A refusal after a restore is not waited out" is tied to the test of two restores, as the moves of its former test are lapsing.

--- a/tests/mutants_restored.py
+++ b/tests/mutants_restored.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from fireflylock import store
-from fireflylock.direct import key_ranges, placer
+from fireflylock.direct import key_ranges, leadership, placer
 from fireflylock.direct.key_ranges import MapRecord
 from fireflylock.direct.leadership import Leadership
 from fireflylock.direct.node import DirectNode
@@ -77,10 +77,6 @@
     return ENCODE_MAP(range_map, change, grants_end_ms, uncertain_ms=uncertain_ms)
 
 
-def records_certain_map(range_map, change="", grants_end_ms=-1, era=-1, uncertain_ms=0):
-    return ENCODE_MAP(range_map, change, grants_end_ms, era)
-
-
 async def waits_for_no_lost_grants(self):
     """Let the first map be placed at once."""
 
@@ -137,13 +133,6 @@
         waits_for_no_lost_grants,
         PLACING + "test_a_first_map_after_a_restore_waits_for_grants_under_the_lost_map",
     ),
-    Mutant(
-        "the recorded map does not tell for how long it is uncertain",
-        placer,
-        "encode_map",
-        records_certain_map,
-        PLACING + "test_a_leader_that_started_after_a_restore_learns_that_the_map_is_not_certain",
-    ),
     Mutant(
         "revisions are not ordered by the store's era",
         store,
@@ -221,7 +210,7 @@
         Placer,
         "start_migration",
         free_at_once,
-        PLACING + "test_a_move_that_was_not_heard_just_before_a_restore_is_not_undone",
+        PLACING + "test_a_second_restore_makes_no_uncertain_map_certain",
     ),
     Mutant(
         "holds that no VM remembers are not waited out",
@@ -244,6 +233,43 @@
         believes_timers,
         PLACING + "test_timers_of_lapsing_ranges_that_a_restore_has_lost_have_not_ended",
     ),
+    Mutant(
+        "keys that were about to move before a restore are not remembered",
+        leadership,
+        "lapsing_ranges",
+        lambda service, moving: (),
+        PLACING
+        + "test_keys_that_were_about_to_move_before_a_restore_are_not_granted_to_their_owner",
+    ),
+    Mutant(
+        "the record does not tell that the map is uncertain",
+        Placer,
+        "uncertain_ms",
+        lambda self: 0,
+        PLACING + "test_a_leader_that_started_after_a_restore_learns_that_the_map_is_not_certain",
+    ),
+    Mutant(
+        "a second restore makes a map certain",
+        Leadership,
+        "is_doubtful",
+        lambda self, now, service, led: False,
+        PLACING + "test_a_second_restore_makes_no_uncertain_map_certain",
+    ),
+    Mutant(
+        "what a process does not know is counted from its start",
+        Leadership,
+        "era_known",
+        lambda self: None,
+        PLACING + "test_a_vm_that_reaches_the_store_only_after_a_restore_counts_holds_from_then",
+    ),
+    Mutant(
+        "a process does not notice that it was frozen",
+        Leadership,
+        "notice_pause",
+        lambda self, now: None,
+        PLACING
+        + "test_a_vm_that_was_frozen_takes_no_old_messages_for_the_latest_before_a_restore",
+    ),
     Mutant(
         "a leader goes on after a restore",
         Leadership,
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -979,28 +979,43 @@
             return
 
 
-@pytest.mark.parametrize("planned", [False, True])
-async def test_a_leader_that_started_after_a_restore_learns_that_the_map_is_not_certain(planned):
-    """Only VMs that have ended knew that the map may not name all holders of keys."""
+async def cluster_with_an_unheard_move() -> tuple[SimulatedCluster, str]:
+    """Return a cluster whose leader has moved keys after it was cut off from the other VMs.
+
+    The store has a copy from before that.
+    """
     cluster = await settled_cluster()
     leader = cluster.leader()
-    others = [vm for name, vm in cluster.vms.items() if name != leader]
+    target = Owner.of(cluster.add_server("n", 9000).entry)
     await cluster.run(12)
     cluster.store.save_copy()
     placer = cluster.vms[leader].leadership.placers[SERVICE]
     # As it does while its renewals are overdue.
     placer.current_hold = lambda now: placer.max_hold
-    process = cluster.add_server("n", 9000)
-    while not placer.migrations:
-        await cluster.run(0.02)
     cluster.cut_links |= {(leader, name) for name in cluster.vms}
-    while not any(process in cluster.holders(key) for key in TRACKED_KEYS):
+    moved = next(one for one in placer.map.ranges if one.owner != target)
+    placer.start_migration(cluster.clock.elapsed(), moved, "test", target)
+    while placer.migrations or cluster.unheld_keys():
         await cluster.run(0.02)
+    assert placer.map.range_of(moved.first).owner == target
+    return cluster, leader
+
+
+async def restore_without_leader(cluster: SimulatedCluster, leader: str) -> None:
+    """Lose the leader and restore the store, which the other VMs see at once."""
     cluster.kill_vm(leader)
     cluster.store.restore()
-    for vm in others:
-        # It sees the restore at once.
+    for vm in cluster.vms.values():
         vm.leadership.start_task(vm.leadership.fetch_maps())
+    await cluster.run(0.04)
+    assert all(vm.leadership.recollection.maps for vm in cluster.vms.values())
+
+
+@pytest.mark.parametrize("planned", [False, True])
+async def test_a_leader_that_started_after_a_restore_learns_that_the_map_is_not_certain(planned):
+    """Only VMs that have ended knew that the map may not name all holders of keys."""
+    cluster, leader = await cluster_with_an_unheard_move()
+    await restore_without_leader(cluster, leader)
     await run_until_placing(cluster)
     if planned:
         for name in list(cluster.vms):
@@ -1013,16 +1028,6 @@
     assert_no_violations(cluster)
 
 
-async def restore_without_leader(cluster: SimulatedCluster, leader: str) -> None:
-    """Lose the leader and restore the store, which the other VMs see at once."""
-    cluster.kill_vm(leader)
-    cluster.store.restore()
-    for vm in cluster.vms.values():
-        vm.leadership.start_task(vm.leadership.fetch_maps())
-    await cluster.run(0.04)
-    assert all(vm.leadership.recollection.maps for vm in cluster.vms.values())
-
-
 @pytest.mark.parametrize("next_leader_ends", [False, True])
 async def test_keys_that_were_about_to_move_before_a_restore_are_not_granted_to_their_owner(
     next_leader_ends,
@@ -1064,20 +1069,7 @@
 @pytest.mark.parametrize("delay", [0.02, 0.3])
 async def test_a_second_restore_makes_no_uncertain_map_certain(delay):
     """A move that nobody has heard of before the first restore; one leader sees the second."""
-    cluster = await settled_cluster()
-    leader = cluster.leader()
-    target = Owner.of(cluster.add_server("n", 9000).entry)
-    await cluster.run(12)
-    cluster.store.save_copy()
-    placer = cluster.vms[leader].leadership.placers[SERVICE]
-    # As it does while its renewals are overdue.
-    placer.current_hold = lambda now: placer.max_hold
-    cluster.cut_links |= {(leader, name) for name in cluster.vms}
-    moved = next(one for one in placer.map.ranges if one.owner != target)
-    placer.start_migration(cluster.clock.elapsed(), moved, "test", target)
-    while placer.migrations or cluster.unheld_keys():
-        await cluster.run(0.02)
-    assert placer.map.range_of(moved.first).owner == target
+    cluster, leader = await cluster_with_an_unheard_move()
     await restore_without_leader(cluster, leader)
     await run_until_placing(cluster)
     cluster.store.save_copy()
