A restore is seen although a known map's service is not configured any more

A leader that knows the map of a service which it does not place raised a KeyError as it saw a restore, in the middle of a call to the store.

Change: of such a map nothing is known, so that it is doubtful.

Evidence: the new test failed before, and passes.

--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -248,7 +248,8 @@
         This process saw that earlier restore, or started after it.
         """
         if led:
-            return now < self.placers[service].map_is_certain_from
+            placer = self.placers.get(service)
+            return placer is None or now < placer.map_is_certain_from
         era = self.store.era
         if era.previous == FIRST_ERA and era.number == FIRST_ERA + 1:
             return False
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1066,6 +1066,21 @@
     assert [(one.first, one.last) for one in found] == [(0, 99), (100, 120)]
 
 
+async def test_a_map_of_a_service_that_is_not_configured_any_more_does_not_disturb_a_restore():
+    cluster = await settled_cluster()
+    leadership = cluster.vms[cluster.leader()].leadership
+    known = leadership.view.maps[SERVICE]
+    leadership.view.maps["former"] = replace(known, service="former")
+    cluster.store.save_copy()
+    await cluster.run(1)
+    cluster.store.restore()
+    await cluster.run(5)
+    assert leadership.recollection.led
+    assert "former" in leadership.recollection.doubtful
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 @pytest.mark.parametrize("delay", [0.02, 0.3])
 async def test_a_second_restore_makes_no_uncertain_map_certain(delay):
     """A move that nobody has heard of before the first restore; one leader sees the second."""
