A leader remembers no map of a service that it does not place as its own (OWNER)

A configuration takes a keyed service away; a VM that has not heard of the last move of its keys leads for another service while the store is restored, and the service comes back. The VM takes the map that it knows for the latest one and for certain, as it led: the former owner is granted keys that another server holds.

Cause: whoever led at a restore was said to know all maps, also those that it has no placer for.

Change: a leader knows the maps that it places; those of other services are remembered as by any other VM.

--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -236,7 +236,8 @@
                     found[name] = former[name]
                 continue
             is_newest = claimed <= known.revision
-            if led or (is_newest and self.is_final(now, name, known.revision)):
+            leads = led and name in self.placers
+            if leads or (is_newest and self.is_final(now, name, known.revision)):
                 found[name] = known
             elif is_newest and heard:
                 found[name] = replace(known, lapsing=lapsing_ranges(name, self.told_moving))
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -16,6 +16,7 @@
 from fireflylock.direct.speed_estimates import MovingAverage
 from fireflylock.store_era import REVISIONS_PER_ERA, era_of
 from tests.simulated_cluster import (
+    ROUTES,
     SERVICE,
     TRACKED_KEYS,
     ServerProcess,
@@ -1123,6 +1124,29 @@
     assert_no_violations(cluster)
 
 
+async def test_a_leader_remembers_no_map_of_a_service_that_was_taken_away_as_its_own():
+    """It led for another service, and had not heard of the last move."""
+    cluster, former = await cluster_with_an_unheard_move()
+    cluster.kill_vm(former)
+    other = replace(ROUTES.services[SERVICE], name="other")
+    for vm in cluster.vms.values():
+        vm.leadership.apply_routes(replace(ROUTES, services={"other": other}))
+    while not cluster.leader():
+        await cluster.run(0.02)
+    await cluster.run(0.3)
+    leader = cluster.leader()
+    for name in set(cluster.vms) - {leader}:
+        cluster.kill_vm(name)
+    cluster.store.restore()
+    await cluster.run(0.6)
+    leadership = cluster.vms[leader].leadership
+    assert leadership.store.era.is_restored
+    leadership.apply_routes(ROUTES)
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 @pytest.mark.parametrize("steps_down", [False, True])
 async def test_a_vm_that_was_frozen_takes_no_old_messages_for_the_latest_before_a_restore(
     steps_down,
