Ports for listening are outside of the range of outgoing connections

Cause: free_port lets the kernel choose a port, closes it, and it is bound again later. It lies in the range from which the kernel takes the ports of outgoing connections, so that any connection on the machine may have it in between.

Change: ports are drawn from below that range.

It was not reproduced on purpose.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -2,15 +2,20 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import time
+from contextlib import suppress
 from pathlib import Path
 
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.05
+# Below the range from which Linux takes the ports of outgoing connections.
+LISTENING_PORTS = range(20000, 32768)
+PORT_ATTEMPTS = 100
 
 
 class Processes:
@@ -88,11 +93,13 @@
 
 
 def free_port(*, udp: bool = False) -> int:
-    """Return a port that nobody uses now."""
+    """Return a port that nobody uses now, and that no outgoing connection takes meanwhile."""
     kind = socket.SOCK_DGRAM if udp else socket.SOCK_STREAM
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    for port in random.SystemRandom().sample(LISTENING_PORTS, PORT_ATTEMPTS):
+        with socket.socket(socket.AF_INET, kind) as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
+    raise RuntimeError(f"{PORT_ATTEMPTS} ports in a row are in use")
 
 
 async def wait_for_port(host: str, port: int, seconds: float) -> bool:
