One bound for grants of the time before a restore, one check for hearing most VMs

No change of behaviour, from reading the whole change again. When the grants of the lost time have expired was computed in three places; the recollection tells it now. What does not depend on a service leaves the loop over services, and the log and the record take one uncertain time.

--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -11,7 +11,6 @@
 from fireflylock.clock import Clock, Instant
 from fireflylock.direct.expiry_broadcasts import ExpiryBroadcasts
 from fireflylock.direct.gossip import Gossip, GrantsEnd, Hello, MapChange, Moving, Placing
-from fireflylock.direct.grant_expiry import GrantExpiry
 from fireflylock.direct.key_control import KeyControl
 from fireflylock.direct.key_ranges import LapsingRange, RangeMap
 from fireflylock.direct.leader_lease import LEASE_RENEW_INTERVAL, LEASE_TTL, LeaderLease
@@ -218,10 +217,10 @@
         the last leader until lately knows of all such moves, or that they were about to be made.
         The latter are lapsing in the returned map.
         """
-        former = self.recollection.maps
-        # Afterwards another VM that remembers the same map may have changed it.
-        if now - self.recollection.at > LEASE_TTL:
-            former = {}
+        former = {}
+        # Later another VM that remembers the same maps may have changed them.
+        if self.has_seen_each_era() and now - self.recollection.at <= LEASE_TTL:
+            former = self.recollection.maps
         heard = (
             now - self.leader_heard_at < LEADER_TIMEOUT
             and self.stale_since is None
@@ -231,8 +230,7 @@
         for name, known in self.view.maps.items():
             claimed = self.claimed_maps.get(name, 0)
             if era_of(known.revision) != self.store.era.previous:
-                follows = self.store.era.number == self.store.era.previous + 1
-                if follows and name in former and claimed <= former[name].revision:
+                if name in former and claimed <= former[name].revision:
                     found[name] = former[name]
                 continue
             is_newest = claimed <= known.revision
@@ -254,8 +252,12 @@
         era = self.store.era
         if era.previous == FIRST_ERA and era.number == FIRST_ERA + 1:
             return False
-        lost_grants = GrantExpiry(self.bounds.max_hold, self.recollection.grants_from())
-        return era.number != era.previous + 1 or now < lost_grants.previous_grants_end
+        lost_grants_end = self.recollection.lost_grants_end(self.bounds.max_hold)
+        return not self.has_seen_each_era() or now < lost_grants_end
+
+    def has_seen_each_era(self) -> bool:
+        """Return whether the store was restored only once since the era that was seen before."""
+        return self.store.era.number == self.store.era.previous + 1
 
     def is_final(self, now: Instant, service: str, revision: int) -> bool:
         """Return whether the leader that wrote a map has stepped down, but its grants last.
@@ -265,7 +267,7 @@
         end = self.expiry_broadcasts.expiry_of(service, revision)
         if end is None or now + LEASE_TTL >= end:
             return False
-        if 2 * len(self.gossip.alive(now)) < self.gossip.fleet_size(now) - 1:
+        if not self.hears_most_vms(now):
             return False
         return not self.has_resumed_within(now, self.bounds.max_hold + LEASE_TTL)
 
@@ -392,6 +394,10 @@
         """Run a call to the store concurrently."""
         return asyncio.get_running_loop().create_task(coroutine)
 
+    def hears_most_vms(self, now: Instant) -> bool:
+        """Return whether at least half of the other VMs are heard."""
+        return 2 * len(self.gossip.alive(now)) >= self.gossip.fleet_size(now) - 1
+
     def reaches_too_few_owners(self, now: Instant) -> bool:
         """Return whether most owners are unreachable from here, while other VMs may reach them.
 
@@ -407,15 +413,14 @@
             if placer.map is not None
             for owner in placer.map.owners()
         ]
-        peers_alive = len(self.gossip.alive(now))
         if (
             len(owners) < 3
             or now - self.leader_lease.acquired_at < LEADER_TIMEOUT
-            or not peers_alive
+            or not self.gossip.alive(now)
         ):
             return False
         reachable = sum(not placer.is_unreachable(owner) for placer, owner in owners)
-        if reachable and 2 * peers_alive >= self.gossip.fleet_size(now) - 1:
+        if reachable and self.hears_most_vms(now):
             return False
         return reachable < MIN_REACHABLE_SHARE * len(owners)
 
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -289,9 +289,7 @@
                 revision=0 if self.map is None else self.map.revision,
                 era=self.store.era.current,
                 remembered=0 if remembered is None else remembered.revision,
-                certain_in=max(
-                    timedelta(0), self.map_is_certain_from - self.clock.elapsed()
-                ).total_seconds(),
+                certain_in=self.uncertain_for().total_seconds(),
                 others_end_in=(
                     self.grant_expiry.previous_grants_end - self.clock.elapsed()
                 ).total_seconds(),
@@ -311,7 +309,7 @@
         self.map = record.to_map(revision)
         before = self.map
         now = self.clock.elapsed()
-        lost_grants_end = self.grant_expiry.end_if_granted(self.recollection.grants_from())
+        lost_grants_end = self.recollection.lost_grants_end(self.max_hold)
         if not self.store.era.previous or now < lost_grants_end:
             self.map_is_certain_from = self.certain_from(now, record)
         await self.write(before)
@@ -336,10 +334,13 @@
             return end
         return min(end, now + timedelta(milliseconds=max(0, record.uncertain_ms)))
 
+    def uncertain_for(self) -> timedelta:
+        """Return for how long the map is not certain yet."""
+        return max(timedelta(0), self.map_is_certain_from - self.clock.elapsed())
+
     def uncertain_ms(self) -> int:
-        """Return for how many milliseconds the map is not certain yet."""
-        left = self.map_is_certain_from - self.clock.elapsed()
-        return max(0, -(-left // timedelta(milliseconds=1)))
+        """Return the same in whole milliseconds, rounded up."""
+        return -(-self.uncertain_for() // timedelta(milliseconds=1))
 
     async def load_after_restore(
         self, record: MapRecord | None, revision: int, remembered: RangeMap | None
@@ -399,7 +400,7 @@
 
     async def wait_for_lost_grants(self) -> None:
         """Return once all grants have expired that were made under a map which a restore lost."""
-        end = self.grant_expiry.end_if_granted(self.recollection.grants_from())
+        end = self.recollection.lost_grants_end(self.max_hold)
         if self.clock.elapsed() < end:
             log.warning("owners of keys are unknown until all holds end", service=self.service)
             await self.sleep_until(end)
--- a/fireflylock/direct/recollection.py
+++ b/fireflylock/direct/recollection.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 
 from fireflylock.clock import Instant
+from fireflylock.direct.grant_expiry import GrantExpiry
 from fireflylock.direct.key_ranges import RangeMap
 from fireflylock.direct.leader_lease import LEASE_TTL
 
@@ -47,3 +48,13 @@
     def grants_from(self) -> Instant:
         """Return from when the former leader, whose lease the store has forgotten, has stopped."""
         return self.at if self.led else self.at + LEASE_TTL
+
+    def lost_grants_end(self, max_hold: timedelta) -> Instant:
+        """Return when everything has expired that was granted before the restore.
+
+        Parameters
+        ----------
+        max_hold : timedelta
+            Longest hold that anybody grants.
+        """
+        return GrantExpiry(max_hold, self.grants_from()).previous_grants_end
