Tests of restores share their set-ups

A cluster that has just started, the longest holds, and a restore without the leader each have one function.

--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -643,12 +643,18 @@
         return sum(not self.holders(key) for key in TRACKED_KEYS)
 
 
-async def settled_cluster(seed: int = 1, vms: int = 3, servers: int = 6) -> SimulatedCluster:
-    """Return a cluster in which all keys are held."""
+def started_cluster(seed: int = 1, vms: int = 3, servers: int = 6) -> SimulatedCluster:
+    """Return a cluster in which no key is held yet, and no VM has called the store."""
     cluster = SimulatedCluster(seed)
     for number in range(servers):
         cluster.add_server(f"s{number}", 8000 + number)
     for number in range(vms):
         cluster.start_vm(f"vm{number}")
+    return cluster
+
+
+async def settled_cluster(seed: int = 1, vms: int = 3, servers: int = 6) -> SimulatedCluster:
+    """Return a cluster in which all keys are held."""
+    cluster = started_cluster(seed, vms, servers)
     await cluster.run(5)
     return cluster
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -12,7 +12,7 @@
 from fireflylock.direct.key_ranges import Owner
 from fireflylock.direct.leader_lease import LEADER_KEY
 from fireflylock.direct.leadership import lapsing_ranges
-from fireflylock.direct.placer import HOLD_TIME, MAPS_PREFIX
+from fireflylock.direct.placer import HOLD_TIME, MAPS_PREFIX, Placer
 from fireflylock.direct.speed_estimates import MovingAverage
 from fireflylock.store_era import REVISIONS_PER_ERA, era_of
 from tests.simulated_cluster import (
@@ -22,6 +22,7 @@
     ServerProcess,
     SimulatedCluster,
     settled_cluster,
+    started_cluster,
 )
 
 
@@ -980,6 +981,11 @@
             return
 
 
+def grant_longest_holds(placer: Placer) -> None:
+    """Let a leader grant the longest holds, as it does while its renewals are overdue."""
+    placer.current_hold = lambda now: placer.max_hold
+
+
 async def cluster_with_an_unheard_move() -> tuple[SimulatedCluster, str]:
     """Return a cluster whose leader has moved keys after it was cut off from the other VMs.
 
@@ -991,8 +997,7 @@
     await cluster.run(12)
     cluster.store.save_copy()
     placer = cluster.vms[leader].leadership.placers[SERVICE]
-    # As it does while its renewals are overdue.
-    placer.current_hold = lambda now: placer.max_hold
+    grant_longest_holds(placer)
     cluster.cut_links |= {(leader, name) for name in cluster.vms}
     moved = next(one for one in placer.map.ranges if one.owner != target)
     placer.start_migration(cluster.clock.elapsed(), moved, "test", target)
@@ -1039,8 +1044,7 @@
     await cluster.run(12)
     cluster.store.save_copy()
     placer = cluster.vms[leader].leadership.placers[SERVICE]
-    # As it does while its renewals are overdue.
-    placer.current_hold = lambda now: placer.max_hold
+    grant_longest_holds(placer)
     process = cluster.processes[0]
     owner = Owner.of(process.entry)
     cluster.cut_links.add((leader, process.entry.name))
@@ -1214,12 +1218,8 @@
 
 async def test_a_first_map_after_a_restore_waits_for_grants_under_the_lost_map():
     """The copy is older than any map, and no VM that knew one has survived."""
-    cluster = SimulatedCluster(1)
+    cluster = started_cluster()
     cluster.store.save_copy()
-    for number in range(6):
-        cluster.add_server(f"s{number}", 8000 + number)
-    for number in range(3):
-        cluster.start_vm(f"vm{number}")
     await cluster.run(8)
     cluster.add_server("n", 9000)
     await cluster.run(6)
@@ -1232,17 +1232,14 @@
 
 async def test_a_vm_that_reaches_the_store_only_after_a_restore_counts_holds_from_then():
     """It had started long before; another VM placed keys until the restore."""
-    cluster = SimulatedCluster(1)
+    cluster = started_cluster(vms=1)
     cluster.store.save_copy()
-    for number in range(6):
-        cluster.add_server(f"s{number}", 8000 + number)
-    cluster.start_vm("leader")
     await cluster.run(8)
     cluster.cut_from_store.add("late")
     cluster.start_vm("late")
     cluster.add_server("n", 9000)
     await cluster.run(14)
-    cluster.kill_vm("leader")
+    cluster.kill_vm("vm0")
     cluster.store.restore()
     cluster.cut_from_store.clear()
     await cluster.run(25)
@@ -1252,12 +1249,8 @@
 
 @pytest.mark.parametrize("first_era", [0, 1, 7])
 async def test_epochs_are_not_given_out_again_whatever_number_the_first_era_has(first_era):
-    cluster = SimulatedCluster(1)
+    cluster = started_cluster()
     cluster.store.era = first_era
-    for number in range(6):
-        cluster.add_server(f"s{number}", 8000 + number)
-    for number in range(3):
-        cluster.start_vm(f"vm{number}")
     await cluster.run(25)
     assert cluster.unheld_keys() == 0
     cluster.store.save_copy()
@@ -1277,10 +1270,7 @@
     await cluster.run(12)
     cluster.store.save_copy()
     await cluster.run(1)
-    cluster.kill_vm(leader)
-    cluster.store.restore()
-    for vm in cluster.vms.values():
-        vm.leadership.start_task(vm.leadership.fetch_maps())
+    await restore_without_leader(cluster, leader)
     await run_until_placing(cluster)
     await cluster.run(60)
     for name in list(cluster.vms):
@@ -1309,8 +1299,7 @@
     leaving = cluster.processes[0]
     await run_until_placing(cluster)
     placer = cluster.vms[cluster.leader()].leadership.placers[SERVICE]
-    # As it does while its renewals are overdue.
-    placer.current_hold = lambda now: placer.max_hold
+    grant_longest_holds(placer)
     leaving.entry = replace(leaving.entry, leaving=True)
     for vm in cluster.vms.values():
         vm.table.register(cluster.clock.elapsed(), leaving.entry)
