--- a/bench/faulty.py
+++ b/bench/faulty.py
@@ -10,16 +10,13 @@
 import tempfile
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
-from datetime import timedelta
 from pathlib import Path
 
 from bench.child_processes import ChildProcess, ServingProcess
 from bench.figures import Figures
 from bench.load_generator import Load, pace
-from demo.processes import free_port
+from demo.processes import free_port, is_ready
 from fireflylock.clock import SystemClock
-from fireflylock.exceptions import ProtocolError
-from fireflylock.http_client import HTTPClient
 from fireflylock.platform import wire
 from standins.endless_server import FORMS, request_to
 from standins.operator_files import HOST, ROUTES, SERVICES, config_json, settings_toml
@@ -65,15 +62,8 @@
 
     async def wait_until_ready(self) -> None:
         """Return once it takes callers."""
-        client = HTTPClient(f"http://{LOOPBACK}:{self.ready}")
         async with asyncio.timeout(START_SECONDS):
-            while True:
-                try:
-                    answer = await client.call("GET", wire.READINESS_PATH, timedelta(seconds=1))
-                    if answer.status == 200:
-                        return
-                except (OSError, TimeoutError, ProtocolError):
-                    pass
+            while not await is_ready(LOOPBACK, self.ready):  # noqa: ASYNC110 - another process.
                 await asyncio.sleep(0.05)
 
 
--- a/demo/platform_run.py
+++ b/demo/platform_run.py
@@ -17,7 +17,7 @@
 from datetime import timedelta
 from pathlib import Path
 
-from demo.processes import Processes, free_port
+from demo.processes import Processes, free_port, is_ready
 from fireflylock.clock import SystemClock
 from fireflylock.exceptions import ProtocolError
 from fireflylock.http_client import HTTPClient, HTTPResponse
@@ -255,14 +255,7 @@
 
     async def is_ready(self, name: str) -> bool:
         """Return whether an entry VM says that it takes callers."""
-        client = HTTPClient(f"http://{LOOPBACK}:{self.ports[name][1]}")
-        try:
-            answer = await client.call("GET", wire.READINESS_PATH, timedelta(seconds=1))
-            return answer.status == 200
-        except (OSError, TimeoutError, ProtocolError):
-            return False
-        finally:
-            client.close()
+        return await is_ready(LOOPBACK, self.ports[name][1])
 
     async def add_server(self, name: str, service: str, zone: str) -> None:
         """Start a server behind a link, and let it register."""
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -9,8 +9,13 @@
 import sys
 import time
 from contextlib import suppress
+from datetime import timedelta
 from pathlib import Path
 
+from fireflylock.exceptions import ProtocolError
+from fireflylock.http_client import HTTPClient
+from fireflylock.platform import wire
+
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.05
 # Below the range from which Linux takes the ports of outgoing connections.
@@ -102,6 +107,18 @@
     raise RuntimeError(f"{PORT_ATTEMPTS} ports in a row are in use")
 
 
+async def is_ready(host: str, port: int) -> bool:
+    """Return whether an entry VM says at its readiness address that it takes callers."""
+    client = HTTPClient(f"http://{host}:{port}")
+    try:
+        answer = await client.call("GET", wire.READINESS_PATH, timedelta(seconds=1))
+        return answer.status == 200
+    except (OSError, TimeoutError, ProtocolError):
+        return False
+    finally:
+        client.close()
+
+
 async def wait_for_port(host: str, port: int, seconds: float) -> bool:
     """Return whether something accepts connections at an address within `seconds`."""
     deadline = time.monotonic() + seconds
--- a/standins/endless_server.py
+++ b/standins/endless_server.py
@@ -93,7 +93,7 @@
                     pass
             else:
                 writer.transport.pause_reading()
-                await asyncio.sleep(3600)
+                await asyncio.Event().wait()
             writer.close()
         await asyncio.sleep(CALLER_PAUSE_SECONDS)
 
