The log tells whether a leader lease ended before its time

A lease that has ended less than its time to live after its last renewal, and a leader that wins while the former one must still have some of its lease, are the signs of hypothesis 1 of the postmortem. Neither could be seen: `right to place keys lost` has `renewed_ago` now, and `placing of keys starts here` says how long ago the former leader was heard.

--- a/fireflylock/direct/leader_lease.py
+++ b/fireflylock/direct/leader_lease.py
@@ -121,7 +121,12 @@
     def lose(self, reason: str) -> None:
         """Treat the lease as lost, so that this VM places no keys any more."""
         if self.lease:
-            log.warning("right to place keys lost", reason=reason)
+            now = self.clock.elapsed()
+            log.warning(
+                "right to place keys lost",
+                reason=reason,
+                renewed_ago=(now - self.renewed_at).total_seconds(),
+            )
         self.lease = 0
         self.held_until = timedelta(0)
 
--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -517,6 +517,12 @@
         """
         try:
             if await self.leader_lease.try_acquire():
+                heard_ago = self.clock.elapsed() - self.leader_heard_at
+                log.info(
+                    "placing of keys starts here",
+                    former=self.leader_vm,
+                    heard_ago=heard_ago.total_seconds(),
+                )
                 return
             self.failed_attempts += 1
             if self.failed_attempts > 1:
