A leader counts the grants of a former one until its lease is over by its own clock (OWNER)

Callers' view: a key is given on while its last holder still works on it.

Cause: a leader counted everything that others had granted as granted before its own win. That rests on the store: it ends no lease before its time. A holder whose lease has ended early goes on, and grants for up to the longest hold, until its own clock says that the lease is over.

Evidence: test_grants_of_a_leader_whose_lease_ended_early_count_until_it_stops failed before, "key 0 is given to s1.2 while s0.1 works on it", and passes.

Change: grants of others count until LEASE_TTL after the win. Maps were safe already: each is written on the condition that its writer is still recorded as the leader. Where no map was ever recorded nobody has granted anything, and nothing is waited for. What is noted after a restore may only extend the wait.

Price: after a leader is lost without a word, keys of servers that do not answer wait 1.5 s longer.

--- a/fireflylock/direct/grant_expiry.py
+++ b/fireflylock/direct/grant_expiry.py
@@ -25,9 +25,8 @@
     ----------
     max_hold : timedelta
         Longest hold that any leader grants.
-    created_at : timedelta
-        When this record was created under the leader lease: all requests of other leaders, and
-        of earlier placers of this process, arrived before.
+    others_end : timedelta
+        When all other leaders have stopped granting keys, by their own clocks.
     expiries : dict of Owner to timedelta
         Latest expiry of an owner's hold by the grants of this process.
     previous_grants_end : timedelta
@@ -35,16 +34,16 @@
     """
 
     max_hold: timedelta
-    created_at: Instant
+    others_end: Instant
     expiries: dict[Owner, Instant] = field(default_factory=dict)
     previous_grants_end: Instant = field(init=False)
 
     def __post_init__(self) -> None:
-        self.previous_grants_end = self.end_if_granted(self.created_at)
+        self.previous_grants_end = self.end_if_granted(self.others_end)
 
     def extend_previous_grants(self, now: Instant) -> None:
         """Assume that previous leaders have granted keys for the longest hold until now."""
-        self.previous_grants_end = self.end_if_granted(now)
+        self.previous_grants_end = max(self.previous_grants_end, self.end_if_granted(now))
 
     def end_if_granted(self, at: Instant) -> Instant:
         """Return when the longest hold that is granted at an instant has ended."""
--- a/fireflylock/direct/leader_lease.py
+++ b/fireflylock/direct/leader_lease.py
@@ -1,7 +1,9 @@
 """The leader lease: the right to place keys, which one entry VM has at a time.
 
 It is a lease of the platform's store.  Its holder counts its time from before each renewal was
-sent and stops early, so that it has surely stopped once the store lets another VM acquire it.
+sent and stops early, so that it has stopped once its time to live is over.  The store may let
+another VM acquire it sooner: only the recorded map, which each holder writes on the condition
+that it is still the recorded one, and the next holder's wait keep keys from having two owners.
 """
 
 from datetime import timedelta
@@ -60,6 +62,13 @@
         """Return whether this process may place keys at this instant."""
         return self.lease != 0 and now < self.held_until
 
+    def others_end(self) -> Instant:
+        """Return when every former holder has surely stopped, by its own clock.
+
+        The store may have ended its lease early, without its noticing.
+        """
+        return self.acquired_at + LEASE_TTL
+
     def is_renewal_overdue(self, now: Instant) -> bool:
         """Return whether a renewal is overdue, so that the lease may end soon."""
         return now - self.renewed_at > 2 * LEASE_RENEW_INTERVAL
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -165,7 +165,9 @@
         self.timers_checked_at: Instant = timedelta(0)
         self.lapsing_retry_at: Instant = timedelta(0)
         self.timer_check_task: asyncio.Task | None = None
-        self.grant_expiry = GrantExpiry(max_hold, clock.elapsed())
+        # Earlier placers of this process have granted keys until now.
+        others_end = max(clock.elapsed(), leader_lease.others_end())
+        self.grant_expiry = GrantExpiry(max_hold, others_end)
         self.short_loads = KeyLoads(leader_lease.acquired_at, SHORT_TIME_CONSTANT)
         self.long_loads = KeyLoads(leader_lease.acquired_at, LONG_TIME_CONSTANT)
         self.map: RangeMap | None = None
@@ -282,6 +284,9 @@
                 await self.load_after_restore(record, revision, remembered)
             elif self.store.era.is_restored:
                 await self.wait_for_lost_grants()
+            else:
+                # A map is recorded before anything is granted.
+                self.grant_expiry.limit_previous_grants(self.clock.elapsed())
             self.loaded = True
             log.info(
                 "map of keys loaded",
