A lapse is measured by the VMs' own clocks, not by a lease of the store (OWNER)

Callers' view: a key is given on while its last holder still works on it.

Cause: keys of a server that does not answer were recorded as lapsing, with a timer in the store for the time that its grants last. The next leader took the absence of the timer for the proof that the time had passed. A lease that ends early, by whatever cause, makes it a wrong one.

Change: the record says for how long the grants last at most, counted from the record. Each VM counts from when it first hears of it, in a broadcast change of the map or in the store, so the next leader waits no longer than before if it has heard the last one, and for the whole time if it has not. The proof is LapseEnded; TimerEnded, the timers and the calls that read them are gone. Records of earlier builds name timers in another field, which is ignored: their keys are owned as usual, and so are ours for an earlier build.

The test of timers that a restore has lost has a new name; it is otherwise unchanged.

--- a/fireflylock/direct/end_of_work.py
+++ b/fireflylock/direct/end_of_work.py
@@ -26,15 +26,15 @@
     description: ClassVar[str]
 
     @abstractmethod
-    def covers(self, key_range: KeyRange, timer: str, now: Instant) -> bool:
+    def covers(self, key_range: KeyRange, lapse: str, now: Instant) -> bool:
         """Return whether it is a proof for keys of an owner.
 
         Parameters
         ----------
         key_range : KeyRange
             The keys, their owner and the epoch under which it was granted them.
-        timer : str
-            Timer in the store that is recorded for the keys; empty if there is none.
+        lapse : str
+            Identifier of the lapse that is recorded for the keys; empty if there is none.
         now : timedelta
             Current instant.
         """
@@ -59,7 +59,7 @@
     released: KeyRange
     epoch: int
 
-    def covers(self, key_range: KeyRange, timer: str, now: Instant) -> bool:
+    def covers(self, key_range: KeyRange, lapse: str, now: Instant) -> bool:
         """Return whether the keys were released, and under a higher epoch than was granted."""
         released = self.released
         return (
@@ -85,7 +85,7 @@
     description = "another server at its address"
     owner: Owner
 
-    def covers(self, key_range: KeyRange, timer: str, now: Instant) -> bool:
+    def covers(self, key_range: KeyRange, lapse: str, now: Instant) -> bool:
         """Return whether the keys belong to the owner that has ended."""
         return key_range.owner == self.owner
 
@@ -106,24 +106,27 @@
     owner: Owner
     expiry: Instant
 
-    def covers(self, key_range: KeyRange, timer: str, now: Instant) -> bool:
+    def covers(self, key_range: KeyRange, lapse: str, now: Instant) -> bool:
         """Return whether the keys belong to the owner, and its holds have expired."""
         return key_range.owner == self.owner and now >= self.expiry
 
 
 @dataclass(frozen=True)
-class TimerEnded(EndOfWork):
-    """A timer in the store has ended that was started for the holds of the owner.
+class LapseEnded(EndOfWork):
+    """The keys were recorded as lapsing, and the recorded time has passed since, as measured here.
 
     Attributes
     ----------
-    timer : str
-        The timer.
+    lapse : str
+        Identifier of the lapse.
+    end : timedelta
+        When the recorded time has passed.
     """
 
-    description = "timer ended"
-    timer: str
+    description = "lapse ended"
+    lapse: str
+    end: Instant
 
-    def covers(self, key_range: KeyRange, timer: str, now: Instant) -> bool:
-        """Return whether it is the timer that is recorded for the keys."""
-        return timer != "" and timer == self.timer
+    def covers(self, key_range: KeyRange, lapse: str, now: Instant) -> bool:
+        """Return whether it is the lapse that is recorded for the keys, and has ended."""
+        return lapse != "" and lapse == self.lapse and now >= self.end
--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -15,6 +15,7 @@
 import structlog
 
 from fireflylock.clock import Clock, Instant
+from fireflylock.direct.key_ranges import LapsingRecord
 from fireflylock.direct.log_budget import LogBudget
 
 # Largest datagram that is sent; the UDP limit is slightly higher.
@@ -174,6 +175,8 @@
         Lowest epoch that has never been assigned.
     owners : list of NewOwner
         The reassigned ranges.
+    lapsing : list of LapsingRecord
+        Ranges that lapse from the newer map on.
     """
 
     service: str
@@ -181,6 +184,7 @@
     revision: int
     next_epoch: int
     owners: list[NewOwner]
+    lapsing: list[LapsingRecord] = []
 
 
 class Placing(Told, tag="p", array_like=True):
--- a/fireflylock/direct/key_ranges.py
+++ b/fireflylock/direct/key_ranges.py
@@ -2,6 +2,7 @@
 
 from bisect import bisect_right
 from dataclasses import dataclass, field, replace
+from datetime import timedelta
 
 import msgspec
 
@@ -83,13 +84,16 @@
     ----------
     first, last : int
         The keys, both inclusive.
-    timer : str
-        Timer in the store that ends once all earlier grants have expired.
+    lapse : str
+        Identifier of the lapse; ranges that were recorded together have the same one.
+    duration : timedelta
+        How long after the record all earlier grants have expired.
     """
 
     first: int
     last: int
-    timer: str
+    lapse: str
+    duration: timedelta
 
 
 @dataclass(frozen=True)
@@ -215,11 +219,29 @@
 
 
 class LapsingRecord(msgspec.Struct, array_like=True):
-    """A lapsing range as stored."""
+    """A lapsing range as stored and broadcast."""
 
     first: int
     last: int
-    timer: str
+    lapse: str
+    duration_ms: int
+
+    @classmethod
+    def of(cls, lapsing: LapsingRange) -> "LapsingRecord":
+        """Return the record of a lapsing range, its duration rounded up."""
+        duration_ms = -(-lapsing.duration // timedelta(milliseconds=1))
+        return cls(lapsing.first, lapsing.last, lapsing.lapse, duration_ms)
+
+    def is_valid(self) -> bool:
+        """Return whether the range lies inside of the key space, and its lapse is complete."""
+        return (
+            0 <= self.first <= self.last < KEY_COUNT and self.lapse != "" and self.duration_ms >= 0
+        )
+
+    def to_range(self) -> LapsingRange:
+        """Return the lapsing range."""
+        duration = timedelta(milliseconds=self.duration_ms)
+        return LapsingRange(self.first, self.last, self.lapse, duration)
 
 
 class MapRecord(msgspec.Struct):
@@ -240,8 +262,9 @@
         of this write every grant so far has expired.  In any other record it is -1: unknown.
     told_revision : int
         In such a record, the revision under which the other VMs know this map; otherwise 0.
-    lapsing : list of LapsingRecord
-        Ranges that are no longer granted to their owners.
+    suspended : list of LapsingRecord
+        Ranges that are no longer granted to their owners.  Earlier builds recorded them as
+        ``lapsing``, with timers in the store, and ignore this field.
     era : int
         Era of the store for which the record was written; -1 if the writer names none.
     uncertain_ms : int
@@ -256,7 +279,7 @@
     ranges: list[RangeRecord]
     grants_end_ms: int = -1
     told_revision: int = 0
-    lapsing: list[LapsingRecord] = []
+    suspended: list[LapsingRecord] = []
     era: int = -1
     uncertain_ms: int = 0
 
@@ -278,7 +301,7 @@
         for one in self.ranges:
             ranges.append(KeyRange(first, one.last, owners[one.owner], one.epoch, one.handover))
             first = one.last + 1
-        lapsing = tuple(LapsingRange(one.first, one.last, one.timer) for one in self.lapsing)
+        lapsing = tuple(one.to_range() for one in self.suspended)
         return RangeMap(self.service, tuple(ranges), self.next_epoch, revision, lapsing)
 
 
@@ -305,7 +328,7 @@
         ],
         grants_end_ms=grants_end_ms,
         told_revision=range_map.revision if grants_end_ms >= 0 else 0,
-        lapsing=[LapsingRecord(one.first, one.last, one.timer) for one in range_map.lapsing],
+        suspended=[LapsingRecord.of(one) for one in range_map.lapsing],
         era=era,
         uncertain_ms=uncertain_ms,
     )
@@ -331,8 +354,8 @@
         first = key_range.last + 1
     if first != KEY_COUNT:
         raise ProtocolError("the map of key ranges does not cover all keys")
-    if any(not 0 <= one.first <= one.last < KEY_COUNT for one in record.lapsing):
-        raise ProtocolError("a lapsing range lies outside the key space")
+    if not all(one.is_valid() for one in record.suspended):
+        raise ProtocolError("a lapsing range is not valid")
     return record
 
 
--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -13,6 +13,7 @@
 from fireflylock.direct.gossip import Gossip, GrantsEnd, Hello, MapChange, Moving, Placing
 from fireflylock.direct.key_control import KeyControl
 from fireflylock.direct.key_ranges import LapsingRange, RangeMap
+from fireflylock.direct.known_lapses import KnownLapses
 from fireflylock.direct.leader_lease import LEASE_RENEW_INTERVAL, LEASE_TTL, LeaderLease
 from fireflylock.direct.model import KEY_COUNT, Bounds, RouteTable
 from fireflylock.direct.ownership_view import OwnershipView
@@ -84,7 +85,7 @@
     for move in sorted(moving, key=lambda move: move.first):
         first = max(move.first, next_key)
         if move.service == service and first <= move.last < KEY_COUNT:
-            found.append(LapsingRange(first, move.last, ""))
+            found.append(LapsingRange(first, move.last, "", timedelta(0)))
             next_key = move.last + 1
     return tuple(found)
 
@@ -142,6 +143,7 @@
         self.routes: RouteTable | None = None
         self.placers: dict[str, Placer] = {}
         self.expiry_broadcasts = ExpiryBroadcasts()
+        self.known_lapses = KnownLapses()
         self.leader_vm = ""
         self.leader_heard_at: Instant = timedelta(0)
         self.next_attempt_at: Instant = timedelta(0)
@@ -183,6 +185,7 @@
     def era_known(self) -> None:
         """Remember nothing from before the store's first answer: it may have been restored."""
         self.recollection = Recollection(self.clock.elapsed())
+        self.known_lapses.clear()
 
     def store_restored(self) -> None:
         """Stop leading, as the store may have forgotten the lease, and remember the latest maps.
@@ -205,6 +208,7 @@
         self.recollection = Recollection(now, maps, final, led, doubtful)
         # Some were made by VMs that are lost, or are not sure of them any more.
         self.claimed_maps.clear()
+        self.known_lapses.clear()
         self.leader_lease.lose("the store was restored")
         if self.placers:
             self.step_down("the store was restored")
@@ -363,6 +367,7 @@
                     self.clock,
                     self.bounds.max_hold,
                     self.expiry_broadcasts,
+                    self.known_lapses,
                     self.recollection,
                     self.placement_changed,
                 )
@@ -433,6 +438,7 @@
                 self.changes.append(PendingChange(placer.last_change, CHANGE_SEND_COUNT, now))
                 placer.last_change = None
             if placer.map is not None and self.view.apply_map(placer.map):
+                self.known_lapses.update(now, placer.map)
                 self.on_owner_change()
         if not self.leader_lease.is_held(now):
             return
@@ -549,7 +555,9 @@
         self.failed_attempts = 0
         changed = False
         for change in message.changes:
-            changed |= self.view.apply_change(change)
+            if self.view.apply_change(change):
+                self.known_lapses.update(now, self.view.maps[change.service])
+                changed = True
         changed |= self.view.set_moving(now, message.moving)
         if changed:
             self.on_owner_change()
@@ -578,8 +586,9 @@
             changed = False
             for name in self.keyed_services():
                 value = await self.store.get(MAPS_PREFIX + name)
-                if value is not None:
-                    changed |= self.view.apply_encoded_map(value.data, value.revision)
+                if value is not None and self.view.apply_encoded_map(value.data, value.revision):
+                    self.known_lapses.update(self.clock.elapsed(), self.view.maps[name])
+                    changed = True
             if changed:
                 self.on_owner_change()
         except PlatformError as error:
--- a/fireflylock/direct/migration.py
+++ b/fireflylock/direct/migration.py
@@ -28,9 +28,10 @@
         Proof that the owner runs nothing more on them, or None.
     handover : str
         State that the owner passed on.
-    timer : str
-        Timer in the store that ends once the owner certainly holds the keys no longer; empty
-        while none is recorded.
+    lapse : str
+        Identifier of the lapse that is recorded for the keys; empty while none is.
+    lapse_end : timedelta or None
+        When the lapse that an earlier leader has recorded ends.
     other_server_answered : bool
         Whether a server of another name has answered a release at the owner's address.
     free_from : timedelta
@@ -43,7 +44,8 @@
     started_at: Instant
     end_of_work: EndOfWork | None = field(default=None, init=False)
     handover: str = ""
-    timer: str = ""
+    lapse: str = ""
+    lapse_end: Instant | None = None
     other_server_answered: bool = False
     free_from: Instant = timedelta(0)
 
@@ -60,7 +62,7 @@
         InvariantError
             The proof is not one for these keys and their owner.
         """
-        if not proof.covers(self.key_range, self.timer, now):
+        if not proof.covers(self.key_range, self.lapse, now):
             raise InvariantError(f"{proof} does not prove that {self.key_range} is free")
         if self.free or now < self.free_from:
             return False
--- a/fireflylock/direct/ownership_view.py
+++ b/fireflylock/direct/ownership_view.py
@@ -20,13 +20,13 @@
 
 
 def is_valid_change(change: MapChange) -> bool:
-    """Return whether the ranges of a map change are valid and no two of them overlap."""
+    """Return whether the ranges of a map change are valid and no two new owners overlap."""
     previous_last = -1
     for new in sorted(change.owners, key=lambda owner: owner.first):
         if not previous_last < new.first <= new.last < KEY_COUNT:
             return False
         previous_last = new.last
-    return True
+    return all(one.is_valid() for one in change.lapsing)
 
 
 class OwnershipView(Ownership):
@@ -118,7 +118,8 @@
             for new in change.owners
         ]
         new = range_map.reassigned(key_ranges, change.next_epoch)
-        return self.apply_map(replace(new, revision=change.revision))
+        lapsing = (*new.lapsing, *(one.to_range() for one in change.lapsing))
+        return self.apply_map(replace(new, revision=change.revision, lapsing=lapsing))
 
     def apply_map(self, new: RangeMap) -> bool:
         """Use a map if it is newer; return whether it was."""
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import uuid
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import replace
 from datetime import timedelta
 
@@ -13,8 +13,8 @@
     AddressReused,
     EndOfWork,
     HoldsExpired,
+    LapseEnded,
     ReleaseAnswered,
-    TimerEnded,
 )
 from fireflylock.direct.expiry_broadcasts import ExpiryBroadcasts
 from fireflylock.direct.gossip import MapChange, Moving, NewOwner
@@ -24,13 +24,14 @@
 from fireflylock.direct.key_ranges import (
     KeyRange,
     LapsingRange,
+    LapsingRecord,
     MapRecord,
     Owner,
     RangeMap,
     encode_map,
     read_record,
 )
-from fireflylock.direct.lapse_timers import LapseTimers
+from fireflylock.direct.known_lapses import KnownLapses
 from fireflylock.direct.leader_lease import LEADER_KEY, LeaderLease
 from fireflylock.direct.load_distribution import Capacity
 from fireflylock.direct.migration import Migration, OwnerState
@@ -76,13 +77,8 @@
 # Keys of an owner that does not answer for this long are recorded as lapsing; most live owners
 # answer a release within it.
 LAPSE_AFTER = timedelta(milliseconds=400)
-# Margin and share added to the duration of a timer in the store: clocks differ slightly in speed.
-TIMER_MARGIN = timedelta(milliseconds=300)
-TIMER_DRIFT = 0.02
 # Delay after lapsing ranges could not be recorded.
 LAPSE_RETRY_DELAY = timedelta(milliseconds=400)
-# Interval at which timers started by previous leaders are checked.
-TIMER_CHECK_INTERVAL = timedelta(milliseconds=500)
 # Delay after the map could not be read from the store.
 LOAD_RETRY_DELAY = timedelta(milliseconds=150)
 # Released keys wait at most this long for others that are being released, so that one write
@@ -132,6 +128,8 @@
         Longest hold that anybody may grant.
     expiry_broadcasts : ExpiryBroadcasts
         Broadcasts of leaders that stepped down.
+    known_lapses : KnownLapses
+        The lapses that this VM has seen, and when they end.
     recollection : Recollection
         What this process remembers from before a restore of the store.
     on_change : callable
@@ -148,6 +146,7 @@
         clock: Clock,
         max_hold: timedelta,
         expiry_broadcasts: ExpiryBroadcasts,
+        known_lapses: KnownLapses,
         recollection: Recollection,
         on_change: Callable[[], None],
     ) -> None:
@@ -159,12 +158,10 @@
         self.clock = clock
         self.max_hold = max_hold
         self.expiry_broadcasts = expiry_broadcasts
+        self.known_lapses = known_lapses
         self.recollection = recollection
         self.on_change = on_change
-        self.timers = LapseTimers(store)
-        self.timers_checked_at: Instant = timedelta(0)
         self.lapsing_retry_at: Instant = timedelta(0)
-        self.timer_check_task: asyncio.Task | None = None
         # Earlier placers of this process have granted keys until now.
         others_end = max(clock.elapsed(), leader_lease.others_end())
         self.grant_expiry = GrantExpiry(max_hold, others_end)
@@ -205,7 +202,6 @@
         self.balance(now)
         self.assign_free_keys(now)
         self.record_lapsing(now)
-        self.check_timers(now)
         self.record_certainty(now)
         self.renew(now)
         self.probe_servers_without_keys(now)
@@ -381,7 +377,7 @@
             ranges = tuple(replace(one, epoch=first_epoch, handover="") for one in ranges)
         if not forgotten and not self.recollection.is_certain(self.service):
             self.map_is_certain_from = self.grant_expiry.previous_grants_end
-        lapsing = () if forgotten else await self.with_new_timer(known.lapsing)
+        lapsing = () if forgotten else self.with_new_lapse(known.lapsing)
         await self.write(RangeMap(known.service, ranges, first_epoch + 1, revision, lapsing))
         if self.recollection.led:
             known_end = self.expiry_broadcasts.expiry_of(self.service, known.revision)
@@ -391,13 +387,11 @@
             self.last_change = self.map_change(known, [])
             self.resume_lapsing(self.clock.elapsed())
 
-    async def with_new_timer(self, lapsing: tuple[LapsingRange, ...]) -> tuple[LapsingRange, ...]:
-        """Return lapsing ranges from before a restore with a timer that the store has not lost."""
-        if not lapsing:
-            return ()
-        wait = self.grant_expiry.previous_grants_end - self.clock.elapsed()
-        timer = await self.timers.start(wait * (1.0 + TIMER_DRIFT) + TIMER_MARGIN)
-        return tuple(replace(one, timer=timer) for one in lapsing)
+    def with_new_lapse(self, lapsing: tuple[LapsingRange, ...]) -> tuple[LapsingRange, ...]:
+        """Return lapsing ranges from before a restore, which may have been granted since."""
+        lapse = uuid.uuid4().hex
+        duration = max(timedelta(0), self.grant_expiry.previous_grants_end - self.clock.elapsed())
+        return tuple(replace(one, lapse=lapse, duration=duration) for one in lapsing)
 
     def first_epoch_of_era(self) -> int:
         """Return an epoch above all that were given out before the last restore of the store."""
@@ -521,7 +515,9 @@
             if owner not in present and not state.lock.locked() and state.task is None:
                 self.control.forget(owner)
 
-    def map_change(self, new: RangeMap, changes: list[KeyRange]) -> MapChange:
+    def map_change(
+        self, new: RangeMap, changes: list[KeyRange], lapsing: Sequence[LapsingRange] = ()
+    ) -> MapChange:
         """Return the change to the present map, for the broadcast."""
         owners = [
             NewOwner(
@@ -535,7 +531,14 @@
             )
             for key_range in changes
         ]
-        return MapChange(self.service, new.revision, self.map.revision, new.next_epoch, owners)
+        return MapChange(
+            self.service,
+            new.revision,
+            self.map.revision,
+            new.next_epoch,
+            owners,
+            [LapsingRecord.of(one) for one in lapsing],
+        )
 
     # Grants.
 
@@ -731,10 +734,18 @@
                 continue
             owner = migration.key_range.owner
             expiry = self.grant_expiry.expiry_of(owner)
+            lapse_end = migration.lapse_end
             if migration.other_server_answered and self.table.is_replaced(owner):
                 self.set_free(migration, AddressReused(owner))
             elif self.has_no_pending_grant(owner) and now >= expiry:
                 self.set_free(migration, HoldsExpired(owner, expiry))
+            elif lapse_end is not None and now >= lapse_end:
+                self.set_free(migration, LapseEnded(migration.lapse, lapse_end))
+
+    def expiry_of_grants(self, migration: Migration) -> Instant:
+        """Return when all grants of migrating keys to their owner have expired."""
+        expiry = self.grant_expiry.expiry_of(migration.key_range.owner)
+        return expiry if migration.lapse_end is None else min(expiry, migration.lapse_end)
 
     def set_free(self, migration: Migration, proof: EndOfWork) -> bool:
         """Make keys free by a proof, unless they are free; return whether they have become free.
@@ -754,7 +765,7 @@
             born=owner.born,
             proof=proof.description,
             age=(now - migration.started_at).total_seconds(),
-            holds_end_in=(self.grant_expiry.expiry_of(owner) - now).total_seconds(),
+            holds_end_in=(self.expiry_of_grants(migration) - now).total_seconds(),
         )
         return True
 
@@ -762,6 +773,7 @@
 
     def resume_lapsing(self, now: Instant) -> None:
         """Continue to wait for the ranges that are recorded as lapsing."""
+        self.known_lapses.update(now, self.map)
         for known in self.map.lapsing:
             for key_range in self.map.ranges_between(known.first, known.last):
                 migration = Migration(
@@ -769,7 +781,8 @@
                     None,
                     "lapsing",
                     now,
-                    timer=known.timer,
+                    lapse=known.lapse,
+                    lapse_end=self.known_lapses.end_of(self.service, known.lapse),
                     free_from=self.map_is_certain_from,
                 )
                 self.migrations.append(migration)
@@ -785,7 +798,7 @@
             migration
             for migration in self.migrations
             if not migration.free
-            and not migration.timer
+            and not migration.lapse
             and now - migration.started_at >= LAPSE_AFTER
             and self.has_no_pending_grant(migration.key_range.owner)
         ]
@@ -798,17 +811,14 @@
         return state is None or not state.lock.locked()
 
     async def write_lapsing(self, due: list[Migration]) -> None:
-        """Start a timer for some ranges, and record them with it."""
+        """Record ranges as lapsing, and for how long at most they may still be held."""
         now = self.clock.elapsed()
-        wait = (
-            max(self.grant_expiry.expiry_of(migration.key_range.owner) for migration in due) - now
-        )
+        expiry = max(self.grant_expiry.expiry_of(migration.key_range.owner) for migration in due)
+        wait = max(timedelta(0), expiry - now)
         before = self.map
+        lapse = uuid.uuid4().hex
+        rows = [LapsingRange(d.key_range.first, d.key_range.last, lapse, wait) for d in due]
         try:
-            timer = await self.timers.start(wait * (1.0 + TIMER_DRIFT) + TIMER_MARGIN)
-            rows = [
-                LapsingRange(d.key_range.first, d.key_range.last, timer) for d in due if not d.free
-            ]
             await self.write(replace(before, lapsing=(*before.lapsing, *rows)))
         except VersionConflictError as error:
             self.leader_lease.lose(str(error))
@@ -820,44 +830,18 @@
         finally:
             self.write_task = None
         for migration in due:
-            migration.timer = timer
+            migration.lapse = lapse
         log.info(
             "lapsing ranges recorded",
             service=self.service,
             ranges=len(rows),
             owners=sorted({migration.key_range.owner.name for migration in due}),
             wait=wait.total_seconds(),
-            timer=timer,
+            lapse=lapse,
         )
-        self.last_change = self.map_change(before, [])
+        self.last_change = self.map_change(before, [], rows)
         self.on_change()
 
-    def check_timers(self, now: Instant) -> None:
-        """Ask the store at intervals whether the timers of previous leaders have ended."""
-        if (
-            self.timer_check_task is not None
-            or now - self.timers_checked_at < TIMER_CHECK_INTERVAL
-        ):
-            return
-        lapsing = [d for d in self.migrations if d.reason == "lapsing" and d.timer and not d.free]
-        timers = {migration.timer for migration in lapsing}
-        if timers:
-            self.timers_checked_at = now
-            self.timer_check_task = self.start_task(self.free_lapsed(timers))
-
-    async def free_lapsed(self, timers: set[str]) -> None:
-        """Free the ranges whose timers have ended."""
-        try:
-            ended = await self.timers.ended(timers)
-        except PlatformError as error:
-            log.warning("lapse timers not read", service=self.service, error=str(error))
-            return
-        finally:
-            self.timer_check_task = None
-        for migration in self.migrations:
-            if migration.timer in ended and not migration.free:
-                self.set_free(migration, TimerEnded(migration.timer))
-
     def migrate_from_unfit_owners(self, now: Instant) -> None:
         """Move all keys away from owners that leave, are lost, or were restarted."""
         reasons = {owner: self.unfit_reason(now, owner) for owner in self.map.owners()}
@@ -1039,7 +1023,7 @@
                 self.is_failing(key_range.owner) or now - migration.started_at >= LAPSE_AFTER
             )
             if not migration.free and unanswered:
-                wait = max(wait, self.grant_expiry.expiry_of(key_range.owner) - now)
+                wait = max(wait, self.expiry_of_grants(migration) - now)
             if not migration.free:
                 wait = max(wait, migration.free_from - now)
             found.append(
--- a/tests/mutants_restored.py
+++ b/tests/mutants_restored.py
@@ -100,7 +100,7 @@
     return await WRITE_WITH_CHANGE_ID(*args)
 
 
-async def believes_timers(self, lapsing):
+def believes_lapses(self, lapsing):
     return lapsing
 
 
@@ -227,11 +227,11 @@
         PLACING + "test_a_write_of_a_map_that_arrives_after_a_restore_changes_nothing",
     ),
     Mutant(
-        "timers that a restore may have lost are believed",
+        "the time of a lapse from before a restore is believed",
         Placer,
-        "with_new_timer",
-        believes_timers,
-        PLACING + "test_timers_of_lapsing_ranges_that_a_restore_has_lost_have_not_ended",
+        "with_new_lapse",
+        believes_lapses,
+        PLACING + "test_lapsing_ranges_are_waited_for_anew_after_a_restore",
     ),
     Mutant(
         "keys that were about to move before a restore are not remembered",
--- a/tests/test_direct_end_of_work.py
+++ b/tests/test_direct_end_of_work.py
@@ -8,8 +8,8 @@
 from fireflylock.direct.end_of_work import (
     AddressReused,
     HoldsExpired,
+    LapseEnded,
     ReleaseAnswered,
-    TimerEnded,
 )
 from fireflylock.direct.key_ranges import KeyRange, Owner
 from fireflylock.direct.migration import Migration
@@ -32,15 +32,15 @@
         ReleaseAnswered(replace(KEYS, first=0, last=30), 6),
         AddressReused(OWNER),
         HoldsExpired(OWNER, NOW),
-        TimerEnded("timer"),
+        LapseEnded("lapse", NOW),
     ],
 )
 def test_each_proof_makes_its_keys_free_but_not_before_the_map_is_certain(proof):
-    certain = migration(timer="timer")
+    certain = migration(lapse="lapse")
     assert certain.set_free(NOW, proof)
     assert certain.free
     assert not certain.set_free(NOW, proof)
-    uncertain = migration(timer="timer", free_from=NOW + timedelta(seconds=1))
+    uncertain = migration(lapse="lapse", free_from=NOW + timedelta(seconds=1))
     assert not uncertain.set_free(NOW, proof)
     assert not uncertain.free
 
@@ -55,19 +55,20 @@
         AddressReused(NEXT_LIFE),
         HoldsExpired(OWNER, NOW + timedelta(milliseconds=1)),
         HoldsExpired(NEXT_LIFE, NOW),
-        TimerEnded("another"),
+        LapseEnded("another", NOW),
+        LapseEnded("lapse", NOW + timedelta(milliseconds=1)),
     ],
 )
 def test_a_proof_for_something_else_is_refused(proof):
-    candidate = migration(timer="timer")
+    candidate = migration(lapse="lapse")
     with pytest.raises(InvariantError):
         candidate.set_free(NOW, proof)
     assert not candidate.free
 
 
-def test_keys_without_a_timer_are_not_freed_by_one():
+def test_keys_that_do_not_lapse_are_not_freed_by_a_lapse():
     with pytest.raises(InvariantError):
-        migration().set_free(NOW, TimerEnded(""))
+        migration().set_free(NOW, LapseEnded("", NOW))
 
 
 def test_keys_cannot_be_marked_free_without_a_proof():
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1349,7 +1349,7 @@
     assert cluster.store.rows[map_key] == written
 
 
-async def test_timers_of_lapsing_ranges_that_a_restore_has_lost_have_not_ended():
+async def test_lapsing_ranges_are_waited_for_anew_after_a_restore():
     cluster = await settled_cluster()
     await cluster.run(12)
     cluster.store.save_copy()
