A leader counts on the time to live that the store has granted (OWNER)

The store's answer to a new lease names the time to live that applies. Nobody read it: a leader whose lease was shorter than it had asked for held its right after the lease had ended, until the first renewal, whose answer was read. Since the grants of former leaders count until LEASE_TTL after a win, this alone gives no key two owners any more.

`Store.grant_lease` returns a `Lease` with its time to live; an answer whose time to live can't be read is a `PlatformError`, also for renewals, where it was a ValueError of a task.

--- a/bench/site.py
+++ b/bench/site.py
@@ -17,7 +17,7 @@
 from fireflylock.model import EntryVM, PlatformVM, VMList
 from fireflylock.relay import StateRelay
 from fireflylock.state import StateCache
-from fireflylock.store import Store, Value
+from fireflylock.store import Lease, Store, Value
 
 # What a message costs on the wire beside its own bytes: CURVE and ZMTP framing, and TCP/IP
 # headers with timestamps, as if each message went in a packet of its own.
@@ -149,7 +149,7 @@
             await changed.wait()
         raise PlatformError("down")
 
-    async def grant_lease(self, ttl) -> int:
+    async def grant_lease(self, ttl) -> Lease:
         """Leases are not used here."""
         raise PlatformError("no leases")
 
--- a/fireflylock/direct/leader_lease.py
+++ b/fireflylock/direct/leader_lease.py
@@ -90,14 +90,14 @@
         sent = self.clock.elapsed()
         lease = await self.store.grant_lease(LEASE_TTL)
         try:
-            self.revision = await self.store.put(LEADER_KEY, holder, expected, lease=lease)
+            self.revision = await self.store.put(LEADER_KEY, holder, expected, lease=lease.id)
         except VersionConflictError:
             return False
-        self.lease = lease
-        self.held_until = sent + LEASE_TTL - SAFETY_MARGIN
+        self.lease = lease.id
+        self.held_until = sent + min(lease.ttl, LEASE_TTL) - SAFETY_MARGIN
         self.renewed_at = sent
         self.acquired_at = self.clock.elapsed()
-        log.info("right to place keys won", lease=lease)
+        log.info("right to place keys won", lease=lease.id, time_to_live=lease.ttl.total_seconds())
         return True
 
     async def renew(self) -> bool:
--- a/fireflylock/direct/node.py
+++ b/fireflylock/direct/node.py
@@ -482,7 +482,7 @@
         """
         store = self.platform.store
         self.must_rejoin = False
-        self.member_lease = await store.grant_lease(MEMBER_TTL)
+        self.member_lease = (await store.grant_lease(MEMBER_TTL)).id
         host, port = self.node_settings.peer
         entry = msgspec.json.encode(
             Member(self.node_settings.vm, self.node_settings.zone, host, port)
--- a/fireflylock/etcd.py
+++ b/fireflylock/etcd.py
@@ -17,6 +17,7 @@
     VM_CALLS_PER_SECOND,
     CallCounts,
     CallRateLimiter,
+    Lease,
     Store,
     Value,
 )
@@ -140,11 +141,11 @@
             raise PlatformError(f"the watch of {prefix} ended: {error!r}") from error
         raise PlatformError(f"the watch of {prefix} ended")
 
-    async def grant_lease(self, ttl: timedelta) -> int:
-        """Return the id of a new lease."""
+    async def grant_lease(self, ttl: timedelta) -> Lease:
+        """Return a new lease; the store may grant another time to live than was asked for."""
         seconds = str(max(1, round(ttl.total_seconds())))
         answer = await self._call("lease", "/v3/lease/grant", {"TTL": seconds, "ID": "0"})
-        return int(answer["ID"])
+        return Lease(int(answer["ID"]), timedelta(seconds=int(answer["TTL"])))
 
     async def keep_alive(self, lease: int) -> timedelta:
         """Renew `lease` and return its time to live; zero when it has expired."""
--- a/fireflylock/platform/kv_store.py
+++ b/fireflylock/platform/kv_store.py
@@ -36,6 +36,7 @@
 from fireflylock.store import (
     CallCounts,
     CallRateLimiter,
+    Lease,
     Store,
     Value,
 )
@@ -272,19 +273,19 @@
             yield [item.to_value(self.era) for item in answer.events]
             await self.clock.sleep(WATCH_PAUSE)
 
-    async def grant_lease(self, ttl: timedelta) -> int:
-        """Return the id of a new lease, which lasts at least the store's minimum."""
+    async def grant_lease(self, ttl: timedelta) -> Lease:
+        """Return a new lease; no shorter one than the store's minimum is asked for."""
         ttl = max(ttl, self.settings.min_lease_ttl)
         content = {"ttl_time": format_duration(ttl)}
         status, body = await self.call("lease", "POST", STORE_LEASE, content)
-        return decode_answer(require_success(status, body), LeaseAnswer).lease
+        return decode_lease(require_success(status, body))
 
     async def keep_alive(self, lease: int) -> timedelta:
         """Renew `lease` and return its time to live, or zero if it has expired."""
         status, body = await self.call("renew", "POST", f"{STORE_RENEW}{lease}")
         if status == NOT_FOUND:
             return timedelta(0)
-        return parse_duration(decode_answer(require_success(status, body), LeaseAnswer).ttl_time)
+        return decode_lease(require_success(status, body)).ttl
 
     async def revoke_lease(self, lease: int) -> None:
         """Revoke `lease`, which may have expired already."""
@@ -356,3 +357,18 @@
         return msgspec.json.decode(body, type=kind)
     except msgspec.DecodeError as error:
         raise PlatformError(f"the store's answer can't be decoded: {error}") from error
+
+
+def decode_lease(body: bytes) -> Lease:
+    """Decode and validate the lease in an answer.
+
+    Raises
+    ------
+    PlatformError
+        The body is not a lease, or its time to live can't be read.
+    """
+    answer = decode_answer(body, LeaseAnswer)
+    try:
+        return Lease(answer.lease, parse_duration(answer.ttl_time))
+    except ValueError as error:
+        raise PlatformError(f"the time to live of a lease can't be read: {error}") from error
--- a/fireflylock/store.py
+++ b/fireflylock/store.py
@@ -49,6 +49,22 @@
     data: bytes
 
 
+@dataclass(frozen=True)
+class Lease:
+    """A lease of the platform's key-value service.
+
+    Attributes
+    ----------
+    id : int
+        Its identifier, never 0.
+    ttl : timedelta
+        Its time to live, from the arrival of the call that granted or renewed it.
+    """
+
+    id: int
+    ttl: timedelta
+
+
 @dataclass
 class CallCounts:
     """Calls to the platform by kind; an open watch counts as one."""
@@ -235,8 +251,8 @@
         """
 
     @abstractmethod
-    async def grant_lease(self, ttl: timedelta) -> int:
-        """Return the id of a new lease."""
+    async def grant_lease(self, ttl: timedelta) -> Lease:
+        """Return a new lease; the store may grant another time to live than was asked for."""
 
     @abstractmethod
     async def keep_alive(self, lease: int) -> timedelta:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import math
 
 from fireflylock.platform import wire
 from standins.http_server import Call, DropConnectionError, HTTPServer, Reply
@@ -24,6 +25,8 @@
         Whether calls, including those in progress, never get an answer.
     lost_watches : int
         Watch calls in progress up to this point never get an answer; see `lose_watches`.
+    max_lease_seconds : float
+        Longest time to live that is granted, whatever was asked for.
     error_status : int
         Status of the answers to all calls; 0 for normal answers.
     drop_next_answers : int
@@ -42,6 +45,7 @@
         self.unresponsive = False
         self.lost_watches = 0
         self.error_status = 0
+        self.max_lease_seconds = math.inf
         self.drop_next_answers = 0
         self.oldest_watch_revision = 0
         self.calls: list[str] = []
@@ -188,8 +192,9 @@
     def lease(self, body: dict) -> Reply:
         """Create a lease."""
         seconds = wire.parse_duration(body["ttl_time"]).total_seconds()
+        seconds = min(seconds, self.max_lease_seconds)
         lease_id = self.content.grant(seconds, loop_time())
-        return Reply.of({"lease": lease_id, "ttl_time": body["ttl_time"]})
+        return Reply.of({"lease": lease_id, "ttl_time": f"{seconds}s"})
 
     def renew(self, lease: int) -> Reply:
         """Renew a lease."""
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -28,7 +28,7 @@
 from fireflylock.direct.ownership_view import OwnershipView
 from fireflylock.direct.servers import ServerTable
 from fireflylock.exceptions import PlatformError, VersionConflictError
-from fireflylock.store import Store, Value
+from fireflylock.store import Lease, Store, Value
 from fireflylock.store_era import REVISIONS_PER_ERA
 from standins.key_grants import KeyGrants
 
@@ -90,6 +90,8 @@
         self.revision = 1
         self.leases: dict[int, tuple[timedelta, Instant]] = {}
         self.next_lease = 1
+        # Longest time to live that it grants.
+        self.max_ttl = timedelta(minutes=10)
         self.unavailable = False
         self.era = 1
         self.copy: tuple[dict[str, StoredValue], int, dict, int, Instant] | None = None
@@ -227,14 +229,15 @@
         """Not needed here."""
         raise NotImplementedError
 
-    async def grant_lease(self, ttl: timedelta) -> int:
-        """Return a new lease."""
+    async def grant_lease(self, ttl: timedelta) -> Lease:
+        """Return a new lease, with a shorter time to live if the store grants none as long."""
         arrived = self.cluster.clock.elapsed()
         await self.simulate_call()
         lease = self.shared.next_lease
         self.shared.next_lease += 1
+        ttl = min(ttl, self.shared.max_ttl)
         self.shared.leases[lease] = (ttl, max(arrived, self.cluster.clock.elapsed()) + ttl)
-        return lease
+        return Lease(lease, ttl)
 
     async def keep_alive(self, lease: int) -> timedelta:
         """Renew a lease; the answer may get lost."""
--- a/tests/test_direct_early_lease_end.py
+++ b/tests/test_direct_early_lease_end.py
@@ -8,6 +8,7 @@
     TRACKED_KEYS,
     SimulatedCluster,
     settled_cluster,
+    started_cluster,
 )
 
 LONG_WORK = timedelta(seconds=30)
@@ -74,3 +75,13 @@
     assert cluster.leader() not in ("", former)
     assert cluster.unheld_keys() == 0
     assert cluster.violations == []
+
+
+async def test_a_leader_holds_its_lease_no_longer_than_the_store_has_granted_it():
+    cluster = started_cluster()
+    cluster.store.max_ttl = timedelta(seconds=1)
+    while not cluster.leader():
+        await cluster.run(0.02)
+    leader_lease = cluster.vms[cluster.leader()].leadership.leader_lease
+    _, end = cluster.store.leases[leader_lease.lease]
+    assert leader_lease.held_until < end
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -96,7 +96,7 @@
 
 async def test_leases_end_when_they_are_revoked():
     async with platform_and_store() as (_, store, _):
-        lease = await store.grant_lease(SECOND * 5)
+        lease = (await store.grant_lease(SECOND * 5)).id
         assert await store.keep_alive(lease) == SECOND * 5
         await store.revoke_lease(lease)
         assert await store.keep_alive(lease) == timedelta(0)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from fireflylock.clock import SystemClock
@@ -28,7 +29,7 @@
 from fireflylock.http1 import Framing
 from fireflylock.platform import cmdline, wire
 from fireflylock.platform.dialect import PlatformCallerDialect, PlatformServerDialect
-from fireflylock.platform.kv_store import ItemsAnswer, KeyValueStore
+from fireflylock.platform.kv_store import ItemsAnswer, KeyValueStore, decode_lease
 from fireflylock.platform.operator_config import decode_config
 from fireflylock.platform.registrations import decode_registration
 from fireflylock.platform.settings import SETTINGS_VARIABLE, PlatformSettings, read_settings
@@ -503,8 +504,21 @@
         await anext(store.watch("p/", 5))
 
 
-async def test_ending_a_lease_deletes_its_keys(store):
+async def test_the_time_to_live_of_a_lease_is_the_one_that_the_store_names(store):
+    store.standin.max_lease_seconds = 2.0
     lease = await store.grant_lease(timedelta(seconds=5))
+    assert lease.ttl == timedelta(seconds=2)
+    assert await store.keep_alive(lease.id) == timedelta(seconds=2)
+
+
+@pytest.mark.parametrize("ttl", ["", "soon", "-1s", "nan", 3, None])
+def test_a_lease_without_a_readable_time_to_live_is_a_platform_error(ttl):
+    with pytest.raises(PlatformError):
+        decode_lease(msgspec.json.encode({"lease": 1, "ttl_time": ttl}))
+
+
+async def test_ending_a_lease_deletes_its_keys(store):
+    lease = (await store.grant_lease(timedelta(seconds=5))).id
     await store.put("k", b"x", 0, lease=lease)
     assert await store.keep_alive(lease) == timedelta(seconds=5)
     await store.revoke_lease(lease)
