--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -523,12 +523,7 @@
         """
         try:
             if await self.leader_lease.try_acquire():
-                heard_ago = self.clock.elapsed() - self.leader_heard_at
-                log.info(
-                    "placing of keys starts here",
-                    former=self.leader_vm,
-                    heard_ago=heard_ago.total_seconds(),
-                )
+                self.log_start()
                 return
             self.failed_attempts += 1
             if self.failed_attempts > 1:
@@ -538,6 +533,15 @@
         finally:
             self.acquire_task = None
 
+    def log_start(self) -> None:
+        """Log that this VM leads, and when the former leader was heard: it may go on."""
+        heard_ago = self.clock.elapsed() - self.leader_heard_at
+        log.info(
+            "placing of keys starts here",
+            former=self.leader_vm,
+            heard_ago=heard_ago.total_seconds() if self.leader_vm else None,
+        )
+
     # Messages from the leader.
 
     def apply_leader_message(self, now: Instant, message: Placing) -> None:
