--- a/fireflylock/direct/grant_expiry.py
+++ b/fireflylock/direct/grant_expiry.py
@@ -26,32 +26,31 @@
     max_hold : timedelta
         Longest hold that any leader grants.
     others_end : timedelta
-        When all other leaders have stopped granting keys, by their own clocks.
+        When all other leaders have stopped, by their own clocks; sooner if their grants are
+        known to expire sooner than the longest hold after that.
     expiries : dict of Owner to timedelta
         Latest expiry of an owner's hold by the grants of this process.
-    previous_grants_end : timedelta
-        Latest expiry of the grants that this record does not hold.
     """
 
     max_hold: timedelta
     others_end: Instant
     expiries: dict[Owner, Instant] = field(default_factory=dict)
-    previous_grants_end: Instant = field(init=False)
 
-    def __post_init__(self) -> None:
-        self.previous_grants_end = self.end_if_granted(self.others_end)
+    @property
+    def previous_grants_end(self) -> Instant:
+        """Latest expiry of the grants that this record does not hold."""
+        return self.others_end + self.upper_bound(self.max_hold)
 
     def extend_previous_grants(self, now: Instant) -> None:
         """Assume that previous leaders have granted keys for the longest hold until now."""
-        self.previous_grants_end = max(self.previous_grants_end, self.end_if_granted(now))
-
-    def end_if_granted(self, at: Instant) -> Instant:
-        """Return when the longest hold that is granted at an instant has ended."""
-        return at + self.upper_bound(self.max_hold)
+        self.others_end = max(self.others_end, now)
 
     def limit_previous_grants(self, end: Instant) -> None:
-        """Apply the previous leader's statement that all its grants end by `end`."""
-        self.previous_grants_end = min(self.previous_grants_end, end)
+        """Apply the statement of a leader that has stopped: everything granted ends by `end`.
+
+        It counted the leaders before it in the same way, so that they have stopped as well.
+        """
+        self.others_end = min(self.others_end, end - self.upper_bound(self.max_hold))
 
     def latest_expiry(self) -> Instant:
         """Return when everything granted so far has expired."""
--- a/fireflylock/direct/placer.py
+++ b/fireflylock/direct/placer.py
@@ -335,6 +335,14 @@
             return end
         return min(end, now + timedelta(milliseconds=max(0, record.uncertain_ms)))
 
+    def moves_from(self) -> Instant:
+        """Return from when keys may get another owner.
+
+        A former leader that has not stopped yet relies on its map, and a server that starts again
+        would accept its grants, whatever the previous process has answered.
+        """
+        return max(self.map_is_certain_from, self.grant_expiry.others_end)
+
     def uncertain_for(self) -> timedelta:
         """Return for how long the map is not certain yet."""
         return max(timedelta(0), self.map_is_certain_from - self.clock.elapsed())
@@ -681,7 +689,7 @@
         """Start to move keys away from their owner, unless they are migrating already."""
         if any(key_range.overlaps(d.key_range.first, d.key_range.last) for d in self.migrations):
             return
-        migration = Migration(key_range, target, reason, now, free_from=self.map_is_certain_from)
+        migration = Migration(key_range, target, reason, now, free_from=self.moves_from())
         self.migrations.append(migration)
         log.info(
             "keys leave their owner",
@@ -783,7 +791,7 @@
                     now,
                     lapse=known.lapse,
                     lapse_end=self.known_lapses.end_of(self.service, known.lapse),
-                    free_from=self.map_is_certain_from,
+                    free_from=self.moves_from(),
                 )
                 self.migrations.append(migration)
                 # It did not answer the previous leader, and gets no keys until it answers.
@@ -861,7 +869,8 @@
             ):
                 return ""
             return "server not registered"
-        if server.leaving_since is not None:
+        # Until then it would stop serving its keys for nothing.
+        if server.leaving_since is not None and now >= self.grant_expiry.others_end:
             return "server is leaving"
         state = self.owner_states.get(owner)
         if state is None or state.consecutive_failures < GRANT_ATTEMPTS:
@@ -879,7 +888,7 @@
         if now - self.planned_at < PLAN_INTERVAL or self.write_task is not None:
             return
         # Keys that are moved would have no owner until then.
-        if now < self.map_is_certain_from:
+        if now < self.moves_from():
             return
         # A new leader has no loads yet, and would give hot keys away by their number alone.
         if not self.short_loads.is_warm(now):
--- a/tests/test_direct_early_lease_end.py
+++ b/tests/test_direct_early_lease_end.py
@@ -1,11 +1,15 @@
 """Leases of the store that end early, against the simulated cluster: no key gets two owners."""
 
+from dataclasses import replace
 from datetime import timedelta
 
+import pytest
+
 from fireflylock.direct.grant_expiry import CLOCK_DRIFT
 from tests.simulated_cluster import (
     SERVICE,
     TRACKED_KEYS,
+    ServerProcess,
     SimulatedCluster,
     settled_cluster,
     started_cluster,
@@ -35,11 +39,16 @@
         await cluster.run(0.02)
 
 
+def cut_off(cluster: SimulatedCluster, vm: str) -> None:
+    """Let a VM and the others not hear each other."""
+    others = [other for other in cluster.vms if other != vm]
+    cluster.cut_links |= {(vm, other) for other in others} | {(other, vm) for other in others}
+
+
 def cut_vms_apart(cluster: SimulatedCluster) -> None:
     """Let no VM hear another one."""
-    cluster.cut_links |= {
-        (vm, other) for vm in cluster.vms for other in cluster.vms if other != vm
-    }
+    for vm in cluster.vms:
+        cut_off(cluster, vm)
 
 
 async def test_keys_that_lapse_are_not_given_on_when_a_lease_of_the_store_ends_early():
@@ -85,3 +94,57 @@
     leader_lease = cluster.vms[cluster.leader()].leadership.leader_lease
     _, end = cluster.store.leases[leader_lease.lease]
     assert leader_lease.held_until < end
+
+
+def is_leader(cluster: SimulatedCluster, vm: str) -> bool:
+    """Return whether a VM leads by its own clock."""
+    return cluster.vms[vm].leadership.leader_lease.is_held(cluster.clock.elapsed())
+
+
+async def two_leaders(cluster: SimulatedCluster) -> tuple[str, str]:
+    """Return a leader whose lease has ended without its notice, and the next one."""
+    former = cluster.leader()
+    cut_vms_apart(cluster)
+    await cluster.run(1)
+    cluster.cut_from_store.add(former)
+    end_all_leases(cluster)
+    others = [vm for vm in cluster.vms if vm != former]
+    while not any(is_leader(cluster, vm) for vm in others):
+        await cluster.run(0.02)
+    assert is_leader(cluster, former)
+    return former, next(vm for vm in others if is_leader(cluster, vm))
+
+
+async def move_keys_of_leaving_server(cluster: SimulatedCluster, vm: str) -> ServerProcess:
+    """Let one VM alone, the leader, know that a server leaves; return the server without keys."""
+    process = cluster.processes[0]
+    entry = replace(process.entry, leaving=True)
+    cluster.vms[vm].table.register(cluster.clock.elapsed(), entry)
+    for _ in range(150):
+        await cluster.run(0.02)
+        if not any(map(process.key_grants.has_grant, TRACKED_KEYS)) and not cluster.unheld_keys():
+            return process
+    pytest.fail("the keys of a leaving server have not moved")
+
+
+async def test_a_server_that_starts_again_beside_two_leaders_gets_no_keys_that_have_moved():
+    cluster = await settled_cluster()
+    await cluster.run(12)
+    _, new = await two_leaders(cluster)
+    process = await move_keys_of_leaving_server(cluster, new)
+    cluster.crash(process)
+    cluster.add_server("s0", process.entry.port, register_after=timedelta(seconds=1))
+    await cluster.run(6)
+    assert cluster.violations == []
+
+
+async def test_a_leader_whose_lease_ended_early_does_not_bring_back_an_old_map_after_a_restore():
+    cluster = await settled_cluster()
+    await cluster.run(12)
+    cluster.store.save_copy()
+    former, new = await two_leaders(cluster)
+    await move_keys_of_leaving_server(cluster, new)
+    cluster.store.restore()
+    cluster.cut_from_store.discard(former)
+    await cluster.run(6)
+    assert cluster.violations == []
