A leader that has stepped down need not be the last one before a restore (OWNER)

Callers' view: after a restore of the store a key is held by two servers.

Cause: a VM that heard most of the others took the map of a leader that had said that it steps down for the certain one. Another VM, which nobody hears, may have led since: for that it needs the store, not the other VMs.

Evidence: the new test failed before, "key 0 is held by ['s0.1', 's1.2']", and passes.

Change: such a map is still remembered, but it is certain for the leader itself only.

Price: after a restore during such a change of leader, keys that have to move wait for all holds.

--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -201,11 +201,8 @@
             and all(placer.loaded for placer in self.placers.values())
         )
         maps = self.latest_maps(now, led)
-        final = frozenset(
-            name for name, known in maps.items() if self.is_final(now, name, known.revision)
-        )
         doubtful = frozenset(name for name in maps if self.is_doubtful(now, name, led))
-        self.recollection = Recollection(now, maps, final, led, doubtful)
+        self.recollection = Recollection(now, maps, led, doubtful)
         # Some were made by VMs that are lost, or are not sure of them any more.
         self.claimed_maps.clear()
         self.known_lapses.clear()
@@ -266,7 +263,7 @@
     def is_final(self, now: Instant, service: str, revision: int) -> bool:
         """Return whether the leader that wrote a map has stepped down, but its grants last.
 
-        Another VM may have led since.  One that hears most of the others knows that.
+        Another VM may have led since, perhaps one that is heard by nobody.
         """
         end = self.expiry_broadcasts.expiry_of(service, revision)
         if end is None or now + LEASE_TTL >= end:
--- a/fireflylock/direct/recollection.py
+++ b/fireflylock/direct/recollection.py
@@ -26,8 +26,6 @@
         When it saw the restore, or the store's first answer.
     maps : dict of str to RangeMap
         Maps that were surely the latest ones then, by service; none at the first answer.
-    final : frozenset of str
-        Services whose last leader has said that it changes the remembered map no more.
     led : bool
         Whether it held the leader lease, so that nobody else can have changed a map since.
     doubtful : frozenset of str
@@ -37,13 +35,12 @@
 
     at: Instant
     maps: dict[str, RangeMap] = field(default_factory=dict)
-    final: frozenset[str] = frozenset()
     led: bool = False
     doubtful: frozenset[str] = frozenset()
 
     def is_certain(self, service: str) -> bool:
         """Return whether the remembered map of a service names all servers that may hold keys."""
-        return (self.led or service in self.final) and service not in self.doubtful
+        return self.led and service not in self.doubtful
 
     def grants_from(self) -> Instant:
         """Return from when the former leader, whose lease the store has forgotten, has stopped."""
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1281,6 +1281,35 @@
     assert placer.map_is_certain_from - cluster.clock.elapsed() < timedelta(seconds=1)
 
 
+async def test_a_leader_that_stepped_down_is_not_the_last_one_for_vms_that_hear_most_others():
+    cluster = await settled_cluster(vms=5)
+    await cluster.run(12)
+    cluster.store.save_copy()
+    former = cluster.leader()
+    unheard = next(name for name in cluster.vms if name != former)
+    others = [name for name in cluster.vms if name != unheard]
+    cluster.cut_links |= {(name, unheard) for name in others}
+    cluster.cut_links |= {(unheard, name) for name in others}
+    await cluster.run(1)
+    grant_longest_holds(cluster.vms[former].leadership.placers[SERVICE])
+    await cluster.run(1)
+    cluster.stop_vm(former)
+    while cluster.leader() in ("", former):
+        await cluster.run(0.02)
+    assert cluster.leader() == unheard
+    await run_until_placing(cluster)
+    grant_longest_holds(cluster.vms[unheard].leadership.placers[SERVICE])
+    leaving = cluster.processes[0]
+    entry = replace(leaving.entry, leaving=True)
+    cluster.vms[unheard].table.register(cluster.clock.elapsed(), entry)
+    while any(leaving in cluster.holders(key) for key in TRACKED_KEYS) or cluster.unheld_keys():
+        await cluster.run(0.02)
+    cluster.kill_vm(unheard)
+    cluster.store.restore()
+    await cluster.run(8)
+    assert_no_violations(cluster)
+
+
 async def test_a_leader_that_stepped_down_is_not_the_last_one_for_a_vm_that_was_cut_off():
     """Another one has led since, and moved keys: the broadcast of the first proves nothing."""
     cluster = await settled_cluster()
