A leader's message that arrives late is not taken for its latest before a restore (OWNER)

Callers' view: after a restore of the store a key is held by two servers.

Cause: a message counted as fresh by its arrival. A VM that had been cut off took one that was 5.8 s old, the store was restored within 450 ms of that, and the VM remembered the map of before the lapse as the latest one.

Evidence: the new test failed before, "key 0 is held by ['s0.1', 's1.2']", and passes.

Change: a leader says for how long it has led. A VM compares that with the promptest message of the same leader, and counts the leader as heard when the message was sent. Messages of earlier builds count by their arrival, as before.

In test_direct_messages the numbers of the later messages are raised, so that none is ignored.

--- a/fireflylock/direct/gossip.py
+++ b/fireflylock/direct/gossip.py
@@ -201,6 +201,8 @@
         Revision of each service's map.
     changes : list of MapChange
         The latest changes, in order.
+    led_ms : int
+        For how long the sender has led; -1 if it does not say.
     """
 
     lease: int
@@ -208,6 +210,7 @@
     moving: list[Moving]
     revisions: dict[str, int]
     changes: list[MapChange]
+    led_ms: int = -1
 
 
 class GrantsEnd(Told, tag="e", array_like=True):
--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -13,7 +13,7 @@
 from fireflylock.direct.gossip import Gossip, GrantsEnd, Hello, MapChange, Moving, Placing
 from fireflylock.direct.key_control import KeyControl
 from fireflylock.direct.key_ranges import LapsingRange, RangeMap
-from fireflylock.direct.known_lapses import KnownLapses
+from fireflylock.direct.known_lapses import CLOCK_SPEED_DIFFERENCE, KnownLapses
 from fireflylock.direct.leader_lease import LEASE_RENEW_INTERVAL, LEASE_TTL, LeaderLease
 from fireflylock.direct.model import KEY_COUNT, Bounds, RouteTable
 from fireflylock.direct.ownership_view import OwnershipView
@@ -145,7 +145,10 @@
         self.expiry_broadcasts = ExpiryBroadcasts()
         self.known_lapses = KnownLapses()
         self.leader_vm = ""
+        # When the last message of a leader was sent, and when that leader won, by the clock here.
         self.leader_heard_at: Instant = timedelta(0)
+        self.leader_since: Instant = timedelta(0)
+        self.message_at: Instant = timedelta(0)
         self.next_attempt_at: Instant = timedelta(0)
         self.acquire_task: asyncio.Task | None = None
         # Failed attempts to acquire the lease since a leader was last heard.
@@ -470,8 +473,9 @@
         changes = [pending.change for pending in due]
         self.publish_count += 1
         lease = self.leader_lease.lease
+        led_ms = (now - self.leader_lease.acquired_at) // timedelta(milliseconds=1)
         message = Placing(
-            hello.vm, hello.zone, lease, self.publish_count, moving, revisions, changes
+            hello.vm, hello.zone, lease, self.publish_count, moving, revisions, changes, led_ms
         )
         self.broadcast(now, message)
 
@@ -549,10 +553,11 @@
         lease, number = self.last_message
         if message.lease == lease and message.number <= number:
             return
+        sent_at = self.sent_at(now, message)
         self.last_message = (message.lease, message.number)
         self.told_moving = message.moving
         self.leader_vm = message.vm
-        self.leader_heard_at = now
+        self.leader_heard_at = max(self.leader_heard_at, sent_at)
         self.failed_attempts = 0
         changed = False
         for change in message.changes:
@@ -574,6 +579,19 @@
             self.stale_since = now
             self.fetch_task = self.start_task(self.fetch_maps())
 
+    def sent_at(self, now: Instant, message: Placing) -> Instant:
+        """Return when a leader's message was sent, if its promptest one came without delay."""
+        if message.led_ms < 0:
+            return now
+        led = timedelta(milliseconds=message.led_ms)
+        if message.lease != self.last_message[0]:
+            self.leader_since = now - led
+        else:
+            drift = CLOCK_SPEED_DIFFERENCE * (now - self.message_at)
+            self.leader_since = min(self.leader_since + drift, now - led)
+        self.message_at = now
+        return self.leader_since + led
+
     def add_key_work(self, now: Instant, work: dict[str, dict[int, float]]) -> None:
         """Count requested work for keys, in seconds by service and key."""
         for name, key_work in work.items():
--- a/tests/test_direct_messages.py
+++ b/tests/test_direct_messages.py
@@ -47,6 +47,8 @@
     """Yield messages that can be decoded, but whose values are invalid."""
     yield Placing("x", "z", 1, 1, [Moving("orders", 9, 3, -7)], {"orders": -1}, [])
     yield Placing("x", "z", 1, 2, [], {"none": 1 << 60}, [])
+    yield Placing("x", "z", 1, 3, [], {}, [], 1 << 60)
+    yield Placing("x", "z", 1, 4, [], {}, [], -(1 << 60))
     for number, key_ranges in enumerate(
         (
             [(9, 3)],
@@ -55,7 +57,7 @@
             [(0, 50), (40, 90)],
             [(7, 7), (7, 7)],
         ),
-        3,
+        5,
     ):
         yield Placing("x", "z", 1, number, [], {}, [map_change(range_map, *key_ranges)])
     yield Report("x", "z", {"none": -3}, [("orders", "none", -9)])
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1192,6 +1192,34 @@
     assert_no_violations(cluster)
 
 
+async def test_a_leader_message_that_arrives_late_is_not_the_latest_before_a_restore():
+    cluster = await settled_cluster()
+    await cluster.run(12)
+    cluster.store.save_copy()
+    leader = cluster.leader()
+    deaf, other = (name for name in cluster.vms if name != leader)
+    sender, receiver = cluster.vms[leader].leadership, cluster.vms[deaf].leadership
+    held_up = []
+    send = sender.broadcast
+    sender.broadcast = lambda now, message: (held_up.append(message), send(now, message))
+    cluster.cut_links |= {(leader, deaf), (other, deaf)}
+    await cluster.run(0.3)
+    late = held_up[-1]
+    process = cluster.processes[0]
+    cluster.cut_links |= {(vm, process.entry.name) for vm in cluster.vms}
+    while cluster.holders(TRACKED_KEYS[0]) in ([], [process]):
+        await cluster.run(0.1)
+    cluster.cut_links = {link for link in cluster.cut_links if link[1] != process.entry.name}
+    cluster.kill_vm(leader)
+    cluster.kill_vm(other)
+    receiver.apply_leader_message(cluster.clock.elapsed(), late)
+    cluster.store.restore()
+    receiver.start_task(receiver.fetch_maps())
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert_no_violations(cluster)
+
+
 async def test_a_former_owner_that_was_cut_off_accepts_no_remembered_epoch_after_a_restore():
     """It has seen no higher epoch, so it does not refuse: its keys moved once its hold ended."""
     cluster, leader = await cluster_with_followers_cut_off()
