The stand-in store: the end of a lease leaves keys that another lease has now

A key that was put under another lease, or deleted and put again, stayed with its first lease too, whose end then deleted it.

test_ending_a_lease_keeps_keys_that_were_put_under_another_lease_since failed before and passes. tests/test_platform*.py, test_direct_restored.py and test_direct_path.py: 210 passed.

--- a/standins/revisioned_store.py
+++ b/standins/revisioned_store.py
@@ -69,6 +69,8 @@
             created = old.create_revision if old is not None else self.revision
             row = Row(key, value, self.revision, created, lease)
             self.rows[key] = row
+            if old is not None:
+                self._detach(old)
             if lease in self.leases:
                 self.leases[lease].keys.add(key)
             self._record(Change(row))
@@ -80,7 +82,7 @@
             return
         self.revision += 1
         for key in present:
-            del self.rows[key]
+            self._detach(self.rows.pop(key))
             self._record(Change(Row(key, b"", self.revision, 0), deleted=True))
 
     def changes(self, key: bytes, range_end: bytes, since: int) -> list[Change]:
@@ -137,6 +139,11 @@
         copy.next_lease = self.next_lease
         return copy
 
+    def _detach(self, row: Row) -> None:
+        """Detach a row that goes from its lease, whose end must not delete a newer one."""
+        if row.lease in self.leases:
+            self.leases[row.lease].keys.discard(row.key)
+
     def _record(self, change: Change) -> None:
         self.history.append(change)
         del self.history[:-HISTORY]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -503,6 +503,17 @@
         await anext(store.watch("p/", 5))
 
 
+async def test_ending_a_lease_keeps_keys_that_were_put_under_another_lease_since(store):
+    former = await store.grant_lease(timedelta(seconds=5))
+    revision = await store.put("k", b"x", 0, lease=former)
+    lease = await store.grant_lease(timedelta(seconds=5))
+    await store.put("k", b"y", revision, lease=lease)
+    await store.revoke_lease(former)
+    assert (await store.get("k")).data == b"y"
+    await store.revoke_lease(lease)
+    assert await store.get("k") is None
+
+
 async def test_ending_a_lease_deletes_its_keys(store):
     lease = await store.grant_lease(timedelta(seconds=5))
     await store.put("k", b"x", 0, lease=lease)
