A test that fails: a server starts again beside a leader whose lease has ended early (OWNER)

Callers' view: two servers hold the same keys for up to the longest hold, and both work on them.

The next leader releases the keys of a server and gives them on; the server's answer is its proof. That a grant of the former leader is refused from then on is known to that process of the server only. It ends and starts again while the former leader, whose lease has ended early without its noticing, still renews: the new process takes the old epoch, for up to ten seconds.

--- a/tests/test_direct_early_lease_end.py
+++ b/tests/test_direct_early_lease_end.py
@@ -1,5 +1,6 @@
 """Leases of the store that end early, against the simulated cluster: no key gets two owners."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 from fireflylock.direct.grant_expiry import CLOCK_DRIFT
@@ -11,6 +12,7 @@
 )
 
 LONG_WORK = timedelta(seconds=30)
+FIRST_BEAT = timedelta(milliseconds=800)
 
 
 def end_all_leases(cluster: SimulatedCluster) -> None:
@@ -74,3 +76,28 @@
     assert cluster.leader() not in ("", former)
     assert cluster.unheld_keys() == 0
     assert cluster.violations == []
+
+
+async def test_a_server_that_starts_again_takes_no_grant_of_a_leader_whose_lease_ended_early():
+    cluster = await settled_cluster()
+    await cluster.run(12)
+    former = cluster.leader()
+    others = [vm for vm in cluster.vms if vm != former]
+    cluster.cut_links |= {pair for vm in others for pair in ((vm, former), (former, vm))}
+    cluster.cut_from_store.add(former)
+    end_all_leases(cluster)
+    leases = [cluster.vms[vm].leadership.leader_lease for vm in others]
+    while not any(lease.is_held(cluster.clock.elapsed()) for lease in leases):
+        await cluster.run(0.02)
+    leaving = cluster.processes[0]
+    leaving.entry = replace(leaving.entry, leaving=True)
+    for vm in others:
+        cluster.vms[vm].table.register(cluster.clock.elapsed(), leaving.entry)
+    while any(leaving in cluster.holders(key) for key in TRACKED_KEYS):
+        await cluster.run(0.02)
+    # What it was asked to give up, and under which epoch, is lost with its process.
+    cluster.crash(leaving)
+    cluster.add_server(leaving.entry.name, leaving.entry.port, register_after=FIRST_BEAT)
+    await run_at_work(cluster, 16)
+    assert cluster.unheld_keys() == 0
+    assert cluster.violations == []
