--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -504,6 +504,17 @@
         await anext(store.watch("p/", 5))
 
 
+async def test_ending_a_lease_keeps_keys_that_were_put_under_another_lease_since(store):
+    former = (await store.grant_lease(timedelta(seconds=5))).id
+    revision = await store.put("k", b"x", 0, lease=former)
+    lease = (await store.grant_lease(timedelta(seconds=5))).id
+    await store.put("k", b"y", revision, lease=lease)
+    await store.revoke_lease(former)
+    assert (await store.get("k")).data == b"y"
+    await store.revoke_lease(lease)
+    assert await store.get("k") is None
+
+
 async def test_the_time_to_live_of_a_lease_is_the_one_that_the_store_names(store):
     store.standin.max_lease_seconds = 2.0
     lease = await store.grant_lease(timedelta(seconds=5))
