Random histories play lost answers, late messages, hot keys, restarts and early lease ends

The histories of the project's own tests lacked faults that the users' histories have: answers of control requests that arrived get lost, messages between VMs arrive seconds late and overtake each other, hot keys split ranges, VMs start again at once under their names, and leases of the store end before their time. The simulated cluster plays them now. Control requests can also be under way for up to 120 ms, and arrive although their sender has ended; broadcasts of when grants end, and the revisions of maps in load reports, can be late like any message of a leader.

--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -5,9 +5,13 @@
 """
 
 import asyncio
+import heapq
+import itertools
 import random
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from typing import TypeVar
 
 import msgspec
 
@@ -37,10 +41,15 @@
 CONTROL_REQUEST_TIME = timedelta(milliseconds=3)
 CALL_TIMEOUT = timedelta(milliseconds=1500)
 CONTROL_REQUEST_TIMEOUT = timedelta(milliseconds=300)
+# A request that has left its VM is under way for less than the margin of each expiry.
+MAX_REQUEST_DELAY = timedelta(milliseconds=120)
+MAX_MESSAGE_DELAY = timedelta(seconds=4)
 LIMITS = CallerLimits(1000, 1000, timedelta(seconds=1), timedelta(seconds=1))
 ROUTES = RouteTable(1, (), {SERVICE: ServiceSpec(SERVICE, "/", 10, True)}, LIMITS)
 TRACKED_KEYS = tuple(range(0, KEY_COUNT, 1489))
 
+Result = TypeVar("Result")
+
 
 @dataclass
 class ServerProcess:
@@ -275,6 +284,17 @@
         )
         if not still_allowed():
             return GrantOutcome.UNSENT
+        outcome = await self.deliver(lambda: self.apply_grant(key_range, hold))
+        if outcome in (GrantOutcome.GRANTED, GrantOutcome.REFUSED) and self.loses_answer(
+            key_range.owner
+        ):
+            await self.clock.sleep(CONTROL_REQUEST_TIMEOUT)
+            return GrantOutcome.UNANSWERED
+        return outcome
+
+    async def apply_grant(self, key_range: KeyRange, hold: timedelta) -> GrantOutcome:
+        """Let a grant arrive now."""
+        cluster = self.cluster
         if (self.vm, key_range.owner.name) in cluster.cut_links:
             await self.clock.sleep(CONTROL_REQUEST_TIMEOUT)
             return GrantOutcome.UNANSWERED
@@ -296,6 +316,17 @@
         await self.clock.sleep(
             cluster.control_request_times.get(key_range.owner.name, CONTROL_REQUEST_TIME)
         )
+        result = await self.deliver(lambda: self.apply_release(key_range, epoch, timeout))
+        if result.answered and self.loses_answer(key_range.owner):
+            await self.clock.sleep(timeout)
+            return ReleaseResult(answered=False)
+        return result
+
+    async def apply_release(
+        self, key_range: KeyRange, epoch: int, timeout: timedelta
+    ) -> ReleaseResult:
+        """Let a release arrive now."""
+        cluster = self.cluster
         process = cluster.process_at(key_range.owner)
         if (self.vm, key_range.owner.name) in cluster.cut_links or process is None:
             await self.clock.sleep(timeout)
@@ -321,6 +352,26 @@
         await self.clock.sleep(timedelta(0))
         return ReleaseResult(True, token)
 
+    async def deliver(self, apply: Callable[[], Awaitable[Result]]) -> Result:
+        """Let a request arrive at once, or a while later, even if its sender ends before that."""
+        cluster = self.cluster
+        if cluster.rng_faults.random() >= cluster.delayed_control_requests:
+            return await apply()
+        delay = MAX_REQUEST_DELAY * cluster.rng_faults.random()
+
+        async def arrive() -> Result:
+            await cluster.clock.sleep(delay)
+            return await apply()
+
+        task = asyncio.get_running_loop().create_task(arrive())
+        cluster.requests.add(task)
+        task.add_done_callback(cluster.requests.discard)
+        return await asyncio.shield(task)
+
+    def loses_answer(self, owner: Owner) -> bool:
+        """Return whether answers of an owner to this VM are lost."""
+        return (self.vm, owner.name) in self.cluster.lost_answers
+
     def forget(self, owner: Owner) -> None:
         """Do nothing."""
 
@@ -350,8 +401,7 @@
         if not isinstance(message, Placing | GrantsEnd):
             return
         self.cluster.broadcast_bytes += len(msgspec.msgpack.encode(message))
-        now = self.cluster.clock.elapsed()
-        for name, vm in self.cluster.vms.items():
+        for name in self.cluster.vms:
             if name == self.vm or (self.vm, name) in self.cluster.cut_links:
                 continue
             if (
@@ -359,10 +409,7 @@
                 or self.cluster.rng.random() < self.cluster.lost_datagrams
             ):
                 continue
-            if isinstance(message, GrantsEnd):
-                vm.leadership.expiry_broadcasts.apply(now, message)
-                continue
-            vm.leadership.apply_leader_message(now, message)
+            self.cluster.send_message(name, message)
 
 
 @dataclass
@@ -384,6 +431,10 @@
     lost_writes: float = 0.0
     lost_datagrams: float = 0.0
     lost_renewals: float = 0.0
+    # Probability that a control request is under way for a while.
+    delayed_control_requests: float = 0.0
+    # Probability that a message between VMs is late, so that later ones overtake it.
+    late_messages: float = 0.0
     # Probability that work on a random key begins in a step.
     work_share: float = 0.0
 
@@ -391,6 +442,7 @@
         self.rng = random.Random(self.seed)
         self.rng_reports = random.Random(self.seed)
         self.rng_work = random.Random(self.seed)
+        self.rng_faults = random.Random(self.seed)
         self.store = SharedStore(self.clock)
         self.processes: list[ServerProcess] = []
         self.vms: dict[str, VM] = {}
@@ -398,6 +450,13 @@
         # VMs whose calls to the store are held up, and arrive once the VM is removed from here.
         self.held_up: set[str] = set()
         self.cut_links: set[tuple[str, str]] = set()
+        # VMs and servers whose answers to them are lost, although the requests arrive.
+        self.lost_answers: set[tuple[str, str]] = set()
+        # Control requests under way.
+        self.requests: set[asyncio.Task] = set()
+        # Late messages: when they arrive, their number, and the VM that receives them.
+        self.messages: list[tuple[Instant, int, str, object]] = []
+        self.message_numbers = itertools.count()
         self.suspended: set[str] = set()
         # Bytes that leaders have broadcast to each VM.
         self.broadcast_bytes = 0
@@ -565,6 +624,11 @@
         vm.leadership.placers.clear()
         vm.leadership.leader_lease.lose("killed")
 
+    def restart_vm(self, name: str) -> None:
+        """End a process at once, and start another one under its name, which remembers nothing."""
+        self.kill_vm(name)
+        self.start_vm(name)
+
     def stop_vm(self, name: str) -> None:
         """Start a planned stop of a process, which then ends."""
         vm = self.vms[name]
@@ -584,6 +648,37 @@
                 return name
         return ""
 
+    # Messages between VMs.
+
+    def send_message(self, receiver: str, message: Placing | GrantsEnd | dict[str, int]) -> None:
+        """Let a message arrive at a VM now or late."""
+        if self.rng_faults.random() >= self.late_messages:
+            self.deliver_message(receiver, message)
+            return
+        arrives_at = self.clock.elapsed() + MAX_MESSAGE_DELAY * self.rng_faults.random()
+        heapq.heappush(self.messages, (arrives_at, next(self.message_numbers), receiver, message))
+
+    def deliver_late_messages(self) -> None:
+        """Let the late messages that are due arrive."""
+        now = self.clock.elapsed()
+        while self.messages and self.messages[0][0] <= now:
+            _, _, receiver, message = heapq.heappop(self.messages)
+            if receiver in self.vms and receiver not in self.suspended:
+                self.deliver_message(receiver, message)
+
+    def deliver_message(
+        self, receiver: str, message: Placing | GrantsEnd | dict[str, int]
+    ) -> None:
+        """Let a message arrive at a VM; revisions of maps are what a load report tells."""
+        now = self.clock.elapsed()
+        leadership = self.vms[receiver].leadership
+        if isinstance(message, Placing):
+            leadership.apply_leader_message(now, message)
+        elif isinstance(message, GrantsEnd):
+            leadership.expiry_broadcasts.apply(now, message)
+        else:
+            leadership.apply_claims(message)
+
     # Time.
 
     def run_later(self, action) -> None:
@@ -600,6 +695,7 @@
             for at, action in [item for item in self.scheduled if item[0] <= now]:
                 self.scheduled.remove((at, action))
                 action()
+            self.deliver_late_messages()
             if self.rng_work.random() < self.work_share:
                 self.start_random_work()
             for name, vm in list(self.vms.items()):
@@ -615,11 +711,11 @@
 
     def report_maps(self, name: str, vm: VM) -> None:
         """Let the other VMs know which maps a VM knows, as its load reports do."""
-        for other, receiver in self.vms.items():
+        for other in self.vms:
             if other == name or other in self.suspended or (name, other) in self.cut_links:
                 continue
             if self.rng_reports.random() >= self.lost_datagrams:
-                receiver.leadership.apply_claims(vm.leadership.map_revisions())
+                self.send_message(other, vm.leadership.map_revisions())
 
     def holders(self, key: int) -> list[ServerProcess]:
         """Return the running processes that hold a key."""
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1467,20 +1467,26 @@
     assert_no_violations(cluster)
 
 
-async def run_random_history(seed: int, kinds: int) -> None:
+async def run_random_history(
+    seed: int,
+    kinds: int,
+    step: Callable[[SimulatedCluster, random.Random, int], None] = random_step,
+) -> None:
     """Inject random faults one after another; after they end, all keys are served again."""
     cluster = await settled_cluster(seed)
     cluster.work_share = 0.3
     rng = random.Random(seed * 1000 + 7)
     for _ in range(40):
-        random_step(cluster, rng, kinds)
+        step(cluster, rng, kinds)
         await cluster.run(rng.choice((0.1, 0.4, 1.0, 2.5)))
         assert_no_violations(cluster)
     cluster.store.unavailable = False
     cluster.cut_from_store.clear()
     cluster.cut_links.clear()
     cluster.suspended.clear()
+    cluster.lost_answers.clear()
     cluster.late_control_requests = cluster.lost_writes = cluster.lost_datagrams = 0.0
+    cluster.delayed_control_requests = cluster.late_messages = 0.0
     # The last VM may be stopping: seed 500 ended without any VM.
     while not all(stop.done() for stop in cluster.stops):
         await cluster.run(0.1)
--- /dev/null
+++ b/tests/test_direct_placing_faults.py
@@ -0,0 +1,112 @@
+"""Random histories with faults of links, loads, restarts and leases beside all other faults.
+
+Control requests arrive late or their answers are lost, messages between VMs overtake each other,
+hot keys split ranges, VMs start again at once under their names, and leases of the store end
+before their time.
+"""
+
+import random
+
+import pytest
+
+from fireflylock.direct.model import KEY_COUNT
+from tests.simulated_cluster import SERVICE, SimulatedCluster
+from tests.test_direct_placing import (
+    BASIC_STEP_KINDS,
+    LEADER_STOP_STEP_KINDS,
+    RESTORE_FAULT_STEP_KINDS,
+    random_step,
+    run_random_history,
+)
+
+# Probability that a step begins with one of these faults.
+FAULT_SHARE = 0.4
+# Probability that a lease ends when leases end early.
+ENDED_LEASES_SHARE = 0.7
+HOT_KEYS = 4
+
+
+def faulty_step(cluster: SimulatedCluster, rng: random.Random, kinds: int) -> None:
+    """Inject or repair a random fault of the links and VMs, or none; then one as usual."""
+    if cluster.rng_faults.random() < FAULT_SHARE:
+        random_fault(cluster, cluster.rng_faults)
+    random_step(cluster, rng, kinds)
+
+
+def random_fault(cluster: SimulatedCluster, rng: random.Random) -> None:
+    """Inject or repair one random fault."""
+    choice = rng.randrange(9)
+    leader = cluster.leader()
+    if choice == 0:
+        lose_answers(cluster, rng)
+    elif choice == 1:
+        cluster.lost_answers.clear()
+    elif choice == 2:
+        cluster.late_messages = rng.choice((0.0, 0.3, 0.8))
+    elif choice == 3:
+        cluster.delayed_control_requests = rng.choice((0.0, 0.5))
+    elif choice == 4:
+        end_leases_early(cluster, rng)
+    elif choice == 5 and leader:
+        end_lease_of_unheard_leader(cluster, rng, leader)
+    elif choice == 6:
+        add_hot_keys(cluster, rng)
+    elif choice == 7 and cluster.vms:
+        cluster.restart_vm(rng.choice(sorted(cluster.vms)))
+    elif choice == 8:
+        for name in sorted(cluster.vms):
+            cluster.restart_vm(name)
+
+
+def lose_answers(cluster: SimulatedCluster, rng: random.Random) -> None:
+    """Lose the answers of some servers to one VM or to all; their requests arrive."""
+    servers = [process.entry.name for process in cluster.processes if process.alive]
+    vms = sorted(cluster.vms)
+    if not servers or not vms:
+        return
+    chosen = rng.sample(servers, min(len(servers), rng.randint(1, 3)))
+    receivers = vms if rng.random() < 0.4 else [rng.choice(vms)]
+    cluster.lost_answers |= {(vm, server) for vm in receivers for server in chosen}
+
+
+def end_leases_early(cluster: SimulatedCluster, rng: random.Random) -> None:
+    """End most leases of the store before their time."""
+    for lease in list(cluster.store.leases):
+        if rng.random() < ENDED_LEASES_SHARE:
+            cluster.store.end(lease)
+
+
+def end_lease_of_unheard_leader(
+    cluster: SimulatedCluster, rng: random.Random, leader: str
+) -> None:
+    """End the lease of a leader that does not notice: it reaches the servers only.
+
+    Another VM wins at once, and reaches some servers only that still obey the former leader.
+    """
+    others = [name for name in sorted(cluster.vms) if name != leader]
+    servers = [process.entry.name for process in cluster.processes if process.alive]
+    cluster.cut_links |= {(leader, name) for name in others} | {(name, leader) for name in others}
+    if servers:
+        server = rng.choice(servers)
+        cluster.cut_links |= {(name, server) for name in others}
+    cluster.cut_from_store.add(leader)
+    cluster.store.end(cluster.vms[leader].leadership.leader_lease.lease)
+
+
+def add_hot_keys(cluster: SimulatedCluster, rng: random.Random) -> None:
+    """Let some random keys be hot, so that ranges are split and merged."""
+    work = {rng.randrange(KEY_COUNT): rng.uniform(0.5, 3.0) for _ in range(HOT_KEYS)}
+    for vm in cluster.vms.values():
+        vm.leadership.add_key_work(cluster.clock.elapsed(), {SERVICE: work})
+
+
+@pytest.mark.parametrize("seed", range(12))
+async def test_random_histories_with_faulty_links_and_leases_never_give_a_key_two_owners(seed):
+    await run_random_history(
+        seed, LEADER_STOP_STEP_KINDS if seed % 2 else BASIC_STEP_KINDS, faulty_step
+    )
+
+
+@pytest.mark.parametrize("seed", range(12))
+async def test_random_histories_with_faulty_links_and_leases_beside_restores(seed):
+    await run_random_history(seed, RESTORE_FAULT_STEP_KINDS, faulty_step)
