--- a/tests/test_direct_placing_faults.py
+++ b/tests/test_direct_placing_faults.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from fireflylock.direct.leadership import LEADER_TIMEOUT
 from fireflylock.direct.model import KEY_COUNT
 from tests.simulated_cluster import SERVICE, SimulatedCluster
 from tests.test_direct_placing import (
@@ -90,18 +91,22 @@
 def end_lease_of_unheard_leader(
     cluster: SimulatedCluster, rng: random.Random, leader: str
 ) -> None:
-    """End the lease of a leader that does not notice: it reaches the servers only.
+    """End the lease of a leader that does not notice: it soon reaches servers only.
 
-    Another VM wins at once, and reaches some servers only that still obey the former leader.
+    Another VM wins at once, and does not reach some servers that still obey the former leader.
     """
     others = [name for name in sorted(cluster.vms) if name != leader]
     servers = [process.entry.name for process in cluster.processes if process.alive]
+    chosen = rng.sample(servers, min(len(servers), rng.randint(1, 3)))
     cluster.cut_links |= {(leader, name) for name in others} | {(name, leader) for name in others}
-    if servers:
-        server = rng.choice(servers)
-        cluster.cut_links |= {(name, server) for name in others}
-    cluster.cut_from_store.add(leader)
-    cluster.store.end(cluster.vms[leader].leadership.leader_lease.lease)
+    cluster.cut_links |= {(name, server) for name in others for server in chosen}
+
+    def end_lease() -> None:
+        if cluster.leader() == leader:
+            cluster.cut_from_store.add(leader)
+            cluster.store.end(cluster.vms[leader].leadership.leader_lease.lease)
+
+    cluster.scheduled.append((cluster.clock.elapsed() + LEADER_TIMEOUT, end_lease))
 
 
 def add_hot_keys(cluster: SimulatedCluster, rng: random.Random) -> None:
@@ -111,8 +116,9 @@
         vm.leadership.add_key_work(cluster.clock.elapsed(), {SERVICE: work})
 
 
-# Seed that failed: 9, a lease of the store that ended early was taken for the end of a lapse.
-@pytest.mark.parametrize("seed", range(12))
+# Seeds that failed: 8 and 14, an early end of a lease of the store was taken for the end of holds.
+# Seed 37 fails if grants of a former leader whose lease ended early count until the next one wins.
+@pytest.mark.parametrize("seed", [*range(12), 14, 37])
 async def test_random_histories_with_faulty_links_and_leases_never_give_a_key_two_owners(seed):
     await run_random_history(seed, BASIC_STEP_KINDS, faulty_step)
 
