--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -25,6 +25,7 @@
 from tests import handover_steps, test_assignment, test_ownership, test_retry
 from tests.mutant import Mutant
 from tests.mutants_freshness import FRESHNESS_MUTANTS
+from tests.mutants_leases import LEASE_MUTANTS
 from tests.mutants_limits import LIMIT_MUTANTS
 from tests.mutants_links import LINK_MUTANTS
 from tests.mutants_proofs import PROOF_MUTANTS
@@ -331,6 +332,7 @@
     *LIMIT_MUTANTS,
     *FRESHNESS_MUTANTS,
     *PROOF_MUTANTS,
+    *LEASE_MUTANTS,
     *RESTORE_MUTANTS,
 )
 
--- a/tests/test_direct_known_lapses.py
+++ b/tests/test_direct_known_lapses.py
@@ -139,3 +139,18 @@
     cluster.cut_links.add(("late", "s0"))
     assert hold_end < await time_until_held(cluster) < hold_end + 8 * SECOND
     assert cluster.violations == []
+
+
+async def test_a_restore_makes_vms_forget_the_lapses_that_they_have_measured():
+    """The store may have brought back a record of a lapse whose keys were granted again."""
+    cluster, _ = await lapsing_cluster()
+    follower = next(name for name in cluster.vms if name != cluster.leader())
+    leadership = cluster.vms[follower].leadership
+    assert leadership.known_lapses.ends[SERVICE]
+    cluster.kill_vm(cluster.leader())
+    cluster.store.save_copy()
+    cluster.store.restore()
+    leadership.start_task(leadership.fetch_maps())
+    await cluster.run(0.04)
+    assert leadership.store.era.is_restored
+    assert leadership.known_lapses.ends == {}
