Random histories: messages to a VM wait in the queue of a slow link, which may be lost

Messages that are late by chance are overtaken by others that are not, so that a VM still hears the leader at once.

The two mutants that random histories catch fail with seeds 13 and 37 of the tests.

--- a/tests/mutants_leases.py
+++ b/tests/mutants_leases.py
@@ -74,7 +74,7 @@
         KnownLapses,
         "update",
         lapses_are_over,
-        HISTORIES + "[0]",
+        HISTORIES + "[13]",
     ),
     Mutant(
         "a lapse ends with another one of its service",
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -454,6 +454,8 @@
         self.lost_answers: set[tuple[str, str]] = set()
         # Control requests under way.
         self.requests: set[asyncio.Task] = set()
+        # How long all messages to some VMs wait, in order, in the queue of a slow link.
+        self.message_delays: dict[str, timedelta] = {}
         # Late messages: when they arrive, their number, and the VM that receives them.
         self.messages: list[tuple[Instant, int, str, object]] = []
         self.message_numbers = itertools.count()
@@ -652,10 +654,13 @@
 
     def send_message(self, receiver: str, message: Placing | GrantsEnd | dict[str, int]) -> None:
         """Let a message arrive at a VM now or late."""
-        if self.rng_faults.random() >= self.late_messages:
+        delay = self.message_delays.get(receiver, timedelta(0))
+        if self.rng_faults.random() < self.late_messages:
+            delay += MAX_MESSAGE_DELAY * self.rng_faults.random()
+        if not delay:
             self.deliver_message(receiver, message)
             return
-        arrives_at = self.clock.elapsed() + MAX_MESSAGE_DELAY * self.rng_faults.random()
+        arrives_at = self.clock.elapsed() + delay
         heapq.heappush(self.messages, (arrives_at, next(self.message_numbers), receiver, message))
 
     def deliver_late_messages(self) -> None:
--- a/tests/test_direct_placing.py
+++ b/tests/test_direct_placing.py
@@ -1485,6 +1485,7 @@
     cluster.cut_links.clear()
     cluster.suspended.clear()
     cluster.lost_answers.clear()
+    cluster.message_delays.clear()
     cluster.late_control_requests = cluster.lost_writes = cluster.lost_datagrams = 0.0
     cluster.delayed_control_requests = cluster.late_messages = 0.0
     # The last VM may be stopping: seed 500 ended without any VM.
--- a/tests/test_direct_placing_faults.py
+++ b/tests/test_direct_placing_faults.py
@@ -11,7 +11,7 @@
 
 from fireflylock.direct.leadership import LEADER_TIMEOUT
 from fireflylock.direct.model import KEY_COUNT
-from tests.simulated_cluster import SERVICE, SimulatedCluster
+from tests.simulated_cluster import MAX_MESSAGE_DELAY, SERVICE, SimulatedCluster
 from tests.test_direct_placing import (
     BASIC_STEP_KINDS,
     RESTORE_FAULT_STEP_KINDS,
@@ -35,7 +35,7 @@
 
 def random_fault(cluster: SimulatedCluster, rng: random.Random) -> None:
     """Inject or repair one random fault."""
-    choice = rng.randrange(11)
+    choice = rng.randrange(12)
     leader = cluster.leader()
     if choice == 0:
         lose_answers(cluster, rng)
@@ -61,6 +61,8 @@
     elif choice == 10 and len(cluster.vms) > 1 and leader:
         cluster.kill_vm(leader)
         end_leases_early(cluster, rng)
+    elif choice == 11 and cluster.vms:
+        slow_down_link(cluster, rng)
 
 
 def lose_answers(cluster: SimulatedCluster, rng: random.Random) -> None:
@@ -74,6 +76,16 @@
     cluster.lost_answers |= {(vm, server) for vm in receivers for server in chosen}
 
 
+def slow_down_link(cluster: SimulatedCluster, rng: random.Random) -> None:
+    """Let all messages to a VM wait in a queue, or lose such queues."""
+    if cluster.message_delays:
+        cluster.message_delays.clear()
+        cluster.messages.clear()
+        return
+    delay = MAX_MESSAGE_DELAY * rng.random()
+    cluster.message_delays[rng.choice(sorted(cluster.vms))] = delay
+
+
 def cut_servers_off(cluster: SimulatedCluster, rng: random.Random) -> None:
     """Cut one or two servers off from all VMs; they go on working on their keys."""
     servers = [process.entry.name for process in cluster.processes if process.alive]
@@ -118,9 +130,9 @@
         vm.leadership.add_key_work(cluster.clock.elapsed(), {SERVICE: work})
 
 
-# Seeds that failed: 8 and 14, an early end of a lease of the store was taken for the end of holds.
-# Seed 37 fails if grants of a former leader whose lease ended early count until the next one wins.
-@pytest.mark.parametrize("seed", [*range(12), 14, 37])
+# Seed that failed: 8, the early end of a lease of the store was taken for the end of holds.  Seed
+# 13 fails if lapses end too early, 37 if grants of a leader whose lease ended early do not count.
+@pytest.mark.parametrize("seed", [*range(12), 13, 37])
 async def test_random_histories_with_faulty_links_and_leases_never_give_a_key_two_owners(seed):
     await run_random_history(seed, BASIC_STEP_KINDS, faulty_step)
 
