--- a/tests/test_direct_early_lease_end.py
+++ b/tests/test_direct_early_lease_end.py
@@ -1,5 +1,6 @@
 """Leases of the store that end early, against the simulated cluster: no key gets two owners."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 from fireflylock.direct.grant_expiry import CLOCK_DRIFT
@@ -74,3 +75,30 @@
     assert cluster.leader() not in ("", former)
     assert cluster.unheld_keys() == 0
     assert cluster.violations == []
+
+
+async def test_a_leader_whose_lease_ended_early_is_not_taken_for_the_last_one_at_a_restore():
+    """Another VM has led since, and released keys of a leaving server to others."""
+    cluster = await settled_cluster()
+    await cluster.run(12)
+    cluster.store.save_copy()
+    former = cluster.leader()
+    others = [name for name in cluster.vms if name != former]
+    cut_vms_apart(cluster)
+    await cluster.run(1)
+    cluster.cut_from_store.add(former)
+    end_all_leases(cluster)
+    leaving = cluster.processes[0]
+    leaving.entry = replace(leaving.entry, leaving=True)
+    for name in others:
+        cluster.vms[name].table.register(cluster.clock.elapsed(), leaving.entry)
+    while any(leaving in cluster.holders(key) for key in TRACKED_KEYS) or cluster.unheld_keys():
+        await cluster.run(0.02)
+    assert cluster.vms[former].leadership.leader_lease.is_held(cluster.clock.elapsed())
+    for name in others:
+        cluster.kill_vm(name)
+    cluster.store.restore()
+    cluster.cut_from_store.clear()
+    await cluster.run(25)
+    assert cluster.unheld_keys() == 0
+    assert cluster.violations == []
