A test that fails: a grant that waits in its machine's queue (OWNER)

Callers' view: a key is given on while its last holder still works on it.

A grant that gets no answer within 300 ms counts from the end of that attempt, and its connection is reset. Bytes that have left the socket arrive all the same: with a queue of 1 s on its link the leader's last grant arrives 0.7 s after its end, and no later attempt is sent, as no connection opens. Where the server is cut off after that, its keys are given on before its hold ends. The test fails, "key 0 is given to s1.2 while s0.1 works on it"; with a queue of 0.2 s it passes.

The simulated cluster plays such queues: requests of a VM arrive late although their attempt has ended, and no new connection opens meanwhile.

--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -278,6 +278,8 @@
         self.cluster = cluster
         self.vm = vm
         self.clock = VMClock(cluster, vm)
+        # Owners to which a new connection has to be opened, as the last one was reset.
+        self.reset_connections: set[Owner] = set()
 
     async def grant(self, key_range, hold, still_allowed) -> GrantOutcome:
         """Grant keys."""
@@ -287,7 +289,15 @@
         )
         if not still_allowed():
             return GrantOutcome.UNSENT
-        outcome = await self.deliver(lambda: self.apply_grant(key_range, hold))
+        if self.is_connecting(key_range.owner):
+            await self.clock.sleep(CONTROL_REQUEST_TIMEOUT)
+            return GrantOutcome.UNSENT
+        outcome = await self.deliver(
+            key_range.owner,
+            lambda: self.apply_grant(key_range, hold),
+            CONTROL_REQUEST_TIMEOUT,
+            GrantOutcome.UNANSWERED,
+        )
         if outcome in (GrantOutcome.GRANTED, GrantOutcome.REFUSED) and self.loses_answer(
             key_range.owner
         ):
@@ -319,7 +329,12 @@
         await self.clock.sleep(
             cluster.control_request_times.get(key_range.owner.name, CONTROL_REQUEST_TIME)
         )
-        result = await self.deliver(lambda: self.apply_release(key_range, epoch, timeout))
+        result = await self.deliver(
+            key_range.owner,
+            lambda: self.apply_release(key_range, epoch, timeout),
+            timeout,
+            ReleaseResult(answered=False),
+        )
         if result.answered and self.loses_answer(key_range.owner):
             await self.clock.sleep(timeout)
             return ReleaseResult(answered=False)
@@ -355,12 +370,20 @@
         await self.clock.sleep(timedelta(0))
         return ReleaseResult(True, token)
 
-    async def deliver(self, apply: Callable[[], Awaitable[Result]]) -> Result:
+    async def deliver(
+        self,
+        owner: Owner,
+        apply: Callable[[], Awaitable[Result]],
+        timeout: timedelta,
+        unanswered: Result,
+    ) -> Result:
         """Let a request arrive at once, or a while later, even if its sender ends before that."""
         cluster = self.cluster
-        if cluster.rng_faults.random() >= cluster.delayed_control_requests:
+        delay = cluster.queue_delays.get(self.vm, timedelta(0))
+        if cluster.rng_faults.random() < cluster.delayed_control_requests:
+            delay += MAX_REQUEST_DELAY * cluster.rng_faults.random()
+        if not delay:
             return await apply()
-        delay = MAX_REQUEST_DELAY * cluster.rng_faults.random()
 
         async def arrive() -> Result:
             await cluster.clock.sleep(delay)
@@ -369,7 +392,20 @@
         task = asyncio.get_running_loop().create_task(arrive())
         cluster.requests.add(task)
         task.add_done_callback(cluster.requests.discard)
-        return await asyncio.shield(task)
+        if delay < timeout:
+            return await asyncio.shield(task)
+        self.reset_connections.add(owner)
+        await self.clock.sleep(timeout)
+        return unanswered
+
+    def is_connecting(self, owner: Owner) -> bool:
+        """Return whether no connection to an owner opens in time, after the last one was reset."""
+        cluster = self.cluster
+        delay = cluster.queue_delays.get(self.vm, timedelta(0))
+        is_cut = (self.vm, owner.name) in cluster.cut_links
+        if delay < CONTROL_REQUEST_TIMEOUT and not is_cut:
+            self.reset_connections.discard(owner)
+        return owner in self.reset_connections
 
     def loses_answer(self, owner: Owner) -> bool:
         """Return whether answers of an owner to this VM are lost."""
@@ -457,6 +493,8 @@
         self.lost_answers: set[tuple[str, str]] = set()
         # Control requests under way.
         self.requests: set[asyncio.Task] = set()
+        # How long all control requests of some VMs wait, in order, in the queue of their link.
+        self.queue_delays: dict[str, timedelta] = {}
         # How long all messages to some VMs wait, in order, in the queue of a slow link.
         self.message_delays: dict[str, timedelta] = {}
         # Late messages: when they arrive, their number, and the VM that receives them.
