--- a/fireflylock/direct/leadership.py
+++ b/fireflylock/direct/leadership.py
@@ -145,7 +145,8 @@
         self.expiry_broadcasts = ExpiryBroadcasts()
         self.known_lapses = KnownLapses()
         self.leader_vm = ""
-        # When the last message of a leader was sent, and when that leader won, by the clock here.
+        # By the clock here: when a leader last sent a message, when that leader won, and when
+        # its last message arrived.
         self.leader_heard_at: Instant = timedelta(0)
         self.leader_since: Instant = timedelta(0)
         self.message_at: Instant = timedelta(0)
