Tests of early lease ends share how a VM is cut off and who leads

The set of cut links and the question are the same as before. Without the wait for former leaders (LeaderLease.others_end at the win) the test fails, as it did.

--- a/tests/test_direct_early_lease_end.py
+++ b/tests/test_direct_early_lease_end.py
@@ -173,11 +173,10 @@
     await cluster.run(12)
     former = cluster.leader()
     others = [vm for vm in cluster.vms if vm != former]
-    cluster.cut_links |= {pair for vm in others for pair in ((vm, former), (former, vm))}
+    cut_off(cluster, former)
     cluster.cut_from_store.add(former)
     end_all_leases(cluster)
-    leases = [cluster.vms[vm].leadership.leader_lease for vm in others]
-    while not any(lease.is_held(cluster.clock.elapsed()) for lease in leases):
+    while not any(is_leader(cluster, vm) for vm in others):
         await cluster.run(0.02)
     leaving = cluster.processes[0]
     leaving.entry = replace(leaving.entry, leaving=True)
