--- a/review/deployment/backend.py
+++ b/review/deployment/backend.py
@@ -30,6 +30,7 @@
     body: bytes
     arrived: float
     ended: str = "at work"
+    end: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 @dataclass
@@ -131,8 +132,10 @@
             except asyncio.CancelledError:
                 run.ended = "caller left"
                 raise
-        run.ended = "cut by the end of the process"
+            finally:
+                run.end.set()
         if not self.up:
+            run.ended = "cut by the end of the process"
             return Answer(drop=True)
         run.ended = "done"
         return Answer(200, f"{self.name} ran {request_id}".encode(), own | {SIGNATURE: self.name})
@@ -146,6 +149,6 @@
             hold = wire.parse_duration(call["hold_time"])
             return Answer(200 if self.keys.grant(first, last, fence, hold) else 409)
         token = self.keys.release(first, last, fence)
-        while any(r.ended == "at work" and first <= (r.key or 0) <= last for r in self.runs):
-            await asyncio.sleep(0.005)
+        for one in [r for r in self.runs if first <= (r.key or 0) <= last]:
+            await one.end.wait()
         return Answer(200, headers={HANDOVER: token})
--- a/review/deployment/case.py
+++ b/review/deployment/case.py
@@ -19,6 +19,7 @@
 HOST = "shop.example"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 START_SECONDS = 25.0
+LONGEST_SECONDS = 100.0
 
 SETTINGS = """grants = "call"
 [self]
@@ -264,7 +265,7 @@
     """Run a case and return its exit status."""
     case = Case(folder)
     try:
-        asyncio.run(body(case))
+        asyncio.run(asyncio.wait_for(body(case), LONGEST_SECONDS))
     except Exception as error:
         case.note(f"could not run: {error!r}")
         if not case.broken:
--- a/review/deployment/store.py
+++ b/review/deployment/store.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from fireflylock.platform import wire
-from standins.http_server import Call, DropConnectionError, Reply
+from standins.http_server import DropConnectionError, Reply
 from standins.operator_files import ROUTE_COLUMNS, SERVICE_COLUMNS, config_json
 from standins.platform_store import PlatformStore
 
@@ -14,7 +14,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.cut = asyncio.Event()
-        self.cuts = 0
+        self.cut_prefix = ""
 
     def cut_watches(self, prefix: str = "") -> None:
         """Close the connections of the watches below a prefix that are waiting."""
@@ -33,13 +33,8 @@
                 return answer.result()
             if query["prefix"].startswith(self.cut_prefix):
                 answer.cancel()
-                self.cuts += 1
                 raise DropConnectionError
 
-    async def reply(self, call: Call) -> Reply:
-        """Answer a call."""
-        return await super().reply(call)
-
 
 def write_config(
     store: PlatformStore, version: int, routes: list[list], services: list[list]
