--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import sys
 import time
 from pathlib import Path
@@ -88,4 +89,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run(Path(__file__).parent, body))
+    # TROUBLE=0 does the same without the disruption.
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run(Path(__file__).parent, body, trouble))
--- a/review/deployment/case.py
+++ b/review/deployment/case.py
@@ -85,11 +85,13 @@
     ----------
     folder : Path
         The case's folder, which gets ``record.txt``.
+    trouble : bool
+        Whether the disruption happens.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, trouble: bool) -> None:
         self.folder = folder
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.trouble = trouble
         self.started = time.monotonic()
         self.lines: list[str] = []
         self.broken: list[str] = []
@@ -261,9 +263,9 @@
     return request_id, ended
 
 
-def run(folder: Path, body: Callable[[Case], Awaitable[None]]) -> int:
+def run(folder: Path, body: Callable[[Case], Awaitable[None]], trouble: bool) -> int:
     """Run a case and return its exit status."""
-    case = Case(folder)
+    case = Case(folder, trouble)
     try:
         asyncio.run(asyncio.wait_for(body(case), LONGEST_SECONDS))
     except Exception as error:
